--- /dev/null
+++ b/cmd/wirehost/main.go
@@ -0,0 +1,98 @@
+// Command wirehost runs any number of governors on the simulator's wire: batches on standard input, one
+// reply for each on standard output.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+
+	"lilacbend/brain"
+	"lilacbend/control"
+	"lilacbend/wire"
+)
+
+func main() {
+	if err := serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		os.Exit(1)
+	}
+}
+
+func serve(in io.Reader, out io.Writer) error {
+	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriter(out)
+	h := host{governors: map[uint32]*brain.Governor{}}
+	for {
+		batch, err := wire.ReadBatch(r)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("reading a batch: %w", err)
+		}
+		h.turn(batch)
+		if _, err := w.Write(h.reply.Frame()); err != nil {
+			return fmt.Errorf("writing a reply: %w", err)
+		}
+		if err := w.Flush(); err != nil {
+			return fmt.Errorf("writing a reply: %w", err)
+		}
+	}
+}
+
+type host struct {
+	governors map[uint32]*brain.Governor
+	reply     wire.Reply
+}
+
+func (h *host) turn(batch wire.Batch) {
+	events := map[uint32][]any{}
+	var order []uint32
+	for _, rec := range batch.Records {
+		if _, seen := events[rec.Instance]; !seen {
+			order = append(order, rec.Instance)
+		}
+		events[rec.Instance] = append(events[rec.Instance], rec.Event)
+	}
+	sort.Slice(order, func(i, j int) bool { return order[i] < order[j] })
+	for _, instance := range order {
+		h.instance(instance, batch.Now, events[instance])
+	}
+}
+
+// instance gives one governor its events. A panic ends that governor with a Fault.
+func (h *host) instance(id uint32, now int64, events []any) {
+	defer func() {
+		if p := recover(); p != nil {
+			delete(h.governors, id)
+			h.reply.Fault(id, fmt.Sprintf("the module failed: %v", p))
+		}
+	}()
+	var told []control.Event
+	for _, ev := range events {
+		switch e := ev.(type) {
+		case wire.Killed:
+			delete(h.governors, id)
+			told = nil
+		case wire.Configure:
+			provision, err := wire.ParseProvision(e.Seed, e.Text)
+			if err != nil {
+				delete(h.governors, id)
+				h.reply.Fault(id, "cannot start: "+err.Error())
+				return
+			}
+			h.governors[id] = brain.New(provision)
+			told = nil
+		default:
+			told = append(told, ev)
+		}
+	}
+	if g := h.governors[id]; g != nil {
+		for _, o := range g.Turn(now, told) {
+			h.reply.Add(id, o)
+		}
+	}
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,197 @@
+// Package control is the interface of the decision module: the events it is
+// told, the orders it gives and what it reads at its start. It decides
+// nothing. Times are whole nanoseconds; ids are kept as they came.
+package control
+
+// Effect says whether a flow may run more than once.
+type Effect int
+
+const (
+	NonRetriable Effect = iota
+	Deduped
+	Retriable
+)
+
+// Scope names the replicas that drop a repeat of a deduped flow.
+type Scope int
+
+const (
+	ScopeCell Scope = iota
+	ScopeZone
+	ScopeAll
+)
+
+// Admission says how proxies follow levels.
+type Admission int
+
+const (
+	AdmitAll   Admission = iota // levels are not followed
+	AdmitShare                  // a level is a share of what comes
+	AdmitRate                   // a level is flows a second at each proxy
+)
+
+// TrafficGroup is one kind of flow.
+type TrafficGroup struct {
+	Utility       float64
+	LatencyBudget int64
+	Expiry        int64
+	Effect        Effect
+	Scope         Scope
+	Window        int64 // how long a repeat of a deduped flow is dropped
+	OwnZone       bool  // only replicas in the proxy's zone may serve it
+}
+
+// Provision is what a governor is told before its first turn.
+type Provision struct {
+	Seed      uint64
+	Governors int
+	Zones     int
+	Kinds     int
+	Proxies   int // over all governors
+	Groups    []TrafficGroup
+
+	ChannelRate  float64 // lines a second when all is well
+	ChannelLimit int     // lines that may wait
+	MessageHead  int     // lines each message costs beside its own
+	Transit      int64   // mean way from the channel to a proxy
+	WorstTransit int64
+	MessagesMost int // messages to one proxy within MessagesSpan; 0 is no limit
+	MessagesSpan int64
+	ReportEvery  int64
+
+	BareLimit    int64 // longest a proxy may lack a line
+	DrainGrace   int64
+	ColdShare    float64 // least part of its capacity a replica starts with
+	WarmAfter    int64
+	FallMultiple float64
+	FallSpan     int64
+
+	Admission   Admission
+	TryFactor   float64 // latency budgets a try waits where a further one may follow
+	UsualTries  Tries
+	Probes      bool
+	LoadReports bool // sums carry the flows a replica holds
+}
+
+// Tries says when a proxy tries another replica.
+type Tries int
+
+const (
+	TryOnce       Tries = iota
+	TryIfNeverRan       // one more after proof that the first never ran
+	TryAgain            // one more after any failure
+	TryTwiceMore
+)
+
+// AllTables as the table of a Level reaches every joined proxy.
+const AllTables = 65535
+
+// State of a replica in the list.
+type State int
+
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Event is anything a governor is told.
+type Event interface{}
+
+type (
+	// Entry is one replica of the list.
+	Entry struct {
+		Replica uint32
+		Zone    int
+		Kind    int
+		State   State
+		Weight  float64
+		Start   int64 // 0: long ago
+	}
+	// Listed brings the list, whole or as changes. Failed brings nothing.
+	Listed struct {
+		Full    bool
+		Failed  bool
+		Entries []Entry
+	}
+	// Joined: a proxy has a stream to this governor now, bound to nothing.
+	Joined struct {
+		Proxy int
+		Zone  int
+		Rate  float64
+	}
+	// Left: the stream of a proxy broke.
+	Left struct{ Proxy int }
+	// Met sums what the proxies of a zone met at a replica.
+	Met struct {
+		Replica uint32
+		Zone    int
+		Tries   int
+		Missed  int // tries with no good answer
+		Answer  int64
+		Span    int64
+		Held    float64 // flows the replica held, below 0 when not told
+	}
+	// Demand sums the flows of a traffic group that came to a proxy.
+	Demand struct {
+		Proxy  int
+		Group  int
+		Flows  int
+		Missed int
+		Span   int64
+	}
+	// Answered: the proxy applied all up to the mark.
+	Answered struct {
+		Proxy int
+		Mark  uint64
+		Took  int64
+	}
+	// Probed ends a probe.
+	Probed struct {
+		Replica uint32
+		Good    bool
+		Took    int64
+	}
+	// Woken ends a Wake.
+	Woken struct{ Label uint64 }
+)
+
+// Order is anything a governor asks for.
+type Order interface{}
+
+type (
+	// SetLine sets one line of a table; weight 0 removes it.
+	SetLine struct {
+		Table   int
+		Replica uint32
+		Weight  float64
+	}
+	// Bind puts a proxy on a table for all traffic groups.
+	Bind struct {
+		Proxy int
+		Table int
+	}
+	// Withdraw shuts a replica out of all tables, or lets it in again.
+	Withdraw struct {
+		Replica uint32
+		Out     bool
+	}
+	// Level sets what is let in and when further tries are made.
+	Level struct {
+		Table int
+		Group int
+		Share float64
+		Tries Tries
+	}
+	// Mark asks the proxies that this turn reaches for an answer.
+	Mark struct{ Number uint64 }
+	// Probe asks one replica how it is.
+	Probe struct{ Replica uint32 }
+	// Wake asks for a Woken after a time.
+	Wake struct {
+		Label uint64
+		After int64
+	}
+	// Log writes one line for those on call.
+	Log struct{ Text string }
+)
--- /dev/null
+++ b/wire/provision.go
@@ -0,0 +1,137 @@
+package wire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"lilacbend/control"
+)
+
+// sheet holds the path=value lines of the start message and the first thing wrong with them.
+type sheet struct {
+	lines map[string]string
+	err   error
+}
+
+func (s *sheet) note(format string, args ...any) {
+	if s.err == nil {
+		s.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (s *sheet) text(path string) string {
+	v, ok := s.lines[path]
+	if !ok {
+		s.note("setting %s is missing", path)
+	}
+	return v
+}
+
+func (s *sheet) number(path string) float64 {
+	v := s.text(path)
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		s.note("setting %s=%q is not a number", path, v)
+		return 0
+	}
+	return f
+}
+
+func (s *sheet) ms(path string) int64 { return nanos(s.number(path)) }
+
+func (s *sheet) count(path string) int {
+	f := s.number(path)
+	if f < 0 || f > 1<<20 || f != math.Trunc(f) {
+		s.note("setting %s=%v is not a whole count", path, f)
+		return 0
+	}
+	return int(f)
+}
+
+func (s *sheet) list(path string) []string {
+	if v := s.text(path); v != "" {
+		return strings.Split(v, ",")
+	}
+	return nil
+}
+
+// choice reads a word that must be one of those given.
+func choice[T any](s *sheet, path string, words map[string]T) T {
+	v := s.text(path)
+	t, ok := words[v]
+	if !ok {
+		s.note("setting %s=%q is not known", path, v)
+	}
+	return t
+}
+
+// ParseProvision reads the start message of an instance. Paths it does not know are skipped.
+func ParseProvision(seed uint64, text string) (control.Provision, error) {
+	s := &sheet{lines: map[string]string{}}
+	for _, line := range strings.Split(text, "\n") {
+		if path, value, ok := strings.Cut(strings.TrimRight(line, "\r"), "="); ok {
+			s.lines[path] = value
+		}
+	}
+	p := control.Provision{
+		Seed:      seed,
+		Governors: s.count("balancers"),
+		Zones:     len(s.list("zones")),
+		Kinds:     len(s.list("kinds")),
+		Proxies:   s.count("domain.proxy_count"),
+
+		ChannelRate:  s.number("domain.push_rate"),
+		ChannelLimit: int(s.number("domain.pending_max")),
+		MessageHead:  int(math.Ceil(s.number("domain.envelope"))),
+		Transit:      s.ms("domain.transit_ms"),
+		WorstTransit: s.ms("domain.worst_transit_ms"),
+		MessagesMost: s.count("domain.pushes_allowed"),
+		MessagesSpan: s.ms("domain.reload_span_ms"),
+		ReportEvery:  s.ms("domain.cycle_ms"),
+
+		BareLimit:    s.ms("domain.blackhole_ms"),
+		DrainGrace:   s.ms("invariants.drain_grace_ms"),
+		ColdShare:    s.number("invariants.cold_from"),
+		WarmAfter:    s.ms("invariants.warm_after_ms"),
+		FallMultiple: s.number("invariants.tip_multiple"),
+		FallSpan:     s.ms("invariants.fall_ms"),
+
+		Admission: choice(s, "domain.admit", map[string]control.Admission{
+			"silent": control.AdmitAll, "fraction": control.AdmitShare, "per_second": control.AdmitRate}),
+		TryFactor:   s.number("domain.try_factor"),
+		UsualTries:  control.Tries(s.count("domain.usual_how")),
+		Probes:      s.lines["limits.probes"] == "true",
+		LoadReports: s.lines["report.source"] == "piggyback" && strings.HasPrefix(s.lines["report.fields"], "inflight"),
+	}
+	if s.lines["domain.shards"] != "0" {
+		s.note("domain.shards=%q: sites with slices are not served", s.lines["domain.shards"])
+	}
+	own := s.list("domain.class_own_zone")
+	lanes := s.count("lanes.count")
+	for k := 0; k < lanes && s.err == nil; k++ {
+		p.Groups = append(p.Groups, group(s, fmt.Sprintf("lanes.%d.", k), k < len(own) && own[k] == "true"))
+	}
+	if s.err != nil {
+		return control.Provision{}, s.err
+	}
+	return p, nil
+}
+
+func group(s *sheet, at string, ownZone bool) control.TrafficGroup {
+	g := control.TrafficGroup{
+		Utility:       s.number(at + "gain"),
+		LatencyBudget: s.ms(at + "slo_ms"),
+		Expiry:        s.ms(at + "deadline_ms"),
+		Effect: choice(s, at+"effect", map[string]control.Effect{
+			"read_like": control.Retriable, "idempotency_key": control.Deduped, "non_idempotent": control.NonRetriable}),
+		OwnZone: ownZone,
+	}
+	if g.Effect == control.Deduped {
+		g.Window = s.ms(at + "window_ms")
+		g.Scope = choice(s, at+"group", map[string]control.Scope{
+			"all": control.ScopeAll, "zone": control.ScopeZone, "cell": control.ScopeCell})
+	}
+	return g
+}
