--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,171 +1,143 @@
 // Package brain decides where forwarders (proxies) send flows: it is a governor that sees no flow and steers
 // by tables. To use it call New with the control.Provision of the deployment, then Turn with each batch of
 // events; Turn returns the orders to carry out, in order. Package control is the whole interface. A governor
-// asks for its own Wake and keeps no clock, no goroutine and nothing outside itself: same events, same orders.
+// asks for its own Wake and keeps no clock, no goroutine, nothing outside itself: same events, same orders.
 //
-// The ordinary path is a reverse-order update (docs/design.md): few shared tables, a proxy bound once its table
-// is laid, and each change a sequence of add, overwrite, rebind, remove, every step closed by its mark's answers.
+// The ordinary path is a reverse-order update (docs/design.md): few shared tables, a proxy bound once its
+// table is laid, each change a sequence of add, overwrite, rebind, remove, every step closed by its answers.
 // Replicas are actors; parts talk only through inboxes that Turn's one loop empties.
 package brain
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"maps"
 	"math"
-	"sort"
+	"slices"
 
 	"lilacbend/control"
 )
 
 // Tuned values. Whatever a deployment states or shows is preferred to a figure here.
 const (
-	second       = int64(1e9)
-	proxiesTable = 5          // a table for each so many proxies, less than one
-	stepTimeout  = 2 * second // a step ends without the answers still missing
-	entryShare   = 0.5        // weight of a new replica ...
-	entrySpan    = 5 * second // ... for this long
-	ordinaryPart = 0.4        // of the channel's limit for ordinary lines, under half
-	urgentPart   = 0.85       // of it for withdrawals and binds as well
-	ordinaryMsgs = 0.5        // of a proxy's message cap for ordinary lines
-	changeWorth  = 0.15       // relative change of a weight worth a line
-	recent       = 4 * second // samples older than this are not judged
-	samplesKept  = 32
-	speedSpan    = 3 * second // time in which a weight follows answer times
-	kindPower    = 1.3        // how strongly a kind's answer time moves its weight
-	ownPower     = 1.0        // how strongly a replica's does, against its kind's
-	slowest      = 1.0 / 16
-	fastest      = 2.0
-	sickTries    = 5   // tries needed for a verdict
-	sickPart     = 0.5 // missed part that condemns, above the fleet's own
-	trialPart    = 0.1 // weight of a replica on trial
-	trialTries   = 3
-	restSpan     = 4 * second // first rest of a sick replica, doubled at each relapse
-	longestRest  = 32 * second
-	spareGuest   = 1.1 // a table short of its need by less than this takes no guests
-	leastLeft    = 0.5 // of the listed weight stays in, unless what goes serves nothing
-	hopeless     = 0.9 // missed part of what serves nothing
+	second                   = int64(1e9)
+	proxiesTable             = 5               // less than one table for so many proxies
+	stepTimeout              = 2 * second      // a step ends without the answers still missing
+	entryShare, entrySpan    = 0.5, 5 * second // weight of a new replica, for how long
+	ordinaryPart, urgentPart = 0.4, 0.85       // of the channel's limit, for lines and for all
+	ordinaryMsgs, urgentMsgs = 0.5, 0.95       // of a proxy's message cap, likewise
+	changeWorth              = 0.15            // relative change of a weight worth a line
+	recent, samplesKept      = 4 * second, 32  // older samples are not judged, more are not kept
+	settleSpan               = 3 * second      // time in which a weight follows answer times
+	kindPower                = 1.3             // how strongly a kind's answer time moves its weight
+	slowest, fastest         = 1.0 / 16, 2.0   // bounds of a replica's weight against its kind's
+	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
+	sickPart, fewGood        = 0.5, 0.6        // sick: missed more, gives less of its kind's good answers
+	trialPart                = 0.1             // weight of a replica on trial
+	restSpan, mostRelapses   = 4 * second, 3   // the first rest of the sick, how often it doubles
+	leastLeft                = 0.5             // of the listed weight that the sick may not take away
+	spareGuest, scarceHome   = 1.1, 0.25       // a table takes guests, or gives up, under these parts of need
+	coldSpare                = 0.5             // of the multiple at which a cold replica falls
+	strained, missedMost     = 0.5, 0.15       // an overloaded fleet: answer to budget, missed part
+	lineDown, lineUp         = 0.85, 0.03      // flows left to it, and given back each second
+	leastLet                 = 0.1             // of all flows is always let in
+	shareSteps, guestSteps   = 20, 4           // levels and guests move in such parts, to save orders
 )
 
-type inbox struct{ notes []any }
-
-func (b *inbox) put(n any)       { b.notes = append(b.notes, n) }
-func (b *inbox) letters() *inbox { return b }
+const ( // the parts' inboxes; those of the replicas come after
+	theRoll = iota
+	thePlanner
+	theLevels
+	theSequence
+	thePacer
+	parts
+)
 
-type part interface {
-	letters() *inbox
-	take(note any)
+type inbox struct {
+	part interface{ take(note any) }
+	mail []any
 }
 
-// desk is what the parts may see beside their inboxes: the clock, the provision, each other's addresses.
+// desk is what the parts share: the clock, the provision, the inboxes and the orders of this turn.
 type desk struct {
 	control.Provision
-	now                                    int64
-	draws                                  uint64
-	out                                    []control.Order
-	roll, planner, sequence, pacer, levels *inbox
+	now   int64
+	draws uint64
+	out   []control.Order
+	boxes []*inbox
 }
 
-func (d *desk) say(format string, args ...any) {
-	d.out = append(d.out, control.Log{Text: fmt.Sprintf(format, args...)})
+func (d *desk) post(to int, note any) { d.boxes[to].mail = append(d.boxes[to].mail, note) }
+
+func (d *desk) say(f string, args ...any) {
+	d.out = append(d.out, control.Log{Text: fmt.Sprintf(f, args...)})
 }
 
-// chance draws from 0 to 1, the same for the same seed and the same count of draws.
+// chance draws from 0 to 1, the same for the same seed and count of draws.
 func (d *desk) chance() float64 {
 	d.draws++
 	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, d.Seed), d.draws)
 	return (float64(crc32.ChecksumIEEE(b)) + 1) / (1 << 32)
 }
 
-// Notes between the parts.
+func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// Notes between the parts; events and orders go from part to part as they are.
 type (
 	tick    struct{}
-	redraw  struct{}
+	redraw  struct{} // the planner has heard from all replicas
 	closing struct{} // the turn ends: the pacer sends
-	figures struct { // replica to planner: what it was met with lately
-		id           uint32
-		kind         int
-		tries, bad   int
-		answer       float64 // seconds, 0 if unknown
-		listed       float64
-		warm, unwell bool
-	}
-	norm struct { // planner to replica: its kind's answer time, the kind's weight, the fleet's missed part
-		answer, kind, bad float64
-	}
-	offer struct { // replica to planner: the weight it can bear
-		id           uint32
-		zone         int
-		weight       float64
-		ticket       float64
-		listed, bad  float64
-		closed, sick bool // closed: draining or gone
-	}
-	crowd struct { // roll to planner: usual flows of a joined proxy, 0 when it left
-		proxy, zone int
-		rate        float64
-	}
-	target struct { // planner to sequence
-		lines map[line]float64
-		out   map[uint32]bool
+	norm    struct { // planner to replica: its kind's answer time, good answers, weight; the fleet's missed part
+		answer, good, kind, bad float64
 	}
-	seats struct { // planner to roll and sequence: the table of each zone
-		table []int
+	offer struct { // replica to planner: what it can bear and what it was met with lately
+		control.Entry
+		box                                int
+		weight, ticket, tries, bad, answer float64
+		warm, sick, trial                  bool
 	}
-	joined struct{ proxy, table int }
-	left   struct{ proxy int }
-	step   struct{ changes []change } // sequence to pacer: what the open step still has to send
-	sent   struct {                   // pacer to sequence: what went out, under which mark
-		changes []change
-		mark    uint64
+	fleet  struct{ tries, bad, answer float64 } // planner to levels: tries a second, missed part, answer time
+	target struct {                             // planner to sequence: weights, below 0 for what stays as it is
+		lines map[line]float64
+		out   map[uint32]bool
 	}
-	marked struct { // pacer to roll
+	seats  struct{ table []int }            // planner to roll: the table of each zone, counted round
+	step   struct{ orders []control.Order } // sequence to pacer: what the open step still has to send
+	marked struct {                         // pacer to roll and sequence: what went out, to whom, under which mark
 		mark    uint64
 		proxies []int
+		orders  []control.Order
 	}
-	caught struct { // roll to pacer: a proxy applied all up to the mark
+	caught struct { // roll to pacer and sequence: somebody applied all up to the mark, or all have
 		mark uint64
-		left float64
+		all  bool
 	}
-	closed struct{ mark uint64 } // roll to sequence: all answered or left
-	shut   struct {              // planner to pacer: out at once
-		id  uint32
-		out bool
+	line struct {
+		table int
+		id    uint32
 	}
 )
 
-type line struct {
-	table int
-	id    uint32
-}
-
-// change is one line to set, one withdrawal to lift or one proxy to rebind.
-type change struct {
-	line
-	weight, size float64
-	lift, rebind bool
-	proxy        int
-}
-
 // ---- replica: health, warmth, speed
 
 type sample struct {
-	at         int64
-	tries, bad int
-	answer     float64
+	at                 int64
+	tries, bad, answer float64
 }
 
 type replica struct {
 	*desk
-	inbox
+	box     int
 	entry   control.Entry
 	heard   int64 // when its start became known
 	ticket  float64
 	met     []sample
-	speed   float64
-	kind    float64
-	resting int64 // out until then; 0 when in
-	trial   int64 // on trial since; 0 when not
+	speed   float64 // against its kind
+	fleet   norm
+	resting int64 // out until then
+	trial   int64 // on trial since
 	relapse int
 	judged  int64
 }
@@ -173,307 +145,222 @@
 func (r *replica) take(n any) {
 	switch n := n.(type) {
 	case control.Entry:
-		restarted := n.Start != r.entry.Start
-		if restarted && n.State == control.Ready {
+		if n.Start != r.entry.Start && n.State == control.Ready {
 			r.met, r.resting, r.trial, r.relapse, r.heard = nil, 0, 0, 0, r.now
 		}
 		r.entry = n
-		r.offer()
 	case control.Met:
-		r.met = append(r.met, sample{r.now, n.Tries, n.Missed, float64(n.Answer) / float64(second)})
-		if len(r.met) > samplesKept {
-			r.met = r.met[1:]
-		}
-	case tick:
-		tries, bad, answer := r.lately()
-		r.planner.put(figures{r.entry.Replica, r.entry.Kind, tries, bad, answer, r.entry.Weight,
-			r.warmth() == 1, r.resting > 0 || r.trial > 0 || r.entry.State != control.Ready})
+		r.met = append(r.met, sample{r.now, float64(n.Tries), float64(n.Missed), float64(n.Answer) / float64(second)})
+		r.met = r.met[max(0, len(r.met)-samplesKept):]
+		return
 	case norm:
-		r.judge(n)
-		r.offer()
+		r.fleet = n
+		r.judge()
+	}
+	tries, bad, answer := r.lately()
+	w := math.Max(r.entry.Weight, 1e-6) * r.fleet.kind * r.speed * r.warmth()
+	if r.trial > 0 {
+		w *= trialPart
 	}
+	r.post(thePlanner, offer{r.entry, r.box, w, r.ticket, tries, bad, answer,
+		r.warmth() == 1, r.resting > 0, r.trial > 0})
 }
 
-// lately sums the samples still worth judging.
-func (r *replica) lately() (tries, bad int, answer float64) {
-	since := max(r.now-recent, r.trial)
-	good := 0
+// lately sums the samples still worth judging; answer is a mean in seconds.
+func (r *replica) lately() (tries, bad, answer float64) {
+	good := 0.0
 	for _, s := range r.met {
-		if s.at > since {
+		if s.at > max(r.now-recent, r.trial) {
 			tries, bad = tries+s.tries, bad+s.bad
 			if s.answer > 0 {
-				answer += s.answer * float64(s.tries-s.bad)
-				good += s.tries - s.bad
+				answer, good = answer+s.answer*(s.tries-s.bad), good+s.tries-s.bad
 			}
 		}
 	}
-	if good > 0 {
-		answer /= float64(good)
-	}
-	return tries, bad, answer
+	return tries, bad, answer / math.Max(1, good)
 }
 
-// judge moves the replica between well, resting and on trial, and its speed towards what its answers show.
-// A silent, failing or cut-off replica misses most tries while the fleet does not; a trouble of the whole
-// fleet or of the reports condemns nobody. It could harm when a few tries miss by chance: sickTries.
-func (r *replica) judge(n norm) {
+// judge moves the replica between well, resting and on trial, and its speed to what its answers show.
+// Silent, failing and cut-off replicas miss most tries while others do not, and give few good answers: one that
+// still gives its share is busy, and without it the rest would be worse off. A trouble of the whole fleet or of
+// the reports condemns nobody. It could harm where a few tries miss by chance, so a verdict needs sickTries.
+func (r *replica) judge() {
 	tries, bad, answer := r.lately()
-	part := float64(bad) / math.Max(1, float64(tries))
-	r.kind = n.kind
-	dt := math.Min(1, float64(r.now-r.judged)/float64(speedSpan))
-	r.judged = r.now
-	if answer > 0 && n.answer > 0 && tries-bad >= 3 {
-		goal := math.Pow(n.answer/answer, ownPower)
-		r.speed *= math.Pow(math.Min(fastest, math.Max(slowest, goal))/r.speed, dt)
+	part := bad / math.Max(1, tries)
+	if answer > 0 && r.fleet.answer > 0 && tries-bad >= trialTries {
+		r.speed = follow(r.speed, r.fleet.answer/answer, slowest, fastest, r.now-r.judged)
 	}
+	r.judged = r.now
 	switch {
-	case r.resting > 0 && r.now >= r.resting:
+	case r.resting > r.now:
+	case r.resting > 0:
 		r.resting, r.trial = 0, r.now
 		r.say("replica %d on trial after rest %d", r.entry.Replica, r.relapse)
-	case r.resting > 0:
-	case r.trial > 0 && tries >= trialTries && part < sickPart:
-		r.trial = 0
-		r.say("replica %d well again: %d of %d missed", r.entry.Replica, bad, tries)
-	case (tries >= sickTries || r.trial > 0 && tries >= trialTries) && part > n.bad+sickPart*(1-n.bad):
-		rest := min(longestRest, restSpan<<min(r.relapse, 4))
+	case r.trial > 0 && tries < trialTries || tries < sickTries && r.trial == 0:
+	case part > r.fleet.bad+sickPart*(1-r.fleet.bad) && (r.trial > 0 || tries-bad < fewGood*r.fleet.good):
+		rest := restSpan << min(r.relapse, mostRelapses)
 		r.resting, r.trial, r.relapse, r.met = r.now+rest, 0, r.relapse+1, nil
-		r.say("replica %d sick: %d of %d missed, fleet %.2f, rests %.1fs", r.entry.Replica, bad, tries, n.bad,
-			float64(rest)/float64(second))
+		r.say("replica %d sick: %.0f of %.0f missed, fleet %.2f, rests %ds", r.entry.Replica, bad, tries,
+			r.fleet.bad, rest/second)
+	case r.trial > 0:
+		r.trial = 0
+		r.say("replica %d well again: %.0f of %.0f missed", r.entry.Replica, bad, tries)
 	}
 }
 
-// warmth is the part of its usual work a replica that started not long ago is given. It stays under what the
-// replica can bear at the slowest warming, so that all proxies together never push it over; a replica that warms
-// faster is used a little less than it could be.
+// follow moves a weight towards where it should be, within bounds, in about settleSpan.
+func follow(from, to, least, most float64, dt int64) float64 {
+	return from * math.Pow(math.Min(most, math.Max(least, to))/from, math.Min(1, float64(dt)/float64(settleSpan)))
+}
+
+// warmth is the part of its usual work a replica that started not long ago is given. It stays under what it can
+// bear at the slowest warming, less the more of all tries miss (then repeats push too), so that all proxies
+// together never push it over. It harms a little where a replica warms faster than it must.
 func (r *replica) warmth() float64 {
 	age := r.now - r.entry.Start
 	if r.entry.Start == 0 || age >= r.WarmAfter {
 		return 1
 	}
-	w := r.ColdShare + (1-r.ColdShare)*float64(max(0, age))/float64(max(1, r.WarmAfter))
+	able := r.ColdShare + (1-r.ColdShare)*float64(max(0, age))/float64(r.WarmAfter)
+	w := math.Min(able, coldSpare*r.FallMultiple*able*(1-r.fleet.bad))
 	if r.now-r.heard < entrySpan {
 		w = math.Min(w, entryShare)
 	}
 	return w
 }
 
-func (r *replica) offer() {
-	w := math.Max(r.entry.Weight, 1e-6) * r.kind * r.speed * r.warmth()
-	if r.trial > 0 {
-		w *= trialPart
-	}
-	tries, bad, _ := r.lately()
-	r.planner.put(offer{r.entry.Replica, r.entry.Zone, w, r.ticket, r.entry.Weight,
-		float64(bad) / math.Max(1, float64(tries)), r.entry.State != control.Ready, r.resting > 0})
-}
-
 // ---- planner: target tables
 
 type planner struct {
 	*desk
-	inbox
-	boxes   map[uint32]*inbox
-	figures map[uint32]figures
-	offers  map[uint32]offer
-	crowd   map[int]crowd
-	kinds   map[int]float64 // weight learned for each kind
-	judged  int64
-	seat    []int
-	asked   bool
-	out     map[uint32]bool
+	offers map[uint32]offer
+	crowd  map[int]control.Joined
+	kinds  map[int]float64 // weight learned for each kind
+	judged int64
+	out    map[uint32]bool
 }
 
 func (p *planner) take(n any) {
 	switch n := n.(type) {
-	case figures:
-		p.figures[n.id] = n
 	case tick:
 		p.norms()
-	case crowd:
-		p.crowd[n.proxy] = n
+	case control.Joined:
+		p.crowd[n.Proxy] = n
+	case control.Left:
+		delete(p.crowd, n.Proxy)
 	case offer:
-		p.offers[n.id] = n
-		if !p.asked {
-			p.asked = true
-			p.put(redraw{})
-		}
+		p.offers[n.Replica] = n
 	case redraw:
-		p.asked = false
 		p.redraw()
 	}
 }
 
-func sortedIDs[V any](m map[uint32]V) []uint32 {
-	ids := make([]uint32, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
-
 // norms tells each replica how its kind answers and how much the whole fleet misses. Where the list gives no
 // sizes, a kind that answers faster than the fleet is given more.
 func (p *planner) norms() {
-	answers, tries := map[int]float64{}, map[int]float64{}
-	var all, allTries, missed, sum, least, most float64
-	for _, id := range sortedIDs(p.figures) {
-		f := p.figures[id]
-		if least == 0 || f.listed < least {
-			least = f.listed
-		}
-		most = math.Max(most, f.listed)
-		if f.unwell {
+	type sum struct{ good, answer, count float64 }
+	kinds, missed, tries, sizes, all := map[int]sum{}, 0.0, 0.0, map[float64]bool{}, p.Kinds
+	for _, id := range sorted(p.offers) {
+		o := p.offers[id]
+		sizes[o.Weight] = true
+		if o.sick || o.trial || o.State != control.Ready {
 			continue
 		}
-		missed, sum = missed+float64(f.bad), sum+float64(f.tries)
-		if good := float64(f.tries - f.bad); f.answer > 0 && f.warm {
-			answers[f.kind] += f.answer * good
-			tries[f.kind] += good
-			all, allTries = all+f.answer*good, allTries+good
-		}
-	}
-	dt := math.Min(1, float64(p.now-p.judged)/float64(speedSpan))
-	p.judged = p.now
-	for kind := 0; kind < p.Kinds; kind++ {
-		if p.kinds[kind] == 0 {
-			p.kinds[kind] = 1
-		}
-		if n := tries[kind]; n >= sickTries && least == most {
-			goal := math.Pow((all/allTries)/(answers[kind]/n), kindPower)
-			p.kinds[kind] *= math.Pow(math.Min(1/slowest, math.Max(slowest, goal))/p.kinds[kind], dt)
-		}
-	}
-	for _, id := range sortedIDs(p.boxes) {
-		kind := p.figures[id].kind
-		n := norm{kind: p.kinds[kind], bad: missed / math.Max(1, sum)}
-		if tries[kind] > 0 {
-			n.answer = answers[kind] / tries[kind]
+		missed, tries = missed+o.bad, tries+o.tries
+		for _, k := range []int{o.Kind, all} {
+			if s, good := kinds[k], o.tries-o.bad; o.answer > 0 && o.warm {
+				kinds[k] = sum{s.good + good, s.answer + o.answer*good, s.count + 1}
+			}
 		}
-		p.boxes[id].put(n)
 	}
-}
-
-// seating gives each zone a table at the start: a zone of its own to the largest, the rest share.
-func (p *planner) seating() {
-	count := make([]int, p.Zones)
-	for _, o := range p.offers {
-		if o.zone < p.Zones {
-			count[o.zone]++
+	bad, mean := missed/math.Max(1, tries), kinds[all].answer/math.Max(1, kinds[all].good)
+	for kind, k := range kinds {
+		if kind != all && k.good >= sickTries && len(sizes) == 1 {
+			goal := math.Pow(mean*k.good/k.answer, kindPower)
+			p.kinds[kind] = follow(cmp.Or(p.kinds[kind], 1), goal, slowest, 1/slowest, p.now-p.judged)
 		}
 	}
-	zones := make([]int, p.Zones)
-	for z := range zones {
-		zones[z] = z
-	}
-	sort.SliceStable(zones, func(i, j int) bool { return count[zones[i]] > count[zones[j]] })
-	tables := max(1, (p.Proxies/max(1, p.Governors)-1)/proxiesTable)
-	p.seat = make([]int, p.Zones)
-	for rank, z := range zones {
-		p.seat[z] = min(rank, tables-1)
+	p.judged = p.now
+	for _, id := range sorted(p.offers) {
+		k := kinds[p.offers[id].Kind]
+		p.post(p.offers[id].box, norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count),
+			cmp.Or(p.kinds[p.offers[id].Kind], 1), bad})
 	}
-	p.roll.put(seats{p.seat})
-	p.sequence.put(seats{p.seat})
+	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad, mean})
 }
 
 // redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones, with
-// guests from other zones where its own could not carry its proxies.
+// guests from other zones where its own could not carry its proxies. The largest zones have a table each, the
+// rest share; a table whose own replicas are nearly all lost gives its proxies to the table that has most.
 func (p *planner) redraw() {
-	if p.seat == nil {
-		p.seating()
-	}
-	ids := sortedIDs(p.offers)
-	sort.SliceStable(ids, func(i, j int) bool { return p.offers[ids[i]].ticket > p.offers[ids[j]].ticket })
-	out := p.shutOut(ids)
-	tables := 1
-	for _, t := range p.seat {
-		tables = max(tables, t+1)
-	}
-	need, total, home, all := make([]float64, tables), 0.0, make([]float64, tables), 0.0
-	for _, proxy := range sortedInts(p.crowd) {
-		if c := p.crowd[proxy]; c.rate > 0 && c.zone < p.Zones {
-			need[p.seat[c.zone]] += c.rate
-			total += c.rate
-		}
-	}
+	ids, tables := sorted(p.offers), min(max(1, p.Zones), max(1, (p.Proxies/max(1, p.Governors)-1)/proxiesTable))
+	slices.SortStableFunc(ids, func(a, b uint32) int { return cmp.Compare(p.offers[b].ticket, p.offers[a].ticket) })
+	t := target{map[line]float64{}, p.shutOut(ids)}
+	need, home, total, all := make([]float64, tables), make([]float64, tables), 1e-9, 1e-9
 	for _, id := range ids {
-		if o := p.offers[id]; !out[id] && !o.closed && o.zone < p.Zones {
-			home[p.seat[o.zone]] += o.weight
+		if o := p.offers[id]; !t.out[id] {
+			home[o.Zone%tables] += o.weight
 			all += o.weight
 		}
 	}
-	t := target{map[line]float64{}, out}
-	size := int(float64(p.ChannelLimit)/2/math.Max(1, float64(p.Proxies))) - p.MessageHead - 2
-	for table := 0; table < tables; table++ {
-		guests := 0.0
-		if want := need[table] / math.Max(1, total) * all; want > home[table]*spareGuest && all > home[table] {
-			guests = math.Min(1, math.Ceil((want-home[table])/(all-home[table])*4)/4)
+	for _, proxy := range sorted(p.crowd) {
+		need[p.crowd[proxy].Zone%tables] += p.crowd[proxy].Rate
+		total += p.crowd[proxy].Rate
+	}
+	now := seats{}
+	for table := range tables {
+		if now.table = append(now.table, table); home[table] < scarceHome*all*need[table]/total {
+			now.table[table] = slices.Index(home, slices.Max(home))
 		}
-		if home[table] == 0 {
-			guests = 1
+	}
+	p.post(theRoll, now)
+	// A table is as large as lets all proxies be bound within half the channel's limit.
+	size := max(3, p.ChannelLimit/2/max(1, p.Proxies)-p.MessageHead-2)
+	for table := range tables {
+		guests, drawn := 0.0, 0
+		if want := need[table] / total * all; want >= home[table]*spareGuest {
+			guests = math.Min(1, math.Ceil((want-home[table])/(all-home[table]+1e-9)*guestSteps)/guestSteps)
 		}
-		drawn := 0
 		for _, id := range ids {
 			o := p.offers[id]
 			w := o.weight
-			if o.zone >= p.Zones || p.seat[o.zone] != table {
+			if o.Zone%tables != table {
 				w *= guests
 			}
-			if o.closed || w == 0 || drawn >= max(3, size) {
+			if o.State != control.Ready || w <= 0 || drawn == size {
 				continue
 			}
-			drawn++
-			if out[id] {
-				w = -1 // resting: its line stays as it is
+			if drawn++; t.out[id] {
+				w = -1
 			}
 			t.lines[line{table, id}] = w
 		}
 	}
-	p.sequence.put(t)
+	p.post(theSequence, t)
 }
 
-func sortedInts[V any](m map[int]V) []int {
-	keys := make([]int, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Ints(keys)
-	return keys
-}
-
-// shutOut says who is withdrawn: whoever drains or is gone, and the sick as long as those left can carry the
-// flows. The guard stops short of leaving the rest overloaded or a proxy bare; what misses nearly all goes anyway
-// while any other is left. It could harm when most of a fleet is sick for good: they then stay in.
+// shutOut says who is withdrawn: whoever drains or is gone, and the sick as long as half the listed weight is
+// left, so that the rest are not overloaded nor a proxy bare, whatever made so many miss. It could harm when
+// most of a fleet is sick for good: those over the half stay in.
 func (p *planner) shutOut(ids []uint32) map[uint32]bool {
-	out := map[uint32]bool{}
-	var sick []offer
-	listed, stays := 0.0, 0
+	out, listed, gone, stays := map[uint32]bool{}, 0.0, 0.0, 0
 	for _, id := range ids {
-		o := p.offers[id]
-		switch {
-		case o.closed:
+		if o := p.offers[id]; o.State != control.Ready {
 			out[id] = true
-		case o.sick:
-			sick = append(sick, o)
-			listed += o.listed
-		default:
-			listed += o.listed
+		} else if listed += o.Weight; !o.sick {
 			stays++
 		}
 	}
-	gone := 0.0
-	for _, o := range sick {
-		gone += o.listed
-		out[o.id] = stays > 0 && gone <= listed*(1-leastLeft)
-	}
 	for _, id := range ids {
-		if out[id] != p.out[id] {
-			p.out[id] = out[id]
-			if out[id] {
-				p.pacer.put(shut{id, true})
-			}
+		if o := p.offers[id]; o.sick && !out[id] && stays > 0 {
+			gone += o.Weight
+			out[id] = gone <= listed*(1-leastLeft)
+		}
+		if out[id] && !p.out[id] {
+			p.post(thePacer, control.Withdraw{Replica: id, Out: true})
 		}
 	}
+	p.out = out
 	return out
 }
 
@@ -481,76 +368,112 @@
 
 type roll struct {
 	*desk
-	inbox
-	seat  []int
-	zone  map[int]int
-	wait  map[uint64]map[int]bool
-	heads map[uint64]int
+	seat []int
+	zone map[int]int
+	wait map[uint64]map[int]bool
 }
 
 func (r *roll) take(n any) {
 	switch n := n.(type) {
 	case seats:
+		for _, proxy := range sorted(r.zone) {
+			if z := r.zone[proxy] % len(n.table); z < len(r.seat) && n.table[z] != r.seat[z] {
+				r.post(theSequence, control.Bind{Proxy: proxy, Table: n.table[z]})
+			}
+		}
 		r.seat = n.table
 	case control.Joined:
-		r.gone(n.Proxy)
-		table := 0
-		if n.Zone < len(r.seat) {
-			table = r.seat[n.Zone]
-		}
+		r.strike(n.Proxy, math.MaxUint64)
 		r.zone[n.Proxy] = n.Zone
-		r.planner.put(crowd{n.Proxy, n.Zone, math.Max(n.Rate, 1e-3)})
-		r.pacer.put(joined{n.Proxy, table})
-		r.sequence.put(joined{n.Proxy, table})
+		r.post(thePacer, control.Bind{Proxy: n.Proxy, Table: r.seat[n.Zone%len(r.seat)]})
 	case control.Left:
-		r.gone(n.Proxy)
+		r.strike(n.Proxy, math.MaxUint64)
 		delete(r.zone, n.Proxy)
-		r.planner.put(crowd{proxy: n.Proxy})
-		r.pacer.put(left{n.Proxy})
-		r.sequence.put(left{n.Proxy})
+	case control.Answered:
+		r.post(thePacer, caught{mark: n.Mark})
+		r.strike(n.Proxy, n.Mark)
 	case marked:
 		r.wait[n.mark] = map[int]bool{}
-		r.heads[n.mark] = len(n.proxies)
 		for _, proxy := range n.proxies {
 			r.wait[n.mark][proxy] = true
 		}
-	case control.Answered:
-		// An answer speaks for all earlier marks of that proxy too.
-		for _, mark := range r.open() {
-			if mark <= n.Mark && r.wait[mark][n.Proxy] {
-				r.strike(mark, n.Proxy, true)
+	}
+}
+
+// strike: no mark up to this one waits for the proxy any more. An answer speaks for the proxy's earlier marks,
+// and nothing waits for a proxy that has left.
+func (r *roll) strike(proxy int, upto uint64) {
+	for _, mark := range sorted(r.wait) {
+		if w := r.wait[mark]; mark <= upto && w[proxy] {
+			if delete(w, proxy); len(w) == 0 {
+				delete(r.wait, mark)
+				r.post(thePacer, caught{mark, true})
+				r.post(theSequence, caught{mark, true})
 			}
 		}
 	}
 }
 
-func (r *roll) open() []uint64 {
-	marks := make([]uint64, 0, len(r.wait))
-	for m := range r.wait {
-		marks = append(marks, m)
-	}
-	sort.Slice(marks, func(i, j int) bool { return marks[i] < marks[j] })
-	return marks
+// ---- levels: admission, further tries
+
+type levels struct {
+	*desk
+	came   []control.Demand // the last sums
+	let    float64          // part of the flows let in
+	judged int64
+	set    map[int]control.Level
+	strain bool
 }
 
-// strike takes a proxy off the list of those a mark waits for.
-func (r *roll) strike(mark uint64, proxy int, answered bool) {
-	delete(r.wait[mark], proxy)
-	if answered {
-		r.pacer.put(caught{mark, float64(len(r.wait[mark])) / float64(r.heads[mark])})
+func (l *levels) take(n any) {
+	switch n := n.(type) {
+	case control.Demand:
+		l.came = append(l.came, n)
+		l.came = l.came[max(0, len(l.came)-samplesKept*len(l.Groups)):]
+	case fleet:
+		l.judge(n)
+	}
+}
+
+// judge moves the line of utility: down at once when the fleet misses or answers late, to less than what it
+// bears now; up again slowly. It stands against every overload, by flows, lost replicas or repeats; it could
+// harm where answers are late for another cause than load, and then gives way at lineUp.
+func (l *levels) judge(f fleet) {
+	var groups []int
+	budget := int64(math.MaxInt64)
+	for g, row := range l.Groups {
+		groups, budget = append(groups, g), min(budget, row.LatencyBudget)
+	}
+	over := f.bad > missedMost || f.answer*float64(second) > strained*float64(budget)
+	dt := l.now - l.judged
+	if over && dt < settleSpan || l.Admission != control.AdmitShare { // the sums still tell of the last move
+		return
 	}
-	if len(r.wait[mark]) == 0 {
-		delete(r.wait, mark)
-		delete(r.heads, mark)
-		r.sequence.put(closed{mark})
+	if l.judged = l.now; over {
+		l.let = math.Max(leastLet, l.let*math.Min(lineDown, 1-f.bad))
+	} else {
+		l.let = math.Min(1, l.let+lineUp*float64(dt)/float64(second))
 	}
-}
-
-// gone: nothing waits for a proxy that has left.
-func (r *roll) gone(proxy int) {
-	for _, mark := range r.open() {
-		if r.wait[mark][proxy] {
-			r.strike(mark, proxy, false)
+	if over != l.strain {
+		l.strain = over
+		l.say("overload %v: %.2f missed, answers %.3fs, %.0f tries/s, let in %.2f", over, f.bad, f.answer, f.tries, l.let)
+	}
+	flows, total := map[int]float64{}, 0.0
+	for _, d := range l.came {
+		flows[d.Group] += float64(d.Flows)
+		total += float64(d.Flows)
+	}
+	slices.SortStableFunc(groups, func(a, b int) int { return cmp.Compare(l.Groups[b].Utility, l.Groups[a].Utility) })
+	left := l.let * total
+	for _, g := range groups { // those over the line get all, those under it what is left
+		share := math.Min(1, math.Ceil(shareSteps*math.Max(0, left)/math.Max(1, flows[g]))/shareSteps)
+		if left -= flows[g]; l.let == 1 {
+			share = 1
+		}
+		o := control.Level{Table: control.AllTables, Group: g, Share: share, Tries: l.UsualTries}
+		if last, ok := l.set[g]; ok && last != o || !ok && share < 1 {
+			l.set[g] = o
+			l.post(thePacer, o)
 		}
 	}
 }
@@ -567,126 +490,105 @@
 
 type sequence struct {
 	*desk
-	inbox
 	want  target
 	laid  map[line]float64
 	out   map[uint32]bool // withdrawn, not lifted yet
-	bound map[int]int
-	seat  []int
+	moves map[int]int     // proxies to rebind
 	at    int
 	open  map[uint64]int64 // marks of the open step and when they were set
 }
 
 func (s *sequence) take(n any) {
 	switch n := n.(type) {
-	case seats:
-		s.seat = n.table
 	case target:
 		s.want = n
 		for id, out := range n.out {
-			if out {
-				s.out[id] = true
-			}
+			s.out[id] = s.out[id] || out
 		}
-		s.proceed()
-	case joined:
-		s.bound[n.proxy] = n.table
-	case left:
-		delete(s.bound, n.proxy)
-	case sent:
-		for _, c := range n.changes {
-			switch {
-			case c.lift:
-				delete(s.out, c.id)
-			case c.rebind:
-				s.bound[c.proxy] = c.table
-			case c.weight == 0:
-				delete(s.laid, c.line)
-			default:
-				s.laid[c.line] = c.weight
+	case control.Bind:
+		s.moves[n.Proxy] = n.Table
+	case control.Left:
+		delete(s.moves, n.Proxy)
+	case marked:
+		for _, o := range n.orders {
+			switch o := o.(type) {
+			case control.Withdraw:
+				delete(s.out, o.Replica)
+			case control.Bind:
+				delete(s.moves, o.Proxy)
+			case control.SetLine:
+				if s.laid[line{o.Table, o.Replica}] = o.Weight; o.Weight == 0 {
+					delete(s.laid, line{o.Table, o.Replica})
+				}
+			}
+			if n.mark > 0 {
+				s.open[n.mark] = s.now
 			}
 		}
-		if n.mark > 0 {
-			s.open[n.mark] = s.now
-		}
-	case closed:
+		return
+	case caught:
 		delete(s.open, n.mark)
-		s.proceed()
 	case tick:
-		for mark, since := range s.open {
-			if s.now-since > stepTimeout {
-				delete(s.open, mark)
-			}
-		}
-		s.proceed()
+		maps.DeleteFunc(s.open, func(_ uint64, since int64) bool { return s.now-since > stepTimeout })
 	}
+	s.proceed()
 }
 
 // proceed hands the pacer what the open step still has to send. A new target folds in: additions start again
 // from the first step, all else goes on from where the sequence stands, and what is no longer wanted is dropped
 // with it, so that a removal queued for a replica that is back never leaves.
 func (s *sequence) proceed() {
-	if s.at != add && len(s.changes(add)) > 0 {
+	if len(s.orders(add)) > 0 {
 		s.at = add
 	}
-	for tries := 0; tries < steps; tries++ {
-		if c := s.changes(s.at); len(c) > 0 || len(s.open) > 0 {
-			s.pacer.put(step{c})
-			return
+	var orders []control.Order
+	for range steps {
+		if orders = s.orders(s.at); len(orders) > 0 || len(s.open) > 0 {
+			break
 		}
 		s.at = (s.at + 1) % steps
 	}
-	s.pacer.put(step{})
+	s.post(thePacer, step{orders})
 }
 
-func (s *sequence) changes(at int) []change {
-	var cs []change
-	seen := map[line]bool{}
-	lines := make([]line, 0, len(s.want.lines)+len(s.laid))
-	for l := range s.want.lines {
-		lines, seen[l] = append(lines, l), true
-	}
-	for l := range s.laid {
-		if !seen[l] {
-			lines = append(lines, l)
-		}
+// orders are what a step has to do, the largest change first; a withdrawal is lifted behind its lines.
+func (s *sequence) orders(at int) []control.Order {
+	var ls []line
+	size := func(l line) float64 {
+		return math.Abs(s.want.lines[l]-s.laid[l]) / math.Max(s.laid[l], s.want.lines[l])
 	}
-	for _, l := range lines {
-		want, has := s.want.lines[l], s.laid[l]
-		back := s.out[l.id] && !s.want.out[l.id]
-		size := math.Abs(want-has) / math.Max(has, math.Max(want, 1e-9))
-		kind := overwrite
+	lines := maps.Clone(s.laid)
+	maps.Copy(lines, s.want.lines)
+	for l := range lines {
+		want, has, kind := s.want.lines[l], s.laid[l], overwrite
 		switch {
-		case want < 0 || want == has:
-			continue
 		case want == 0:
 			kind = remove
-		case has == 0 || back:
+		case has == 0 || s.out[l.id] && !s.want.out[l.id]:
 			kind = add
-		case size < changeWorth:
-			continue
 		}
-		if kind == at {
-			cs = append(cs, change{line: l, weight: want, size: size})
+		if kind == at && want >= 0 && want != has && (kind == add || size(l) >= changeWorth) {
+			ls = append(ls, l)
 		}
 	}
-	sort.Slice(cs, func(i, j int) bool {
-		if cs[i].size != cs[j].size {
-			return cs[i].size > cs[j].size
-		}
-		if cs[i].table != cs[j].table {
-			return cs[i].table < cs[j].table
-		}
-		return cs[i].id < cs[j].id
+	slices.SortFunc(ls, func(a, b line) int {
+		return cmp.Or(cmp.Compare(size(b), size(a)), cmp.Compare(a.table, b.table), cmp.Compare(a.id, b.id))
 	})
-	if at == add { // lifted behind their lines
-		for _, id := range sortedIDs(s.out) {
-			if !s.want.out[id] {
-				cs = append(cs, change{line: line{id: id}, lift: true})
-			}
+	var orders []control.Order
+	for _, l := range ls {
+		orders = append(orders, control.SetLine{Table: l.table, Replica: l.id, Weight: s.want.lines[l]})
+	}
+	for _, id := range sorted(s.out) {
+		if at == add && s.out[id] && !s.want.out[id] {
+			orders = append(orders, control.Withdraw{Replica: id})
+		}
+	}
+	for _, proxy := range sorted(s.moves) {
+		if at == rebind {
+			orders = append(orders, control.Bind{Proxy: proxy, Table: s.moves[proxy]})
 		}
 	}
-	return cs
+	return orders
 }
 
 // ---- pacer: the only sender
@@ -699,57 +601,41 @@
 
 type pacer struct {
 	*desk
-	inbox
-	shuts []shut
-	binds []joined
-	step  []change
-	bound map[int]int
-	laid  map[int]int // lines of each table
-	wrote map[int][]int64
-	under []batch // sent and not known to have left the channel
-	mark  uint64
+	urgent []control.Order // withdrawals, binds and levels wait here
+	step   []control.Order
+	bound  map[int]int // joined proxies; -1 holds its standing table
+	laid   map[int]bool
+	wrote  map[int][]int64
+	under  []batch // sent, and no answer tells that it has left the channel
+	mark   uint64
+
+	cost    float64 // of this turn's messages
+	reached map[int]bool
 }
 
 func (p *pacer) take(n any) {
 	switch n := n.(type) {
-	case shut:
-		p.shuts = append(p.shuts, n)
-	case joined:
-		p.binds = append(p.dropBind(n.proxy), n)
-		p.wrote[n.proxy] = nil
-		p.bound[n.proxy] = -1
-	case left:
-		p.binds = p.dropBind(n.proxy)
-		delete(p.bound, n.proxy)
-		delete(p.wrote, n.proxy)
+	case control.Withdraw:
+		p.urgent = slices.Insert(p.urgent, 0, control.Order(n))
+	case control.Bind, control.Level:
+		p.urgent = append(p.urgent, n)
+	case control.Joined:
+		p.bound[n.Proxy], p.wrote[n.Proxy] = -1, nil
+	case control.Left:
+		delete(p.bound, n.Proxy)
 	case step:
-		p.step = n.changes
+		p.step = n.orders
 	case caught:
 		// Messages leave in order: an answer clears all that was written before its own.
-		for len(p.under) > 0 && p.under[0].mark < n.mark {
-			p.under = p.under[1:]
-		}
-		if len(p.under) > 0 && p.under[0].mark == n.mark {
-			p.under[0].lines = math.Min(p.under[0].lines, p.under[0].lines*n.left)
-		}
+		p.under = slices.DeleteFunc(p.under, func(b batch) bool { return b.mark < n.mark || n.all && b.mark == n.mark })
 	case closing:
 		p.send()
 	}
 }
 
-func (p *pacer) dropBind(proxy int) []joined {
-	var kept []joined
-	for _, b := range p.binds {
-		if b.proxy != proxy {
-			kept = append(kept, b)
-		}
-	}
-	return kept
-}
-
 // queue is what may still wait in the channel: all that no answer has cleared. A channel that sends slowly shows
 // as answers that stay away, whatever the cause, and holds ordinary lines back. Answers that never come (dead
-// proxies) would hold it for ever, so what even a channel of an eighth of its pace had sent is forgotten.
+// proxies) would hold it for ever, so what a channel at an eighth of its pace had sent is forgotten.
 func (p *pacer) queue() float64 {
 	sum := 0.0
 	for _, b := range p.under {
@@ -762,137 +648,101 @@
 	return sum
 }
 
-func (p *pacer) messages(proxy int) int {
-	w := p.wrote[proxy]
-	for len(w) > 0 && p.now-w[0] > p.MessagesSpan {
-		w = w[1:]
+// reach says whom an order reaches and how many lines it costs at each.
+func (p *pacer) reach(o control.Order) (to []int, lines int) {
+	switch o := o.(type) {
+	case control.Bind:
+		return []int{o.Proxy}, len(p.boxes) + len(p.Groups) // no more than that many lines and withdrawals
+	case control.SetLine:
+		return slices.DeleteFunc(sorted(p.bound), func(proxy int) bool { return p.bound[proxy] != o.Table }), 1
 	}
-	p.wrote[proxy] = w
-	return len(w)
+	return sorted(p.bound), 1
 }
 
-func (p *pacer) send() {
-	head := float64(p.MessageHead + 1)
-	queue, cost := p.queue(), 0.0
-	reached := map[int]bool{}
-	allow := func(proxies []int, lines, part, messages float64) bool {
-		more := lines * float64(len(proxies))
-		for _, proxy := range proxies {
-			if !reached[proxy] {
-				more += head
-				if p.MessagesMost > 0 && float64(p.messages(proxy)+1) > messages*float64(p.MessagesMost) {
-					return false
-				}
+// write orders something if the queue and every reached proxy's message cap keep room for what can't be put off.
+func (p *pacer) write(o control.Order, part, messages float64) bool {
+	to, lines := p.reach(o)
+	more := float64(lines * len(to))
+	for _, proxy := range to {
+		if !p.reached[proxy] {
+			more += float64(p.MessageHead + 1)
+			w := slices.DeleteFunc(p.wrote[proxy], func(at int64) bool { return p.now-at > p.MessagesSpan })
+			if p.wrote[proxy] = w; p.MessagesMost > 0 && float64(len(w)+1) > messages*float64(p.MessagesMost) {
+				return false
 			}
 		}
-		if len(proxies) > 0 && queue+cost+more > part*float64(p.ChannelLimit) {
-			return false
-		}
-		cost += more
-		for _, proxy := range proxies {
-			reached[proxy] = true
-		}
-		return true
 	}
-	all := sortedInts(p.bound)
-	var waiting []shut
-	for _, s := range p.shuts {
-		if !allow(all, 1, urgentPart, 0.95) {
-			waiting = append(waiting, s)
-			continue
-		}
-		p.out = append(p.out, control.Withdraw{Replica: s.id, Out: s.out})
-	}
-	p.shuts = waiting
-	var done []change
-	for _, c := range p.step {
-		to := all
-		if !c.lift && !c.rebind {
-			to = nil
-			for _, proxy := range all {
-				if p.bound[proxy] == c.table {
-					to = append(to, proxy)
-				}
-			}
-		}
-		if !allow(to, 1, ordinaryPart, ordinaryMsgs) {
-			break
-		}
-		done = append(done, c)
-		switch {
-		case c.lift:
-			p.out = append(p.out, control.Withdraw{Replica: c.id})
-		default:
-			p.out = append(p.out, control.SetLine{Table: c.table, Replica: c.id, Weight: c.weight})
-		}
-		if c.weight == 0 && !c.lift {
-			p.laid[c.table]--
-		} else if c.size == 1 {
-			p.laid[c.table]++
-		}
+	if len(to) > 0 && p.queue()+p.cost+more > part*float64(p.ChannelLimit) {
+		return false
 	}
-	p.step = p.step[len(done):]
-	var unbound []joined
-	for _, b := range p.binds {
-		if p.laid[b.table] == 0 || !allow([]int{b.proxy}, float64(2*p.laid[b.table]+2), urgentPart, 0.95) {
-			unbound = append(unbound, b)
-			continue
+	switch o := o.(type) {
+	case control.Bind:
+		if _, joined := p.bound[o.Proxy]; !p.laid[o.Table] || !joined { // not before its table is laid
+			return !joined
 		}
-		p.bound[b.proxy] = b.table
-		p.out = append(p.out, control.Bind{Proxy: b.proxy, Table: b.table})
-	}
-	p.binds = unbound
-	mark := uint64(0)
-	if len(reached) > 0 {
-		p.mark = p.mark%65535 + 1
-		mark = p.mark
-		p.out = append(p.out, control.Mark{Number: mark})
-		p.under = append(p.under, batch{mark, cost, p.now})
-		to := sortedInts(reached)
-		for _, proxy := range to {
+		p.bound[o.Proxy] = o.Table
+	case control.SetLine:
+		p.laid[o.Table] = true
+	}
+	for _, proxy := range to {
+		p.reached[proxy] = true
+	}
+	p.cost, p.out = p.cost+more, append(p.out, o)
+	return true
+}
+
+// send writes the turn's messages: the step's lines, then withdrawals, levels and binds in the room kept for them.
+func (p *pacer) send() {
+	p.cost, p.reached = 0, map[int]bool{}
+	done := 0
+	for done < len(p.step) && p.write(p.step[done], ordinaryPart, ordinaryMsgs) {
+		done++
+	}
+	m := marked{orders: p.step[:done]}
+	p.step = p.step[done:]
+	p.urgent = slices.DeleteFunc(p.urgent, func(o control.Order) bool { return p.write(o, urgentPart, urgentMsgs) })
+	if m.proxies = sorted(p.reached); len(m.proxies) > 0 {
+		p.mark++
+		m.mark = p.mark
+		p.out = append(p.out, control.Mark{Number: m.mark})
+		p.under = append(p.under, batch{m.mark, p.cost, p.now})
+		for _, proxy := range m.proxies {
 			p.wrote[proxy] = append(p.wrote[proxy], p.now)
 		}
-		p.roll.put(marked{mark, to})
-	}
-	if len(done) > 0 {
-		p.sequence.put(sent{done, mark})
+		p.post(theRoll, m)
 	}
+	p.post(theSequence, m)
 }
 
 // ---- governor
 
 // Governor is one instance of the module.
 type Governor struct {
-	desk     desk
+	desk
 	replicas map[uint32]*replica
-	order    []uint32
-	planner  planner
-	roll     roll
-	sequence sequence
-	pacer    pacer
 	started  bool
-	beat     int64
 }
 
 // New makes a governor that knows nothing but its provision.
 func New(p control.Provision) *Governor {
-	g := &Governor{replicas: map[uint32]*replica{}}
+	g := &Governor{desk: desk{Provision: p}, replicas: map[uint32]*replica{}}
 	d := &g.desk
-	d.Provision = p
-	g.beat = max(1, min(p.ReportEvery/2, second/4))
-	g.planner = planner{desk: d, boxes: map[uint32]*inbox{}, figures: map[uint32]figures{}, offers: map[uint32]offer{},
-		crowd: map[int]crowd{}, kinds: map[int]float64{}, out: map[uint32]bool{}}
-	g.roll = roll{desk: d, zone: map[int]int{}, wait: map[uint64]map[int]bool{}, heads: map[uint64]int{}}
-	g.sequence = sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{}, bound: map[int]int{},
-		open: map[uint64]int64{}}
-	g.pacer = pacer{desk: d, bound: map[int]int{}, laid: map[int]int{}, wrote: map[int][]int64{}}
-	d.planner, d.roll, d.sequence, d.pacer = &g.planner.inbox, &g.roll.inbox, &g.sequence.inbox, &g.pacer.inbox
+	d.boxes = []*inbox{
+		theRoll: {part: &roll{desk: d, seat: []int{0}, zone: map[int]int{}, wait: map[uint64]map[int]bool{}}},
+		thePlanner: {part: &planner{desk: d, offers: map[uint32]offer{}, crowd: map[int]control.Joined{},
+			kinds: map[int]float64{}}},
+		theLevels: {part: &levels{desk: d, let: 1, set: map[int]control.Level{}}},
+		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
+			moves: map[int]int{}, open: map[uint64]int64{}}},
+		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{},
+			wrote: map[int][]int64{}}},
+	}
 	return g
 }
 
 // Turn tells the governor what has come in and returns what it orders.
 func (g *Governor) Turn(now int64, events []control.Event) []control.Order {
-	g.desk.now, g.desk.out = now, nil
+	g.now, g.out = now, nil
 	woken := !g.started
 	for _, ev := range events {
 		switch e := ev.(type) {
@@ -900,81 +750,65 @@
 			g.listed(e)
 		case control.Met:
 			if r := g.replicas[e.Replica]; r != nil && e.Tries > 0 {
-				r.put(e)
+				g.post(r.box, e)
 			}
-		case control.Joined, control.Left, control.Answered:
-			g.roll.put(e)
 		case control.Woken:
 			woken = true
+		default:
+			g.toAll(e)
 		}
 		g.settle()
 	}
 	if woken {
 		g.started = true
-		g.desk.out = append(g.desk.out, control.Wake{Label: 1, After: g.beat})
-		for _, id := range g.order {
-			g.replicas[id].put(tick{})
-		}
-		g.settle()
-		g.planner.put(tick{})
+		g.out = append(g.out, control.Wake{After: max(1, min(g.ReportEvery/2, second/4))})
+		g.toAll(tick{})
 		g.settle()
-		g.sequence.put(tick{})
 	}
+	g.post(thePlanner, redraw{})
 	g.settle()
-	g.pacer.put(closing{})
+	g.post(thePacer, closing{})
 	g.settle()
-	return g.desk.out
+	return g.out
+}
+
+func (g *Governor) toAll(note any) {
+	for to := range parts {
+		g.post(to, note)
+	}
 }
 
 // settle empties the inboxes until nobody has a note left.
 func (g *Governor) settle() {
 	for busy := true; busy; {
 		busy = false
-		for _, id := range g.order {
-			busy = empty(g.replicas[id]) || busy
-		}
-		for _, p := range []part{&g.planner, &g.roll, &g.sequence, &g.pacer} {
-			busy = empty(p) || busy
+		for _, box := range g.boxes {
+			for busy = busy || len(box.mail) > 0; len(box.mail) > 0; {
+				n := box.mail[0]
+				box.mail = box.mail[1:]
+				box.part.take(n)
+			}
 		}
 	}
 }
 
-func empty(p part) bool {
-	box := p.letters()
-	had := len(box.notes) > 0
-	for len(box.notes) > 0 {
-		n := box.notes[0]
-		box.notes = box.notes[1:]
-		p.take(n)
-	}
-	return had
-}
-
 // listed passes news of the list to its replicas; whoever a whole list leaves out is gone.
 func (g *Governor) listed(l control.Listed) {
-	if l.Failed {
-		return
+	for _, id := range sorted(g.replicas) {
+		if e := g.replicas[id].entry; l.Full && !l.Failed {
+			e.State = control.Gone
+			g.post(g.replicas[id].box, e)
+		}
 	}
-	named := map[uint32]bool{}
 	for _, e := range l.Entries {
-		named[e.Replica] = true
 		r := g.replicas[e.Replica]
 		if r == nil {
-			w := math.Max(e.Weight, 1e-6)
-			r = &replica{desk: &g.desk, entry: e, heard: g.desk.now, speed: 1, kind: 1, judged: g.desk.now}
-			r.ticket = math.Pow(g.desk.chance(), 1/w)
+			r = &replica{desk: &g.desk, box: len(g.boxes), entry: e, heard: g.now, speed: 1, judged: g.now}
+			r.fleet.kind = 1
+			r.ticket = math.Pow(g.chance(), 1/math.Max(e.Weight, 1e-6))
 			g.replicas[e.Replica] = r
-			g.planner.boxes[e.Replica] = &r.inbox
-			g.order = append(g.order, e.Replica)
-		}
-		r.put(e)
-	}
-	for _, id := range g.order {
-		if l.Full && !named[id] {
-			e := g.replicas[id].entry
-			e.State = control.Gone
-			g.replicas[id].put(e)
+			g.boxes = append(g.boxes, &inbox{part: r})
 		}
+		g.post(r.box, e)
 	}
-	sort.Slice(g.order, func(i, j int) bool { return g.order[i] < g.order[j] })
 }
