--- a/brain/brain.go
+++ b/brain/brain.go
@@ -103,9 +103,7 @@
 		lines map[line]float64
 		out   map[uint32]bool
 	}
-	seats  struct{ table []int }            // planner to roll: the table of each zone, counted round
-	step   struct{ orders []control.Order } // sequence to pacer: what the open step still has to send
-	marked struct {                         // pacer to roll and sequence: what went out, to whom, under which mark
+	marked struct { // pacer to roll and sequence: what went out, to whom, under which mark
 		mark    uint64
 		proxies []int
 		orders  []control.Order
@@ -134,7 +132,7 @@
 	heard   int64 // when its start became known
 	ticket  float64
 	met     []sample
-	speed   float64 // against its kind
+	speed   float64
 	fleet   norm
 	resting int64 // out until then
 	trial   int64 // on trial since
@@ -158,7 +156,7 @@
 		r.judge()
 	}
 	tries, bad, answer := r.lately()
-	w := math.Max(r.entry.Weight, 1e-6) * r.fleet.kind * r.speed * r.warmth()
+	w := math.Max(r.entry.Weight, 1e-6) * r.speed * r.warmth()
 	if r.trial > 0 {
 		w *= trialPart
 	}
@@ -187,9 +185,11 @@
 func (r *replica) judge() {
 	tries, bad, answer := r.lately()
 	part := bad / math.Max(1, tries)
+	goal := r.fleet.kind
 	if answer > 0 && r.fleet.answer > 0 && tries-bad >= trialTries {
-		r.speed = follow(r.speed, r.fleet.answer/answer, slowest, fastest, r.now-r.judged)
+		goal *= math.Min(fastest, math.Max(slowest, r.fleet.answer/answer))
 	}
+	r.speed *= math.Pow(goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(settleSpan)))
 	r.judged = r.now
 	switch {
 	case r.resting > r.now:
@@ -208,11 +208,6 @@
 	}
 }
 
-// follow moves a weight towards where it should be, within bounds, in about settleSpan.
-func follow(from, to, least, most float64, dt int64) float64 {
-	return from * math.Pow(math.Min(most, math.Max(least, to))/from, math.Min(1, float64(dt)/float64(settleSpan)))
-}
-
 // warmth is the part of its usual work a replica that started not long ago is given. It stays under what it can
 // bear at the slowest warming, less the more of all tries miss (then repeats push too), so that all proxies
 // together never push it over. It harms a little where a replica warms faster than it must.
@@ -235,8 +230,6 @@
 	*desk
 	offers map[uint32]offer
 	crowd  map[int]control.Joined
-	kinds  map[int]float64 // weight learned for each kind
-	judged int64
 	out    map[uint32]bool
 }
 
@@ -274,17 +267,13 @@
 		}
 	}
 	bad, mean := missed/math.Max(1, tries), kinds[all].answer/math.Max(1, kinds[all].good)
-	for kind, k := range kinds {
-		if kind != all && k.good >= sickTries && len(sizes) == 1 {
-			goal := math.Pow(mean*k.good/k.answer, kindPower)
-			p.kinds[kind] = follow(cmp.Or(p.kinds[kind], 1), goal, slowest, 1/slowest, p.now-p.judged)
-		}
-	}
-	p.judged = p.now
 	for _, id := range sorted(p.offers) {
 		k := kinds[p.offers[id].Kind]
-		p.post(p.offers[id].box, norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count),
-			cmp.Or(p.kinds[p.offers[id].Kind], 1), bad})
+		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, bad}
+		if k.good >= sickTries && len(sizes) == 1 {
+			n.kind = math.Pow(mean/n.answer, kindPower)
+		}
+		p.post(p.offers[id].box, n)
 	}
 	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad, mean})
 }
@@ -307,13 +296,13 @@
 		need[p.crowd[proxy].Zone%tables] += p.crowd[proxy].Rate
 		total += p.crowd[proxy].Rate
 	}
-	now := seats{}
+	var seats []int // the table of each zone, counted round
 	for table := range tables {
-		if now.table = append(now.table, table); home[table] < scarceHome*all*need[table]/total {
-			now.table[table] = slices.Index(home, slices.Max(home))
+		if seats = append(seats, table); home[table] < scarceHome*all*need[table]/total {
+			seats[table] = slices.Index(home, slices.Max(home))
 		}
 	}
-	p.post(theRoll, now)
+	p.post(theRoll, seats)
 	// A table is as large as lets all proxies be bound within half the channel's limit.
 	size := max(3, p.ChannelLimit/2/max(1, p.Proxies)-p.MessageHead-2)
 	for table := range tables {
@@ -343,18 +332,17 @@
 // left, so that the rest are not overloaded nor a proxy bare, whatever made so many miss. It could harm when
 // most of a fleet is sick for good: those over the half stay in.
 func (p *planner) shutOut(ids []uint32) map[uint32]bool {
-	out, listed, gone, stays := map[uint32]bool{}, 0.0, 0.0, 0
+	out, listed, gone := map[uint32]bool{}, 0.0, 0.0
 	for _, id := range ids {
-		if o := p.offers[id]; o.State != control.Ready {
-			out[id] = true
-		} else if listed += o.Weight; !o.sick {
-			stays++
+		if p.offers[id].State == control.Ready {
+			listed += p.offers[id].Weight
 		}
 	}
 	for _, id := range ids {
-		if o := p.offers[id]; o.sick && !out[id] && stays > 0 {
+		o := p.offers[id]
+		if out[id] = o.State != control.Ready; o.sick && !out[id] && gone+o.Weight <= listed*(1-leastLeft) {
 			gone += o.Weight
-			out[id] = gone <= listed*(1-leastLeft)
+			out[id] = true
 		}
 		if out[id] && !p.out[id] {
 			p.post(thePacer, control.Withdraw{Replica: id, Out: true})
@@ -375,13 +363,13 @@
 
 func (r *roll) take(n any) {
 	switch n := n.(type) {
-	case seats:
+	case []int:
 		for _, proxy := range sorted(r.zone) {
-			if z := r.zone[proxy] % len(n.table); z < len(r.seat) && n.table[z] != r.seat[z] {
-				r.post(theSequence, control.Bind{Proxy: proxy, Table: n.table[z]})
+			if z := r.zone[proxy] % len(n); z < len(r.seat) && n[z] != r.seat[z] {
+				r.post(theSequence, control.Bind{Proxy: proxy, Table: n[z]})
 			}
 		}
-		r.seat = n.table
+		r.seat = n
 	case control.Joined:
 		r.strike(n.Proxy, math.MaxUint64)
 		r.zone[n.Proxy] = n.Zone
@@ -548,7 +536,7 @@
 		}
 		s.at = (s.at + 1) % steps
 	}
-	s.post(thePacer, step{orders})
+	s.post(thePacer, orders)
 }
 
 // orders are what a step has to do, the largest change first; a withdrawal is lifted behind its lines.
@@ -623,8 +611,8 @@
 		p.bound[n.Proxy], p.wrote[n.Proxy] = -1, nil
 	case control.Left:
 		delete(p.bound, n.Proxy)
-	case step:
-		p.step = n.orders
+	case []control.Order:
+		p.step = n
 	case caught:
 		// Messages leave in order: an answer clears all that was written before its own.
 		p.under = slices.DeleteFunc(p.under, func(b batch) bool { return b.mark < n.mark || n.all && b.mark == n.mark })
@@ -728,10 +716,9 @@
 	g := &Governor{desk: desk{Provision: p}, replicas: map[uint32]*replica{}}
 	d := &g.desk
 	d.boxes = []*inbox{
-		theRoll: {part: &roll{desk: d, seat: []int{0}, zone: map[int]int{}, wait: map[uint64]map[int]bool{}}},
-		thePlanner: {part: &planner{desk: d, offers: map[uint32]offer{}, crowd: map[int]control.Joined{},
-			kinds: map[int]float64{}}},
-		theLevels: {part: &levels{desk: d, let: 1, set: map[int]control.Level{}}},
+		theRoll:    {part: &roll{desk: d, seat: []int{0}, zone: map[int]int{}, wait: map[uint64]map[int]bool{}}},
+		thePlanner: {part: &planner{desk: d, offers: map[uint32]offer{}, crowd: map[int]control.Joined{}}},
+		theLevels:  {part: &levels{desk: d, let: 1, set: map[int]control.Level{}}},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
 		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{},
@@ -803,8 +790,7 @@
 	for _, e := range l.Entries {
 		r := g.replicas[e.Replica]
 		if r == nil {
-			r = &replica{desk: &g.desk, box: len(g.boxes), entry: e, heard: g.now, speed: 1, judged: g.now}
-			r.fleet.kind = 1
+			r = &replica{desk: &g.desk, box: len(g.boxes), entry: e, heard: g.now, speed: 1}
 			r.ticket = math.Pow(g.chance(), 1/math.Max(e.Weight, 1e-6))
 			g.replicas[e.Replica] = r
 			g.boxes = append(g.boxes, &inbox{part: r})
