--- a/brain/brain.go
+++ b/brain/brain.go
@@ -10,9 +10,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
-	"fmt"
-	"hash/crc32"
 	"maps"
 	"math"
 	"slices"
@@ -28,13 +25,14 @@
 	entryShare, entrySpan    = 0.5, 5 * second // weight of a new replica, for how long
 	ordinaryPart, urgentPart = 0.4, 0.85       // of the channel's limit, for lines and for all
 	ordinaryMsgs, urgentMsgs = 0.5, 0.95       // of a proxy's message cap, likewise
+	slowAnswer               = 2.0             // a replica answers slowly if so much later than its kind
 	changeWorth              = 0.15            // relative change of a weight worth a line
 	recent, samplesKept      = 4 * second, 32  // older samples are not judged, more are not kept
 	settleSpan               = 3 * second      // time in which a weight follows answer times
 	kindPower                = 1.3             // how strongly a kind's answer time moves its weight
 	slowest, fastest         = 1.0 / 16, 2.0   // bounds of a replica's weight against its kind's
 	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
-	sickPart, fewGood        = 0.5, 0.6        // sick: missed more, gives less of its kind's good answers
+	sickPart, fewGood        = 0.5, 0.1        // sick: missed more, gives less of its kind's good answers
 	trialPart                = 0.1             // weight of a replica on trial
 	restSpan, mostRelapses   = 4 * second, 3   // the first rest of the sick, how often it doubles
 	leastLeft                = 0.5             // of the listed weight that the sick may not take away
@@ -42,82 +40,11 @@
 	coldSpare                = 0.5             // of the multiple at which a cold replica falls
 	strained, missedMost     = 0.5, 0.15       // an overloaded fleet: answer to budget, missed part
 	lineDown, lineUp         = 0.85, 0.03      // flows left to it, and given back each second
+	marksMask                = 1<<16 - 1       // marks are told apart up to here
 	leastLet                 = 0.1             // of all flows is always let in
 	shareSteps, guestSteps   = 20, 4           // levels and guests move in such parts, to save orders
 )
 
-const ( // the parts' inboxes; those of the replicas come after
-	theRoll = iota
-	thePlanner
-	theLevels
-	theSequence
-	thePacer
-	parts
-)
-
-type inbox struct {
-	part interface{ take(note any) }
-	mail []any
-}
-
-// desk is what the parts share: the clock, the provision, the inboxes and the orders of this turn.
-type desk struct {
-	control.Provision
-	now   int64
-	draws uint64
-	out   []control.Order
-	boxes []*inbox
-}
-
-func (d *desk) post(to int, note any) { d.boxes[to].mail = append(d.boxes[to].mail, note) }
-
-func (d *desk) say(f string, args ...any) {
-	d.out = append(d.out, control.Log{Text: fmt.Sprintf(f, args...)})
-}
-
-// chance draws from 0 to 1, the same for the same seed and count of draws.
-func (d *desk) chance() float64 {
-	d.draws++
-	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, d.Seed), d.draws)
-	return (float64(crc32.ChecksumIEEE(b)) + 1) / (1 << 32)
-}
-
-func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
-
-// Notes between the parts; events and orders go from part to part as they are.
-type (
-	tick    struct{}
-	redraw  struct{} // the planner has heard from all replicas
-	closing struct{} // the turn ends: the pacer sends
-	norm    struct { // planner to replica: its kind's answer time, good answers, weight; the fleet's missed part
-		answer, good, kind, bad float64
-	}
-	offer struct { // replica to planner: what it can bear and what it was met with lately
-		control.Entry
-		box                                int
-		weight, ticket, tries, bad, answer float64
-		warm, sick, trial                  bool
-	}
-	fleet  struct{ tries, bad, answer float64 } // planner to levels: tries a second, missed part, answer time
-	target struct {                             // planner to sequence: weights, below 0 for what stays as it is
-		lines map[line]float64
-		out   map[uint32]bool
-	}
-	marked struct { // pacer to roll and sequence: what went out, to whom, under which mark
-		mark    uint64
-		proxies []int
-		orders  []control.Order
-	}
-	caught struct { // roll to pacer and sequence: somebody applied all up to the mark, or all have
-		mark uint64
-		all  bool
-	}
-	line struct {
-		table int
-		id    uint32
-	}
-)
-
 // ---- replica: health, warmth, speed
 
 type sample struct {
@@ -148,7 +75,8 @@
 		}
 		r.entry = n
 	case control.Met:
-		r.met = append(r.met, sample{r.now, float64(n.Tries), float64(n.Missed), float64(n.Answer) / float64(second)})
+		answer := float64(n.Answer) / float64(second)
+		r.met = append(r.met, sample{r.now, float64(n.Tries), float64(n.Missed), answer})
 		r.met = r.met[max(0, len(r.met)-samplesKept):]
 		return
 	case norm:
@@ -179,13 +107,16 @@
 }
 
 // judge moves the replica between well, resting and on trial, and its speed to what its answers show.
-// Silent, failing and cut-off replicas miss most tries while others do not, and give few good answers: one that
-// still gives its share is busy, and without it the rest would be worse off. A trouble of the whole fleet or of
-// the reports condemns nobody. It could harm where a few tries miss by chance, so a verdict needs sickTries.
+// Silent, failing and cut-off replicas miss most tries while others do not, and give few good answers: one
+// that still gives its share is busy, and without it the rest would be worse off. A trouble of the whole fleet
+// or of the reports condemns nobody. It could harm where tries miss by chance, so a verdict needs sickTries.
 func (r *replica) judge() {
 	tries, bad, answer := r.lately()
 	part := bad / math.Max(1, tries)
 	goal := r.fleet.kind
+	if r.fleet.sized && answer < slowAnswer*r.fleet.answer {
+		answer = r.fleet.answer
+	}
 	if answer > 0 && r.fleet.answer > 0 && tries-bad >= trialTries {
 		goal *= math.Min(fastest, math.Max(slowest, r.fleet.answer/answer))
 	}
@@ -197,7 +128,8 @@
 		r.resting, r.trial = 0, r.now
 		r.say("replica %d on trial after rest %d", r.entry.Replica, r.relapse)
 	case r.trial > 0 && tries < trialTries || tries < sickTries && r.trial == 0:
-	case part > r.fleet.bad+sickPart*(1-r.fleet.bad) && (r.trial > 0 || tries-bad < fewGood*r.fleet.good):
+	case part > r.fleet.bad+sickPart*(1-r.fleet.bad) &&
+		(r.trial > 0 || tries-bad < fewGood*r.fleet.good || answer < r.fleet.answer*slowAnswer):
 		rest := restSpan << min(r.relapse, mostRelapses)
 		r.resting, r.trial, r.relapse, r.met = r.now+rest, 0, r.relapse+1, nil
 		r.say("replica %d sick: %.0f of %.0f missed, fleet %.2f, rests %ds", r.entry.Replica, bad, tries,
@@ -208,9 +140,9 @@
 	}
 }
 
-// warmth is the part of its usual work a replica that started not long ago is given. It stays under what it can
-// bear at the slowest warming, less the more of all tries miss (then repeats push too), so that all proxies
-// together never push it over. It harms a little where a replica warms faster than it must.
+// warmth is the part of its usual work a replica that started not long ago is given. It stays under what it
+// can bear at the slowest warming, less the more of all tries miss (then repeats push too), so that all
+// proxies together never push it over. It harms a little where a replica warms faster than it must.
 func (r *replica) warmth() float64 {
 	age := r.now - r.entry.Start
 	if r.entry.Start == 0 || age >= r.WarmAfter {
@@ -269,8 +201,8 @@
 	bad, mean := missed/math.Max(1, tries), kinds[all].answer/math.Max(1, kinds[all].good)
 	for _, id := range sorted(p.offers) {
 		k := kinds[p.offers[id].Kind]
-		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, bad}
-		if k.good >= sickTries && len(sizes) == 1 {
+		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, bad, len(sizes) > 1}
+		if k.good >= sickTries && !n.sized {
 			n.kind = math.Pow(mean/n.answer, kindPower)
 		}
 		p.post(p.offers[id].box, n)
@@ -278,16 +210,18 @@
 	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad, mean})
 }
 
-// redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones, with
-// guests from other zones where its own could not carry its proxies. The largest zones have a table each, the
-// rest share; a table whose own replicas are nearly all lost gives its proxies to the table that has most.
+// redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones,
+// with guests from other zones where its own could not carry its proxies. Zones are dealt to the tables in
+// turn; a table whose own replicas are nearly all lost gives its proxies to the table that has most.
 func (p *planner) redraw() {
 	ids, tables := sorted(p.offers), min(max(1, p.Zones), max(1, (p.Proxies/max(1, p.Governors)-1)/proxiesTable))
-	slices.SortStableFunc(ids, func(a, b uint32) int { return cmp.Compare(p.offers[b].ticket, p.offers[a].ticket) })
+	slices.SortStableFunc(ids, func(a, b uint32) int {
+		return cmp.Compare(p.offers[b].ticket, p.offers[a].ticket)
+	})
 	t := target{map[line]float64{}, p.shutOut(ids)}
 	need, home, total, all := make([]float64, tables), make([]float64, tables), 1e-9, 1e-9
 	for _, id := range ids {
-		if o := p.offers[id]; !t.out[id] {
+		if o := p.offers[id]; o.State == control.Ready {
 			home[o.Zone%tables] += o.weight
 			all += o.weight
 		}
@@ -359,6 +293,7 @@
 	seat []int
 	zone map[int]int
 	wait map[uint64]map[int]bool
+	last uint64
 }
 
 func (r *roll) take(n any) {
@@ -378,18 +313,19 @@
 		r.strike(n.Proxy, math.MaxUint64)
 		delete(r.zone, n.Proxy)
 	case control.Answered:
-		r.post(thePacer, caught{mark: n.Mark})
-		r.strike(n.Proxy, n.Mark)
+		mark := r.last - (r.last-n.Mark)&marksMask // marks go round on the way
+		r.post(thePacer, caught{mark: mark})
+		r.strike(n.Proxy, mark)
 	case marked:
-		r.wait[n.mark] = map[int]bool{}
+		r.last, r.wait[n.mark] = n.mark, map[int]bool{}
 		for _, proxy := range n.proxies {
 			r.wait[n.mark][proxy] = true
 		}
 	}
 }
 
-// strike: no mark up to this one waits for the proxy any more. An answer speaks for the proxy's earlier marks,
-// and nothing waits for a proxy that has left.
+// strike: no mark up to this one waits for the proxy any more. An answer speaks for the proxy's earlier
+// marks, and nothing waits for a proxy that has left.
 func (r *roll) strike(proxy int, upto uint64) {
 	for _, mark := range sorted(r.wait) {
 		if w := r.wait[mark]; mark <= upto && w[proxy] {
@@ -444,14 +380,16 @@
 	}
 	if over != l.strain {
 		l.strain = over
-		l.say("overload %v: %.2f missed, answers %.3fs, %.0f tries/s, let in %.2f", over, f.bad, f.answer, f.tries, l.let)
+		l.say("overload %v: %.2f missed, answers %.3fs, let in %.2f", over, f.bad, f.answer, l.let)
 	}
 	flows, total := map[int]float64{}, 0.0
 	for _, d := range l.came {
 		flows[d.Group] += float64(d.Flows)
 		total += float64(d.Flows)
 	}
-	slices.SortStableFunc(groups, func(a, b int) int { return cmp.Compare(l.Groups[b].Utility, l.Groups[a].Utility) })
+	slices.SortStableFunc(groups, func(a, b int) int {
+		return cmp.Compare(l.Groups[b].Utility, l.Groups[a].Utility)
+	})
 	left := l.let * total
 	for _, g := range groups { // those over the line get all, those under it what is left
 		share := math.Min(1, math.Ceil(shareSteps*math.Max(0, left)/math.Max(1, flows[g]))/shareSteps)
@@ -523,8 +461,8 @@
 }
 
 // proceed hands the pacer what the open step still has to send. A new target folds in: additions start again
-// from the first step, all else goes on from where the sequence stands, and what is no longer wanted is dropped
-// with it, so that a removal queued for a replica that is back never leaves.
+// from the first step, all else goes on from where the sequence stands, and what is no longer wanted is
+// dropped with it, so that a removal queued for a replica that is back never leaves.
 func (s *sequence) proceed() {
 	if len(s.orders(add)) > 0 {
 		s.at = add
@@ -615,15 +553,17 @@
 		p.step = n
 	case caught:
 		// Messages leave in order: an answer clears all that was written before its own.
-		p.under = slices.DeleteFunc(p.under, func(b batch) bool { return b.mark < n.mark || n.all && b.mark == n.mark })
+		p.under = slices.DeleteFunc(p.under, func(b batch) bool {
+			return b.mark < n.mark || n.all && b.mark == n.mark
+		})
 	case closing:
 		p.send()
 	}
 }
 
-// queue is what may still wait in the channel: all that no answer has cleared. A channel that sends slowly shows
-// as answers that stay away, whatever the cause, and holds ordinary lines back. Answers that never come (dead
-// proxies) would hold it for ever, so what a channel at an eighth of its pace had sent is forgotten.
+// queue is what may still wait in the channel: all that no answer has cleared. A channel that sends slowly
+// shows as answers that stay away, whatever the cause, and holds ordinary lines back. Answers that never come
+// (dead proxies) would hold it for ever, so what a channel at an eighth of its pace had sent is forgotten.
 func (p *pacer) queue() float64 {
 	sum := 0.0
 	for _, b := range p.under {
@@ -647,7 +587,7 @@
 	return sorted(p.bound), 1
 }
 
-// write orders something if the queue and every reached proxy's message cap keep room for what can't be put off.
+// write orders something if the queue and each reached proxy's message cap keep room for what can't wait.
 func (p *pacer) write(o control.Order, part, messages float64) bool {
 	to, lines := p.reach(o)
 	more := float64(lines * len(to))
@@ -679,7 +619,7 @@
 	return true
 }
 
-// send writes the turn's messages: the step's lines, then withdrawals, levels and binds in the room kept for them.
+// send writes the turn's messages: the step's lines, then all that is urgent in the room kept for it.
 func (p *pacer) send() {
 	p.cost, p.reached = 0, map[int]bool{}
 	done := 0
@@ -688,11 +628,13 @@
 	}
 	m := marked{orders: p.step[:done]}
 	p.step = p.step[done:]
-	p.urgent = slices.DeleteFunc(p.urgent, func(o control.Order) bool { return p.write(o, urgentPart, urgentMsgs) })
+	p.urgent = slices.DeleteFunc(p.urgent, func(o control.Order) bool {
+		return p.write(o, urgentPart, urgentMsgs)
+	})
 	if m.proxies = sorted(p.reached); len(m.proxies) > 0 {
 		p.mark++
 		m.mark = p.mark
-		p.out = append(p.out, control.Mark{Number: m.mark})
+		p.out = append(p.out, control.Mark{Number: m.mark & marksMask})
 		p.under = append(p.under, batch{m.mark, p.cost, p.now})
 		for _, proxy := range m.proxies {
 			p.wrote[proxy] = append(p.wrote[proxy], p.now)
@@ -765,20 +707,6 @@
 	}
 }
 
-// settle empties the inboxes until nobody has a note left.
-func (g *Governor) settle() {
-	for busy := true; busy; {
-		busy = false
-		for _, box := range g.boxes {
-			for busy = busy || len(box.mail) > 0; len(box.mail) > 0; {
-				n := box.mail[0]
-				box.mail = box.mail[1:]
-				box.part.take(n)
-			}
-		}
-	}
-}
-
 // listed passes news of the list to its replicas; whoever a whole list leaves out is gone.
 func (g *Governor) listed(l control.Listed) {
 	for _, id := range sorted(g.replicas) {
--- /dev/null
+++ b/brain/mail.go
@@ -0,0 +1,102 @@
+package brain
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"slices"
+
+	"lilacbend/control"
+)
+
+// This file is the plumbing between the parts of brain.go: inboxes, the notes put into them, the loop that
+// empties them, chance. It decides nothing.
+
+const ( // the parts' inboxes; those of the replicas come after
+	theRoll = iota
+	thePlanner
+	theLevels
+	theSequence
+	thePacer
+	parts
+)
+
+type inbox struct {
+	part interface{ take(note any) }
+	mail []any
+}
+
+// desk is what the parts share: the clock, the provision, the inboxes and the orders of this turn.
+type desk struct {
+	control.Provision
+	now   int64
+	draws uint64
+	out   []control.Order
+	boxes []*inbox
+}
+
+func (d *desk) post(to int, note any) { d.boxes[to].mail = append(d.boxes[to].mail, note) }
+
+func (d *desk) say(f string, args ...any) {
+	d.out = append(d.out, control.Log{Text: fmt.Sprintf(f, args...)})
+}
+
+// chance draws from 0 to 1, the same for the same seed and count of draws.
+func (d *desk) chance() float64 {
+	d.draws++
+	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, d.Seed), d.draws)
+	return (float64(crc32.ChecksumIEEE(b)) + 1) / (1 << 32)
+}
+
+func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// Notes between the parts; events and orders go from part to part as they are.
+type (
+	tick    struct{}
+	redraw  struct{} // the planner has heard from all replicas
+	closing struct{} // the turn ends: the pacer sends
+	norm    struct { // planner to replica: its kind's answer time, good answers, weight; the fleet's missed part
+		answer, good, kind, bad float64
+		sized                   bool // the list gives sizes
+	}
+	offer struct { // replica to planner: what it can bear and what it was met with lately
+		control.Entry
+		box                                int
+		weight, ticket, tries, bad, answer float64
+		warm, sick, trial                  bool
+	}
+	fleet  struct{ tries, bad, answer float64 } // planner to levels: tries a second, missed part, answer time
+	target struct {                             // planner to sequence: weights, below 0 for what stays as it is
+		lines map[line]float64
+		out   map[uint32]bool
+	}
+	marked struct { // pacer to roll and sequence: what went out, to whom, under which mark
+		mark    uint64
+		proxies []int
+		orders  []control.Order
+	}
+	caught struct { // roll to pacer and sequence: somebody applied all up to the mark, or all have
+		mark uint64
+		all  bool
+	}
+	line struct {
+		table int
+		id    uint32
+	}
+)
+
+// settle empties the inboxes until nobody has a note left.
+func (d *desk) settle() {
+	for busy := true; busy; {
+		busy = false
+		for _, box := range d.boxes {
+			for busy = busy || len(box.mail) > 0; len(box.mail) > 0; {
+				n := box.mail[0]
+				box.mail = box.mail[1:]
+				box.part.take(n)
+			}
+		}
+	}
+}
--- a/wire/provision.go
+++ b/wire/provision.go
@@ -100,10 +100,11 @@
 
 		Admission: choice(s, "domain.admit", map[string]control.Admission{
 			"silent": control.AdmitAll, "fraction": control.AdmitShare, "per_second": control.AdmitRate}),
-		TryFactor:   s.number("domain.try_factor"),
-		UsualTries:  control.Tries(s.count("domain.usual_how")),
-		Probes:      s.lines["limits.probes"] == "true",
-		LoadReports: s.lines["report.source"] == "piggyback" && strings.HasPrefix(s.lines["report.fields"], "inflight"),
+		TryFactor:  s.number("domain.try_factor"),
+		UsualTries: control.Tries(s.count("domain.usual_how")),
+		Probes:     s.lines["limits.probes"] == "true",
+		LoadReports: s.lines["report.source"] == "piggyback" &&
+			strings.HasPrefix(s.lines["report.fields"], "inflight"),
 	}
 	if s.lines["domain.shards"] != "0" {
 		s.note("domain.shards=%q: sites with slices are not served", s.lines["domain.shards"])
@@ -125,7 +126,9 @@
 		LatencyBudget: s.ms(at + "slo_ms"),
 		Expiry:        s.ms(at + "deadline_ms"),
 		Effect: choice(s, at+"effect", map[string]control.Effect{
-			"read_like": control.Retriable, "idempotency_key": control.Deduped, "non_idempotent": control.NonRetriable}),
+			"read_like":       control.Retriable,
+			"idempotency_key": control.Deduped,
+			"non_idempotent":  control.NonRetriable}),
 		OwnZone: ownZone,
 	}
 	if g.Effect == control.Deduped {
