--- a/brain/brain.go
+++ b/brain/brain.go
@@ -32,11 +32,12 @@
 	kindPower                = 1.3             // how strongly a kind's answer time moves its weight
 	slowest, fastest         = 1.0 / 16, 2.0   // bounds of a replica's weight against its kind's
 	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
-	sickPart, fewGood        = 0.5, 0.1        // sick: missed more, gives less of its kind's good answers
+	sickPart                 = 0.5             // sick: misses more, above the fleet's own
+	fewGood, noneGood        = 0.6, 0.1        // and gives less of its kind's good answers: quick or not at all
 	trialPart                = 0.1             // weight of a replica on trial
 	restSpan, mostRelapses   = 4 * second, 3   // the first rest of the sick, how often it doubles
 	leastLeft                = 0.5             // of the listed weight that the sick may not take away
-	spareGuest, scarceHome   = 1.1, 0.25       // a table takes guests, or gives up, under these parts of need
+	spareGuest, scarceHome   = 1.5, 0.25       // a table takes guests, or gives up, under these parts of need
 	coldSpare                = 0.5             // of the multiple at which a cold replica falls
 	strained, missedMost     = 0.5, 0.15       // an overloaded fleet: answer to budget, missed part
 	lineDown, lineUp         = 0.85, 0.03      // flows left to it, and given back each second
@@ -84,11 +85,12 @@
 		r.judge()
 	}
 	tries, bad, answer := r.lately()
-	w := math.Max(r.entry.Weight, 1e-6) * r.speed * r.warmth()
+	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
+	w := size * r.speed
 	if r.trial > 0 {
 		w *= trialPart
 	}
-	r.post(thePlanner, offer{r.entry, r.box, w, r.ticket, tries, bad, answer,
+	r.post(thePlanner, offer{r.entry, r.box, w, size * r.fleet.kind, r.ticket, tries, bad, answer,
 		r.warmth() == 1, r.resting > 0, r.trial > 0})
 }
 
@@ -113,12 +115,9 @@
 func (r *replica) judge() {
 	tries, bad, answer := r.lately()
 	part := bad / math.Max(1, tries)
-	goal := r.fleet.kind
-	if r.fleet.sized && answer < slowAnswer*r.fleet.answer {
-		answer = r.fleet.answer
-	}
-	if answer > 0 && r.fleet.answer > 0 && tries-bad >= trialTries {
-		goal *= math.Min(fastest, math.Max(slowest, r.fleet.answer/answer))
+	goal, late := r.fleet.kind, answer/math.Max(1e-9, r.fleet.answer)
+	if late > 0 && r.fleet.answer > 0 && tries-bad >= trialTries && (!r.fleet.sized || late > slowAnswer) {
+		goal *= math.Min(fastest, math.Max(slowest, 1/late))
 	}
 	r.speed *= math.Pow(goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(settleSpan)))
 	r.judged = r.now
@@ -128,8 +127,8 @@
 		r.resting, r.trial = 0, r.now
 		r.say("replica %d on trial after rest %d", r.entry.Replica, r.relapse)
 	case r.trial > 0 && tries < trialTries || tries < sickTries && r.trial == 0:
-	case part > r.fleet.bad+sickPart*(1-r.fleet.bad) &&
-		(r.trial > 0 || tries-bad < fewGood*r.fleet.good || answer < r.fleet.answer*slowAnswer):
+	case part > r.fleet.bad+sickPart*(1-r.fleet.bad) && (r.trial > 0 || tries-bad < noneGood*r.fleet.good ||
+		tries-bad < fewGood*r.fleet.good && late < slowAnswer):
 		rest := restSpan << min(r.relapse, mostRelapses)
 		r.resting, r.trial, r.relapse, r.met = r.now+rest, 0, r.relapse+1, nil
 		r.say("replica %d sick: %.0f of %.0f missed, fleet %.2f, rests %ds", r.entry.Replica, bad, tries,
@@ -222,8 +221,8 @@
 	need, home, total, all := make([]float64, tables), make([]float64, tables), 1e-9, 1e-9
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
-			home[o.Zone%tables] += o.weight
-			all += o.weight
+			home[o.Zone%tables] += o.size
+			all += o.size
 		}
 	}
 	for _, proxy := range sorted(p.crowd) {
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -63,9 +63,9 @@
 	}
 	offer struct { // replica to planner: what it can bear and what it was met with lately
 		control.Entry
-		box                                int
-		weight, ticket, tries, bad, answer float64
-		warm, sick, trial                  bool
+		box                                      int
+		weight, size, ticket, tries, bad, answer float64
+		warm, sick, trial                        bool
 	}
 	fleet  struct{ tries, bad, answer float64 } // planner to levels: tries a second, missed part, answer time
 	target struct {                             // planner to sequence: weights, below 0 for what stays as it is
