--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,8 +39,8 @@
 	leastLeft                = 0.5             // of the listed weight that the sick may not take away
 	spareGuest, scarceHome   = 1.5, 0.25       // a table takes guests, or gives up, under these parts of need
 	coldSpare                = 0.5             // of the multiple at which a cold replica falls
-	strained, missedMost     = 0.5, 0.15       // an overloaded fleet: answer to budget, missed part
-	lineDown, lineUp         = 0.85, 0.03      // flows left to it, and given back each second
+	strained, missedMost     = 0.65, 0.15       // an overloaded fleet: answer to budget, missed part
+	lineDown, lineUp         = 0.85, 0.08      // flows left to it, and given back each second
 	marksMask                = 1<<16 - 1       // marks are told apart up to here
 	leastLet                 = 0.1             // of all flows is always let in
 	shareSteps, guestSteps   = 20, 4           // levels and guests move in such parts, to save orders
