--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,35 +39,15 @@
 	leastLeft                = 0.5             // of the listed weight that the sick may not take away
 	spareGuest, scarceHome   = 1.5, 0.25       // a table takes guests, or gives up, under these parts of need
 	coldSpare                = 0.5             // of the multiple at which a cold replica falls
-	strained, missedMost     = 0.65, 0.15       // an overloaded fleet: answer to budget, missed part
-	lineDown, lineUp         = 0.85, 0.08      // flows left to it, and given back each second
+	strained, missedMost     = 0.65, 0.15      // an overloaded fleet: answer to budget, missed part
+	lineFirst                = 0.9             // part of the most it served that an overloaded fleet is let
+	lineDown, lineUp         = 0.85, 0.02      // the line falls by this part, rises by this each second
 	marksMask                = 1<<16 - 1       // marks are told apart up to here
-	leastLet                 = 0.1             // of all flows is always let in
 	shareSteps, guestSteps   = 20, 4           // levels and guests move in such parts, to save orders
 )
 
 // ---- replica: health, warmth, speed
 
-type sample struct {
-	at                 int64
-	tries, bad, answer float64
-}
-
-type replica struct {
-	*desk
-	box     int
-	entry   control.Entry
-	heard   int64 // when its start became known
-	ticket  float64
-	met     []sample
-	speed   float64
-	fleet   norm
-	resting int64 // out until then
-	trial   int64 // on trial since
-	relapse int
-	judged  int64
-}
-
 func (r *replica) take(n any) {
 	switch n := n.(type) {
 	case control.Entry:
@@ -110,8 +90,8 @@
 
 // judge moves the replica between well, resting and on trial, and its speed to what its answers show.
 // Silent, failing and cut-off replicas miss most tries while others do not, and give few good answers: one
-// that still gives its share is busy, and without it the rest would be worse off. A trouble of the whole fleet
-// or of the reports condemns nobody. It could harm where tries miss by chance, so a verdict needs sickTries.
+// that still gives its share is busy, and without it the rest would be worse off. A trouble of the whole
+// fleet or of the reports condemns nobody. It could harm where tries miss by chance: hence sickTries.
 func (r *replica) judge() {
 	tries, bad, answer := r.lately()
 	part := bad / math.Max(1, tries)
@@ -157,13 +137,6 @@
 
 // ---- planner: target tables
 
-type planner struct {
-	*desk
-	offers map[uint32]offer
-	crowd  map[int]control.Joined
-	out    map[uint32]bool
-}
-
 func (p *planner) take(n any) {
 	switch n := n.(type) {
 	case tick:
@@ -287,14 +260,6 @@
 
 // ---- roll: proxies, streams, bindings, marks
 
-type roll struct {
-	*desk
-	seat []int
-	zone map[int]int
-	wait map[uint64]map[int]bool
-	last uint64
-}
-
 func (r *roll) take(n any) {
 	switch n := n.(type) {
 	case []int:
@@ -339,62 +304,71 @@
 
 // ---- levels: admission, further tries
 
-type levels struct {
-	*desk
-	came   []control.Demand // the last sums
-	let    float64          // part of the flows let in
-	judged int64
-	set    map[int]control.Level
-	strain bool
+func newLevels(d *desk) *levels {
+	l := &levels{desk: d, line: float64(len(d.Groups)), set: map[int]control.Level{}}
+	for g := range d.Groups {
+		l.groups = append(l.groups, g)
+	}
+	slices.SortStableFunc(l.groups, func(a, b int) int {
+		x, y := d.Groups[a], d.Groups[b]
+		return cmp.Or(cmp.Compare(y.Utility, x.Utility), cmp.Compare(x.LatencyBudget, y.LatencyBudget))
+	})
+	return l
 }
 
 func (l *levels) take(n any) {
 	switch n := n.(type) {
 	case control.Demand:
-		l.came = append(l.came, n)
-		l.came = l.came[max(0, len(l.came)-samplesKept*len(l.Groups)):]
+		l.came = append(l.came, sums{n, l.now})
+		l.came = l.came[max(0, len(l.came)-samplesKept*len(l.Groups)*l.Proxies):]
 	case fleet:
-		l.judge(n)
+		if l.Admission == control.AdmitShare {
+			l.judge(n)
+		}
 	}
 }
 
-// judge moves the line of utility: down at once when the fleet misses or answers late, to less than what it
-// bears now; up again slowly. It stands against every overload, by flows, lost replicas or repeats; it could
-// harm where answers are late for another cause than load, and then gives way at lineUp.
+// judge moves the line of utility. An overloaded fleet is first let less than the most it served lately, then
+// a part less at each look, unless the overload eases; a calm one a little more each second. It stands against
+// every overload, by flows, lost replicas or repeats; it could harm where answers are late for another cause.
 func (l *levels) judge(f fleet) {
-	var groups []int
-	budget := int64(math.MaxInt64)
-	for g, row := range l.Groups {
-		groups, budget = append(groups, g), min(budget, row.LatencyBudget)
-	}
-	over := f.bad > missedMost || f.answer*float64(second) > strained*float64(budget)
+	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
+	press := math.Max(f.bad/missedMost, f.answer/strained/budget)
+	over := press > 1
+	l.served = append(l.served, f.tries*(1-f.bad))
+	l.served = l.served[max(0, len(l.served)-2*samplesKept):]
 	dt := l.now - l.judged
-	if over && dt < settleSpan || l.Admission != control.AdmitShare { // the sums still tell of the last move
-		return
-	}
-	if l.judged = l.now; over {
-		l.let = math.Max(leastLet, l.let*math.Min(lineDown, 1-f.bad))
-	} else {
-		l.let = math.Min(1, l.let+lineUp*float64(dt)/float64(second))
+	l.judged = l.now
+	switch all := float64(len(l.groups)); {
+	case l.now-l.fell < recent: // the samples still tell of the time before the last move
+	case over && l.line < all:
+		if press > l.press { // what eases by itself needs no further fall
+			l.line *= lineDown
+		}
+		l.press, l.fell = press, l.now
+	case over:
+		flows := map[int]float64{}
+		for _, d := range l.came {
+			if d.at > l.now-recent {
+				flows[d.Group] += float64(d.Flows) * float64(second) / float64(recent)
+			}
+		}
+		left := lineFirst * slices.Max(l.served)
+		l.line, l.press, l.fell = 0, press, l.now
+		for _, g := range l.groups {
+			l.line += math.Min(1, math.Max(0, left)/math.Max(1, flows[g]))
+			left -= flows[g]
+		}
+	default:
+		l.line = math.Min(all, l.line+lineUp*all*float64(dt)/float64(second))
 	}
 	if over != l.strain {
 		l.strain = over
-		l.say("overload %v: %.2f missed, answers %.3fs, let in %.2f", over, f.bad, f.answer, l.let)
-	}
-	flows, total := map[int]float64{}, 0.0
-	for _, d := range l.came {
-		flows[d.Group] += float64(d.Flows)
-		total += float64(d.Flows)
+		l.say("overload %v: %.2f missed, answers %.3fs, line at %.2f of %d groups", over, f.bad, f.answer, l.line,
+			len(l.groups))
 	}
-	slices.SortStableFunc(groups, func(a, b int) int {
-		return cmp.Compare(l.Groups[b].Utility, l.Groups[a].Utility)
-	})
-	left := l.let * total
-	for _, g := range groups { // those over the line get all, those under it what is left
-		share := math.Min(1, math.Ceil(shareSteps*math.Max(0, left)/math.Max(1, flows[g]))/shareSteps)
-		if left -= flows[g]; l.let == 1 {
-			share = 1
-		}
+	for rank, g := range l.groups { // those over the line get all, those under it what is left
+		share := math.Min(1, math.Max(0, math.Ceil(shareSteps*(l.line-float64(rank)))/shareSteps))
 		o := control.Level{Table: control.AllTables, Group: g, Share: share, Tries: l.UsualTries}
 		if last, ok := l.set[g]; ok && last != o || !ok && share < 1 {
 			l.set[g] = o
@@ -413,16 +387,6 @@
 	steps
 )
 
-type sequence struct {
-	*desk
-	want  target
-	laid  map[line]float64
-	out   map[uint32]bool // withdrawn, not lifted yet
-	moves map[int]int     // proxies to rebind
-	at    int
-	open  map[uint64]int64 // marks of the open step and when they were set
-}
-
 func (s *sequence) take(n any) {
 	switch n := n.(type) {
 	case target:
@@ -518,26 +482,6 @@
 
 // ---- pacer: the only sender
 
-type batch struct {
-	mark  uint64
-	lines float64
-	at    int64
-}
-
-type pacer struct {
-	*desk
-	urgent []control.Order // withdrawals, binds and levels wait here
-	step   []control.Order
-	bound  map[int]int // joined proxies; -1 holds its standing table
-	laid   map[int]bool
-	wrote  map[int][]int64
-	under  []batch // sent, and no answer tells that it has left the channel
-	mark   uint64
-
-	cost    float64 // of this turn's messages
-	reached map[int]bool
-}
-
 func (p *pacer) take(n any) {
 	switch n := n.(type) {
 	case control.Withdraw:
@@ -645,13 +589,6 @@
 
 // ---- governor
 
-// Governor is one instance of the module.
-type Governor struct {
-	desk
-	replicas map[uint32]*replica
-	started  bool
-}
-
 // New makes a governor that knows nothing but its provision.
 func New(p control.Provision) *Governor {
 	g := &Governor{desk: desk{Provision: p}, replicas: map[uint32]*replica{}}
@@ -659,7 +596,7 @@
 	d.boxes = []*inbox{
 		theRoll:    {part: &roll{desk: d, seat: []int{0}, zone: map[int]int{}, wait: map[uint64]map[int]bool{}}},
 		thePlanner: {part: &planner{desk: d, offers: map[uint32]offer{}, crowd: map[int]control.Joined{}}},
-		theLevels:  {part: &levels{desk: d, let: 1, set: map[int]control.Level{}}},
+		theLevels:  {part: newLevels(d)},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
 		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{},
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -52,41 +52,6 @@
 
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
-// Notes between the parts; events and orders go from part to part as they are.
-type (
-	tick    struct{}
-	redraw  struct{} // the planner has heard from all replicas
-	closing struct{} // the turn ends: the pacer sends
-	norm    struct { // planner to replica: its kind's answer time, good answers, weight; the fleet's missed part
-		answer, good, kind, bad float64
-		sized                   bool // the list gives sizes
-	}
-	offer struct { // replica to planner: what it can bear and what it was met with lately
-		control.Entry
-		box                                      int
-		weight, size, ticket, tries, bad, answer float64
-		warm, sick, trial                        bool
-	}
-	fleet  struct{ tries, bad, answer float64 } // planner to levels: tries a second, missed part, answer time
-	target struct {                             // planner to sequence: weights, below 0 for what stays as it is
-		lines map[line]float64
-		out   map[uint32]bool
-	}
-	marked struct { // pacer to roll and sequence: what went out, to whom, under which mark
-		mark    uint64
-		proxies []int
-		orders  []control.Order
-	}
-	caught struct { // roll to pacer and sequence: somebody applied all up to the mark, or all have
-		mark uint64
-		all  bool
-	}
-	line struct {
-		table int
-		id    uint32
-	}
-)
-
 // settle empties the inboxes until nobody has a note left.
 func (d *desk) settle() {
 	for busy := true; busy; {
--- /dev/null
+++ b/brain/types.go
@@ -0,0 +1,128 @@
+package brain
+
+import "lilacbend/control"
+
+// This file holds the notes that the parts of brain.go send each other, and what each part remembers.
+
+// Notes between the parts; events and orders go from part to part as they are.
+type (
+	tick    struct{}
+	redraw  struct{} // the planner has heard from all replicas
+	closing struct{} // the turn ends: the pacer sends
+	norm    struct { // planner to replica: its kind's answer time, good answers, weight; the fleet's missed part
+		answer, good, kind, bad float64
+		sized                   bool // the list gives sizes
+	}
+	offer struct { // replica to planner: what it can bear and what it was met with lately
+		control.Entry
+		box                                      int
+		weight, size, ticket, tries, bad, answer float64
+		warm, sick, trial                        bool
+	}
+	fleet  struct{ tries, bad, answer float64 } // planner to levels: tries a second, missed part, answer time
+	target struct {                             // planner to sequence: weights, below 0 for what stays as it is
+		lines map[line]float64
+		out   map[uint32]bool
+	}
+	marked struct { // pacer to roll and sequence: what went out, to whom, under which mark
+		mark    uint64
+		proxies []int
+		orders  []control.Order
+	}
+	caught struct { // roll to pacer and sequence: somebody applied all up to the mark, or all have
+		mark uint64
+		all  bool
+	}
+	line struct {
+		table int
+		id    uint32
+	}
+)
+
+type sample struct {
+	at                 int64
+	tries, bad, answer float64
+}
+
+type replica struct {
+	*desk
+	box     int
+	entry   control.Entry
+	heard   int64 // when its start became known
+	ticket  float64
+	met     []sample
+	speed   float64
+	fleet   norm
+	resting int64 // out until then
+	trial   int64 // on trial since
+	relapse int
+	judged  int64
+}
+
+type planner struct {
+	*desk
+	offers map[uint32]offer
+	crowd  map[int]control.Joined
+	out    map[uint32]bool
+}
+
+type roll struct {
+	*desk
+	seat []int
+	zone map[int]int
+	wait map[uint64]map[int]bool
+	last uint64
+}
+
+type sums struct {
+	control.Demand
+	at int64
+}
+
+type levels struct {
+	*desk
+	came         []sums    // the last demand
+	served       []float64 // the last flows a second that the fleet gave good answers to
+	groups       []int     // by utility, the cheaper first where it is equal
+	line, press  float64   // how many of them are let in; how overloaded the fleet last was
+	judged, fell int64
+	set          map[int]control.Level
+	strain       bool
+}
+
+type sequence struct {
+	*desk
+	want  target
+	laid  map[line]float64
+	out   map[uint32]bool // withdrawn, not lifted yet
+	moves map[int]int     // proxies to rebind
+	at    int
+	open  map[uint64]int64 // marks of the open step and when they were set
+}
+
+type batch struct {
+	mark  uint64
+	lines float64
+	at    int64
+}
+
+type pacer struct {
+	*desk
+	urgent []control.Order // withdrawals, binds and levels wait here
+	step   []control.Order
+	bound  map[int]int // joined proxies; -1 holds its standing table
+	laid   map[int]bool
+	wrote  map[int][]int64
+	under  []batch // sent, and no answer tells that it has left the channel
+	mark   uint64
+
+	cost    float64 // of this turn's messages
+	reached map[int]bool
+}
+
+// Governor is one instance of the module.
+type Governor struct {
+	desk
+	replicas map[uint32]*replica
+	started  bool
+}
