--- a/brain/brain.go
+++ b/brain/brain.go
@@ -108,7 +108,7 @@
 		r.say("replica %d on trial after rest %d", r.entry.Replica, r.relapse)
 	case r.trial > 0 && tries < trialTries || tries < sickTries && r.trial == 0:
 	case part > r.fleet.bad+sickPart*(1-r.fleet.bad) && (r.trial > 0 || tries-bad < noneGood*r.fleet.good ||
-		tries-bad < fewGood*r.fleet.good && late < slowAnswer):
+		r.fleet.bad < missedMost && tries-bad < fewGood*r.fleet.good && late < slowAnswer):
 		rest := restSpan << min(r.relapse, mostRelapses)
 		r.resting, r.trial, r.relapse, r.met = r.now+rest, 0, r.relapse+1, nil
 		r.say("replica %d sick: %.0f of %.0f missed, fleet %.2f, rests %ds", r.entry.Replica, bad, tries,
@@ -129,6 +129,9 @@
 	}
 	able := r.ColdShare + (1-r.ColdShare)*float64(max(0, age))/float64(r.WarmAfter)
 	w := math.Min(able, coldSpare*r.FallMultiple*able*(1-r.fleet.bad))
+	if r.Pick == control.PickIdler { // drawn twice as often as its weight says, as it refuses what it can't take
+		w /= 2
+	}
 	if r.now-r.heard < entrySpan {
 		w = math.Min(w, entryShare)
 	}
@@ -190,7 +193,7 @@
 	slices.SortStableFunc(ids, func(a, b uint32) int {
 		return cmp.Compare(p.offers[b].ticket, p.offers[a].ticket)
 	})
-	t := target{map[line]float64{}, p.shutOut(ids)}
+	t := target{map[line]float64{}, p.shutOut(ids, tables)}
 	need, home, total, all := make([]float64, tables), make([]float64, tables), 1e-9, 1e-9
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
@@ -234,20 +237,21 @@
 	p.post(theSequence, t)
 }
 
-// shutOut says who is withdrawn: whoever drains or is gone, and the sick as long as half the listed weight is
-// left, so that the rest are not overloaded nor a proxy bare, whatever made so many miss. It could harm when
-// most of a fleet is sick for good: those over the half stay in.
-func (p *planner) shutOut(ids []uint32) map[uint32]bool {
-	out, listed, gone := map[uint32]bool{}, 0.0, 0.0
+// shutOut says who is withdrawn: whoever drains or is gone, and the sick as long as half the listed weight of
+// their table's own is left, so that the rest are not overloaded nor a proxy bare, whatever made so many miss.
+// It could harm when most of a table is sick for good: those over the half stay in.
+func (p *planner) shutOut(ids []uint32, tables int) map[uint32]bool {
+	out, listed, gone := map[uint32]bool{}, make([]float64, tables), make([]float64, tables)
 	for _, id := range ids {
-		if p.offers[id].State == control.Ready {
-			listed += p.offers[id].Weight
+		if o := p.offers[id]; o.State == control.Ready {
+			listed[o.Zone%tables] += o.size
 		}
 	}
 	for _, id := range ids {
 		o := p.offers[id]
-		if out[id] = o.State != control.Ready; o.sick && !out[id] && gone+o.Weight <= listed*(1-leastLeft) {
-			gone += o.Weight
+		t := o.Zone % tables
+		if out[id] = o.State != control.Ready; o.sick && !out[id] && gone[t]+o.size <= listed[t]*(1-leastLeft) {
+			gone[t] += o.size
 			out[id] = true
 		}
 		if out[id] && !p.out[id] {
--- a/control/control.go
+++ b/control/control.go
@@ -30,6 +30,15 @@
 	AdmitRate                   // a level is flows a second at each proxy
 )
 
+// Pick is how a proxy picks a line of its table.
+type Pick int
+
+const (
+	PickChance Pick = iota // at random by weight
+	PickRound              // evenly by weight
+	PickIdler              // draws two by weight, takes the one with fewer of its own flows out
+)
+
 // TrafficGroup is one kind of flow.
 type TrafficGroup struct {
 	Utility       float64
@@ -66,6 +75,7 @@
 	FallMultiple float64
 	FallSpan     int64
 
+	Pick        Pick
 	Admission   Admission
 	TryFactor   float64 // latency budgets a try waits where a further one may follow
 	UsualTries  Tries
--- a/wire/provision.go
+++ b/wire/provision.go
@@ -98,6 +98,8 @@
 		FallMultiple: s.number("invariants.tip_multiple"),
 		FallSpan:     s.ms("invariants.fall_ms"),
 
+		Pick: choice(s, "domain.pick", map[string]control.Pick{
+			"random": control.PickChance, "rotate": control.PickRound, "p2c": control.PickIdler}),
 		Admission: choice(s, "domain.admit", map[string]control.Admission{
 			"silent": control.AdmitAll, "fraction": control.AdmitShare, "per_second": control.AdmitRate}),
 		TryFactor:  s.number("domain.try_factor"),
