Cold replicas are kept out while the fleet is strained

Danger: repeats and shunning proxies bring a cold replica 5 times what it can do, whatever its weight says.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -71,7 +71,7 @@
 		w *= trialPart
 	}
 	r.post(thePlanner, offer{r.entry, r.box, w, size * r.fleet.kind, r.ticket, tries, bad, answer,
-		r.warmth() == 1, r.resting > 0, r.trial > 0})
+		r.warmth() == 1, r.resting > 0 || r.warmth() < 1 && r.fleet.bad > missedMost, r.trial > 0})
 }
 
 // lately sums the samples still worth judging; answer is a mean in seconds.
