--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,7 +24,8 @@
 	stepTimeout              = 2 * second      // a step ends without the answers still missing
 	entryShare, entrySpan    = 0.5, 5 * second // weight of a new replica, for how long
 	ordinaryPart, urgentPart = 0.4, 0.85       // of the channel's limit, for lines and for all
-	ordinaryMsgs, urgentMsgs = 0.5, 0.95       // of a proxy's message cap, likewise
+	ordinaryMsgs, addMsgs    = 0.5, 0.75       // of a proxy's message cap, for changed lines and new ones
+	urgentMsgs               = 0.95            // and for all
 	slowAnswer               = 2.0             // a replica answers slowly if so much later than its kind
 	changeWorth              = 0.15            // relative change of a weight worth a line
 	recent, samplesKept      = 4 * second, 32  // older samples are not judged, more are not kept
@@ -38,7 +39,7 @@
 	restSpan, mostRelapses   = 4 * second, 3   // the first rest of the sick, how often it doubles
 	leastLeft                = 0.5             // of the listed weight that the sick may not take away
 	spareGuest, scarceHome   = 1.5, 0.25       // a table takes guests, or gives up, under these parts of need
-	coldSpare                = 0.5             // of the multiple at which a cold replica falls
+	coldSpare, coldBad       = 0.5, 0.5        // of the multiple at which the cold fall; missed part that shuts them out
 	strained, missedMost     = 0.65, 0.15      // an overloaded fleet: answer to budget, missed part
 	lineFirst                = 0.9             // part of the most it served that an overloaded fleet is let
 	lineDown, lineUp         = 0.85, 0.02      // the line falls by this part, rises by this each second
@@ -71,7 +72,7 @@
 		w *= trialPart
 	}
 	r.post(thePlanner, offer{r.entry, r.box, w, size * r.fleet.kind, r.ticket, tries, bad, answer,
-		r.warmth() == 1, r.resting > 0 || r.warmth() < 1 && r.fleet.bad > missedMost, r.trial > 0})
+		!r.cold(), r.resting > 0 || r.cold() && r.fleet.bad > coldBad, r.trial > 0})
 }
 
 // lately sums the samples still worth judging; answer is a mean in seconds.
@@ -119,16 +120,17 @@
 	}
 }
 
+func (r *replica) cold() bool { return r.entry.Start > 0 && r.now-r.entry.Start < r.WarmAfter }
+
 // warmth is the part of its usual work a replica that started not long ago is given. It stays under what it
 // can bear at the slowest warming, less the more of all tries miss (then repeats push too), so that all
 // proxies together never push it over. It harms a little where a replica warms faster than it must.
 func (r *replica) warmth() float64 {
-	age := r.now - r.entry.Start
-	if r.entry.Start == 0 || age >= r.WarmAfter {
+	if !r.cold() {
 		return 1
 	}
-	able := r.ColdShare + (1-r.ColdShare)*float64(max(0, age))/float64(r.WarmAfter)
-	w := math.Min(able, coldSpare*r.FallMultiple*able*(1-r.fleet.bad))
+	able := r.ColdShare + (1-r.ColdShare)*float64(max(0, r.now-r.entry.Start))/float64(r.WarmAfter)
+	w := math.Min(1, coldSpare*r.FallMultiple*able*(1-r.fleet.bad))
 	if r.Pick == control.PickIdler { // drawn twice as often as its weight says, as it refuses what it can't take
 		w /= 2
 	}
@@ -441,7 +443,7 @@
 		}
 		s.at = (s.at + 1) % steps
 	}
-	s.post(thePacer, orders)
+	s.post(thePacer, step{s.at, orders})
 }
 
 // orders are what a step has to do, the largest change first; a withdrawal is lifted behind its lines.
@@ -496,7 +498,7 @@
 		p.bound[n.Proxy], p.wrote[n.Proxy] = -1, nil
 	case control.Left:
 		delete(p.bound, n.Proxy)
-	case []control.Order:
+	case step:
 		p.step = n
 	case caught:
 		// Messages leave in order: an answer clears all that was written before its own.
@@ -569,12 +571,15 @@
 // send writes the turn's messages: the step's lines, then all that is urgent in the room kept for it.
 func (p *pacer) send() {
 	p.cost, p.reached = 0, map[int]bool{}
-	done := 0
-	for done < len(p.step) && p.write(p.step[done], ordinaryPart, ordinaryMsgs) {
+	done, messages := 0, ordinaryMsgs
+	if p.step.at == add { // who lacks lines comes before who has stale ones
+		messages = addMsgs
+	}
+	for done < len(p.step.orders) && p.write(p.step.orders[done], ordinaryPart, messages) {
 		done++
 	}
-	m := marked{orders: p.step[:done]}
-	p.step = p.step[done:]
+	m := marked{orders: p.step.orders[:done]}
+	p.step.orders = p.step.orders[done:]
 	p.urgent = slices.DeleteFunc(p.urgent, func(o control.Order) bool {
 		return p.write(o, urgentPart, urgentMsgs)
 	})
--- a/brain/types.go
+++ b/brain/types.go
@@ -24,6 +24,10 @@
 		lines map[line]float64
 		out   map[uint32]bool
 	}
+	step struct { // sequence to pacer: what the open step still has to send
+		at     int
+		orders []control.Order
+	}
 	marked struct { // pacer to roll and sequence: what went out, to whom, under which mark
 		mark    uint64
 		proxies []int
@@ -109,7 +113,7 @@
 type pacer struct {
 	*desk
 	urgent []control.Order // withdrawals, binds and levels wait here
-	step   []control.Order
+	step   step
 	bound  map[int]int // joined proxies; -1 holds its standing table
 	laid   map[int]bool
 	wrote  map[int][]int64
