--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,8 +35,8 @@
 	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
 	sickPart                 = 0.5             // sick: misses more, above the fleet's own
 	fewGood, noneGood        = 0.6, 0.1        // and gives less of its kind's good answers: quick or not at all
-	trialPart                = 0.1             // weight of a replica on trial
-	restSpan, mostRelapses   = 4 * second, 3   // the first rest of the sick, how often it doubles
+	trialPart                = 0.3             // weight of a replica on trial
+	restSpan, mostRelapses   = 3 * second, 2   // the first rest of the sick, how often it doubles
 	leastLeft                = 0.5             // of the listed weight that the sick may not take away
 	spareGuest, scarceHome   = 1.5, 0.25       // a table takes guests, or gives up, under these parts of need
 	coldSpare, coldBad       = 0.5, 0.5        // of the multiple at which the cold fall; missed part that shuts them out
