--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,8 +29,9 @@
 	slowAnswer               = 2.0             // a replica answers slowly if so much later than its kind
 	changeWorth              = 0.15            // relative change of a weight worth a line
 	recent, samplesKept      = 4 * second, 32  // older samples are not judged, more are not kept
-	settleSpan               = 3 * second      // time in which a weight follows answer times
-	kindPower                = 1.3             // how strongly a kind's answer time moves its weight
+	settleSpan               = 5 * second      // time in which a weight follows answer times
+	firstSteps               = 4               // a new replica's weight follows in this part of its age
+	kindPower                = 1.4             // how strongly a kind's answer time moves its weight
 	slowest, fastest         = 1.0 / 16, 2.0   // bounds of a replica's weight against its kind's
 	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
 	sickPart                 = 0.5             // sick: misses more, above the fleet's own
@@ -100,7 +101,8 @@
 	if late > 0 && r.fleet.answer > 0 && tries-bad >= trialTries && (!r.fleet.sized || late > slowAnswer) {
 		goal *= math.Min(fastest, math.Max(slowest, 1/late))
 	}
-	r.speed *= math.Pow(goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(settleSpan)))
+	span := min(settleSpan, max(second, (r.now-r.heard)/firstSteps)) // what is new is learned faster
+	r.speed *= math.Pow(goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(span)))
 	r.judged = r.now
 	switch {
 	case r.resting > r.now:
