--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,8 +31,9 @@
 	recent, samplesKept      = 4 * second, 32  // older samples are not judged, more are not kept
 	settleSpan               = 5 * second      // time in which a weight follows answer times
 	firstSteps               = 4               // a new replica's weight follows in this part of its age
-	kindPower                = 1.4             // how strongly a kind's answer time moves its weight
-	slowest, fastest         = 1.0 / 16, 2.0   // bounds of a replica's weight against its kind's
+	kindSpread, idle         = 2.0, 0.7        // a kind answers no more slowly than the quickest when calm; idle part of the calm
+	shrink                   = 8.0             // answers that weigh as much as what the kind shows
+	slowest                  = 1.0 / 16        // least weight against its kind's
 	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
 	sickPart                 = 0.5             // sick: misses more, above the fleet's own
 	fewGood, noneGood        = 0.6, 0.1        // and gives less of its kind's good answers: quick or not at all
@@ -97,12 +98,9 @@
 func (r *replica) judge() {
 	tries, bad, answer := r.lately()
 	part := bad / math.Max(1, tries)
-	goal, late := r.fleet.kind, answer/math.Max(1e-9, r.fleet.answer)
-	if late > 0 && r.fleet.answer > 0 && tries-bad >= trialTries && (!r.fleet.sized || late > slowAnswer) {
-		goal *= math.Min(fastest, math.Max(slowest, 1/late))
-	}
+	late := answer / math.Max(1e-9, r.fleet.answer)
 	span := min(settleSpan, max(second, (r.now-r.heard)/firstSteps)) // what is new is learned faster
-	r.speed *= math.Pow(goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(span)))
+	r.speed *= math.Pow(r.fleet.goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(span)))
 	r.judged = r.now
 	switch {
 	case r.resting > r.now:
@@ -159,34 +157,76 @@
 	}
 }
 
-// norms tells each replica how its kind answers and how much the whole fleet misses. Where the list gives no
-// sizes, a kind that answers faster than the fleet is given more.
+// norms tells each replica how its kind answers and how much the whole fleet misses, and what weight its answers
+// make it worth. Where the list gives sizes, those hold but for the slow; else a replica is worth the flows it
+// could answer: what it answers now, by how busy its answer time shows it. Late sums then still tell the truth,
+// as flows and answer times are of the same moment; answer times alone would make the weights swing.
 func (p *planner) norms() {
-	type sum struct{ good, answer, count float64 }
+	type sum struct{ good, answer, count, able float64 }
 	kinds, missed, tries, sizes, all := map[int]sum{}, 0.0, 0.0, map[float64]bool{}, p.Kinds
+	well := func(o offer) bool { return !o.sick && !o.trial && o.State == control.Ready && o.warm }
 	for _, id := range sorted(p.offers) {
 		o := p.offers[id]
-		sizes[o.Weight] = true
-		if o.sick || o.trial || o.State != control.Ready {
-			continue
-		}
-		missed, tries = missed+o.bad, tries+o.tries
-		for _, k := range []int{o.Kind, all} {
-			if s, good := kinds[k], o.tries-o.bad; o.answer > 0 && o.warm {
-				kinds[k] = sum{s.good + good, s.answer + o.answer*good, s.count + 1}
+		if sizes[o.Weight] = true; !o.sick && !o.trial && o.State == control.Ready {
+			missed, tries = missed+o.bad, tries+o.tries
+		}
+		if good := o.tries - o.bad; well(o) && o.answer > 0 {
+			k := kinds[o.Kind]
+			kinds[o.Kind] = sum{k.good + good, k.answer + o.answer*good, k.count + 1, 0}
+		}
+	}
+	quick := math.Inf(1)
+	for kind, k := range kinds {
+		if k.good >= sickTries && p.now-p.judged >= second {
+			p.calm[kind] = append(p.calm[kind], k.answer/k.good)
+			p.calm[kind] = p.calm[kind][max(0, len(p.calm[kind])-samplesKept):]
+		}
+		if len(p.calm[kind]) > 0 {
+			quick = math.Min(quick, slices.Min(p.calm[kind]))
+		}
+	}
+	if p.now-p.judged >= second {
+		p.judged = p.now
+	}
+	able := func(o offer) float64 {
+		base := quick * kindSpread
+		if len(p.calm[o.Kind]) > 0 {
+			base = math.Min(base, slices.Min(p.calm[o.Kind]))
+		}
+		return (o.tries - o.bad) / (1 - idle/math.Max(1, o.answer/base))
+	}
+	for _, id := range sorted(p.offers) {
+		if o := p.offers[id]; well(o) && o.answer > 0 {
+			for _, kind := range []int{o.Kind, all} {
+				k := kinds[kind]
+				k.able += able(o)
+				if kind == all {
+					k.count, k.good, k.answer = k.count+1, k.good+o.tries-o.bad, k.answer+o.answer*(o.tries-o.bad)
+				}
+				kinds[kind] = k
 			}
 		}
 	}
-	bad, mean := missed/math.Max(1, tries), kinds[all].answer/math.Max(1, kinds[all].good)
+	bad, fleetAble := missed/math.Max(1, tries), kinds[all].able/math.Max(1, kinds[all].count)
 	for _, id := range sorted(p.offers) {
-		k := kinds[p.offers[id].Kind]
-		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, bad, len(sizes) > 1}
-		if k.good >= sickTries && !n.sized {
-			n.kind = math.Pow(mean/n.answer, kindPower)
+		o := p.offers[id]
+		k := kinds[o.Kind]
+		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, 1, bad}
+		good, late := o.tries-o.bad, o.answer/math.Max(1e-9, n.answer)
+		if len(sizes) > 1 && late > slowAnswer {
+			n.goal = math.Max(slowest, 1/late)
+		} else if len(sizes) == 1 && k.able > 0 {
+			n.kind = k.able / k.count / fleetAble
+			n.goal = n.kind
+			if own := able(o) / fleetAble; well(o) && o.answer > 0 {
+				n.goal = (n.kind*shrink + own*good) / (shrink + good)
+			}
+			n.goal = math.Max(slowest*n.kind, n.goal)
 		}
-		p.post(p.offers[id].box, n)
+		p.post(o.box, n)
 	}
-	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad, mean})
+	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad,
+		kinds[all].answer / math.Max(1, kinds[all].good)})
 }
 
 // redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones,
@@ -606,7 +646,7 @@
 	d := &g.desk
 	d.boxes = []*inbox{
 		theRoll:    {part: &roll{desk: d, seat: []int{0}, zone: map[int]int{}, wait: map[uint64]map[int]bool{}}},
-		thePlanner: {part: &planner{desk: d, offers: map[uint32]offer{}, crowd: map[int]control.Joined{}}},
+		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{}, offers: map[uint32]offer{}, crowd: map[int]control.Joined{}}},
 		theLevels:  {part: newLevels(d)},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
--- a/brain/types.go
+++ b/brain/types.go
@@ -9,9 +9,8 @@
 	tick    struct{}
 	redraw  struct{} // the planner has heard from all replicas
 	closing struct{} // the turn ends: the pacer sends
-	norm    struct { // planner to replica: its kind's answer time, good answers, weight; the fleet's missed part
-		answer, good, kind, bad float64
-		sized                   bool // the list gives sizes
+	norm    struct { // planner to replica: its kind's answer time, good answers, weight; its own; the fleet's missed
+		answer, good, kind, goal, bad float64
 	}
 	offer struct { // replica to planner: what it can bear and what it was met with lately
 		control.Entry
@@ -67,6 +66,8 @@
 	*desk
 	offers map[uint32]offer
 	crowd  map[int]control.Joined
+	calm   map[int][]float64 // the last answer times of each kind
+	judged int64
 	out    map[uint32]bool
 }
 
