--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,10 +29,10 @@
 	slowAnswer               = 2.0             // a replica answers slowly if so much later than its kind
 	changeWorth              = 0.15            // relative change of a weight worth a line
 	recent, samplesKept      = 4 * second, 32  // older samples are not judged, more are not kept
-	settleSpan               = 5 * second      // time in which a weight follows answer times
-	firstSteps               = 4               // a new replica's weight follows in this part of its age
-	kindSpread, idle         = 2.0, 0.7        // a kind answers no more slowly than the quickest when calm; idle part of the calm
-	shrink                   = 8.0             // answers that weigh as much as what the kind shows
+	settleSpan               = 4 * second      // time in which a weight follows answer times
+	firstSteps               = 8               // a new replica's weight follows in this part of its age
+	kindSpread, idle         = 2, 0.75        // a kind answers no more slowly than the quickest when calm; idle part of the calm
+	shrink                   = 8             // answers that weigh as much as what the kind shows
 	slowest                  = 1.0 / 16        // least weight against its kind's
 	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
 	sickPart                 = 0.5             // sick: misses more, above the fleet's own
