--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,8 +31,8 @@
 	recent, samplesKept      = 4 * second, 32  // older samples are not judged, more are not kept
 	settleSpan               = 4 * second      // time in which a weight follows answer times
 	firstSteps               = 8               // a new replica's weight follows in this part of its age
-	kindSpread, idle         = 2, 0.75        // a kind answers no more slowly than the quickest when calm; idle part of the calm
-	shrink                   = 8             // answers that weigh as much as what the kind shows
+	kindSpread, idle         = 2, 0.75         // a calm kind answers within this of the quickest; its idle part
+	shrink                   = 8               // answers that weigh as much as what the kind shows
 	slowest                  = 1.0 / 16        // least weight against its kind's
 	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
 	sickPart                 = 0.5             // sick: misses more, above the fleet's own
@@ -40,13 +40,14 @@
 	trialPart                = 0.3             // weight of a replica on trial
 	restSpan, mostRelapses   = 3 * second, 2   // the first rest of the sick, how often it doubles
 	leastLeft                = 0.5             // of the listed weight that the sick may not take away
-	spareGuest, scarceHome   = 1.5, 0.25       // a table takes guests, or gives up, under these parts of need
-	coldSpare, coldBad       = 0.5, 0.5        // of the multiple at which the cold fall; missed part that shuts them out
+	spareGuest, spareIdler   = 1.1, 1.5        // a table whose need is this much more than its own takes guests
+	scarceHome               = 0.25            // and gives up its proxies under this part
+	coldSpare, coldBad       = 0.5, 0.5        // of the multiple at which the cold fall; missed part: they stay out
 	strained, missedMost     = 0.65, 0.15      // an overloaded fleet: answer to budget, missed part
 	lineFirst                = 0.9             // part of the most it served that an overloaded fleet is let
 	lineDown, lineUp         = 0.85, 0.02      // the line falls by this part, rises by this each second
 	marksMask                = 1<<16 - 1       // marks are told apart up to here
-	shareSteps, guestSteps   = 20, 4           // levels and guests move in such parts, to save orders
+	shareSteps, guestSteps   = 20, 10          // levels and guests move in such parts, to save orders
 )
 
 // ---- replica: health, warmth, speed
@@ -157,58 +158,54 @@
 	}
 }
 
-// norms tells each replica how its kind answers and how much the whole fleet misses, and what weight its answers
-// make it worth. Where the list gives sizes, those hold but for the slow; else a replica is worth the flows it
-// could answer: what it answers now, by how busy its answer time shows it. Late sums then still tell the truth,
-// as flows and answer times are of the same moment; answer times alone would make the weights swing.
+// norms tells each replica how its kind answers and how much the whole fleet misses, and what weight its
+// answers make it worth. Where the list gives sizes, those hold but for the slow; else a replica is worth
+// the flows it could answer: what it answers now, by how busy its answer time shows it. Late sums then still
+// tell the truth, as flows and answer times are of the same moment; answer times alone would make the
+// weights swing.
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
-	kinds, missed, tries, sizes, all := map[int]sum{}, 0.0, 0.0, map[float64]bool{}, p.Kinds
-	well := func(o offer) bool { return !o.sick && !o.trial && o.State == control.Ready && o.warm }
-	for _, id := range sorted(p.offers) {
+	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
+	missed, tries := 0.0, 0.0
+	well := func(o offer) bool {
+		return !o.sick && !o.trial && o.State == control.Ready && o.warm && o.answer > 0
+	}
+	for _, id := range ids {
 		o := p.offers[id]
 		if sizes[o.Weight] = true; !o.sick && !o.trial && o.State == control.Ready {
 			missed, tries = missed+o.bad, tries+o.tries
 		}
-		if good := o.tries - o.bad; well(o) && o.answer > 0 {
-			k := kinds[o.Kind]
-			kinds[o.Kind] = sum{k.good + good, k.answer + o.answer*good, k.count + 1, 0}
+		for _, kind := range []int{o.Kind, all} {
+			if k, good := kinds[kind], o.tries-o.bad; well(o) {
+				kinds[kind] = sum{k.good + good, k.answer + o.answer*good, k.count + 1, 0}
+			}
 		}
 	}
-	quick := math.Inf(1)
+	quick, due := math.Inf(1), p.now-p.judged >= second
 	for kind, k := range kinds {
-		if k.good >= sickTries && p.now-p.judged >= second {
+		if due && k.good >= sickTries {
 			p.calm[kind] = append(p.calm[kind], k.answer/k.good)
 			p.calm[kind] = p.calm[kind][max(0, len(p.calm[kind])-samplesKept):]
 		}
-		if len(p.calm[kind]) > 0 {
-			quick = math.Min(quick, slices.Min(p.calm[kind]))
-		}
+		quick = min(quick, slices.Min(append(p.calm[kind], quick)))
 	}
-	if p.now-p.judged >= second {
+	if due {
 		p.judged = p.now
 	}
 	able := func(o offer) float64 {
-		base := quick * kindSpread
-		if len(p.calm[o.Kind]) > 0 {
-			base = math.Min(base, slices.Min(p.calm[o.Kind]))
-		}
+		base := slices.Min(append(p.calm[o.Kind], quick*kindSpread))
 		return (o.tries - o.bad) / (1 - idle/math.Max(1, o.answer/base))
 	}
-	for _, id := range sorted(p.offers) {
-		if o := p.offers[id]; well(o) && o.answer > 0 {
-			for _, kind := range []int{o.Kind, all} {
-				k := kinds[kind]
-				k.able += able(o)
-				if kind == all {
-					k.count, k.good, k.answer = k.count+1, k.good+o.tries-o.bad, k.answer+o.answer*(o.tries-o.bad)
-				}
+	for _, id := range ids {
+		for _, kind := range []int{p.offers[id].Kind, all} {
+			if k := kinds[kind]; well(p.offers[id]) {
+				k.able += able(p.offers[id])
 				kinds[kind] = k
 			}
 		}
 	}
 	bad, fleetAble := missed/math.Max(1, tries), kinds[all].able/math.Max(1, kinds[all].count)
-	for _, id := range sorted(p.offers) {
+	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
 		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, 1, bad}
@@ -218,8 +215,8 @@
 		} else if len(sizes) == 1 && k.able > 0 {
 			n.kind = k.able / k.count / fleetAble
 			n.goal = n.kind
-			if own := able(o) / fleetAble; well(o) && o.answer > 0 {
-				n.goal = (n.kind*shrink + own*good) / (shrink + good)
+			if well(o) {
+				n.goal = (n.kind*shrink + able(o)/fleetAble*good) / (shrink + good)
 			}
 			n.goal = math.Max(slowest*n.kind, n.goal)
 		}
@@ -256,12 +253,15 @@
 		}
 	}
 	p.post(theRoll, seats)
+	// Proxies that pick the idler of two even out more by themselves.
+	spare := cmp.Or(map[control.Pick]float64{control.PickIdler: spareIdler}[p.Pick], spareGuest)
 	// A table is as large as lets all proxies be bound within half the channel's limit.
 	size := max(3, p.ChannelLimit/2/max(1, p.Proxies)-p.MessageHead-2)
 	for table := range tables {
 		guests, drawn := 0.0, 0
-		if want := need[table] / total * all; want >= home[table]*spareGuest {
-			guests = math.Min(1, math.Ceil((want-home[table])/(all-home[table]+1e-9)*guestSteps)/guestSteps)
+		if want := need[table] / total * all; want >= home[table]*spare {
+			guests = math.Min(1, (want/spareGuest-home[table])/(all-home[table]+1e-9))
+			guests = math.Ceil(guests*guestSteps) / guestSteps
 		}
 		for _, id := range ids {
 			o := p.offers[id]
@@ -281,9 +281,9 @@
 	p.post(theSequence, t)
 }
 
-// shutOut says who is withdrawn: whoever drains or is gone, and the sick as long as half the listed weight of
-// their table's own is left, so that the rest are not overloaded nor a proxy bare, whatever made so many miss.
-// It could harm when most of a table is sick for good: those over the half stay in.
+// shutOut says who is withdrawn: whoever drains or is gone, and the sick as long as half the listed weight
+// of their table's own is left, so that the rest are not overloaded nor a proxy bare, whatever made so many
+// miss. It could harm when most of a table is sick for good: those over the half stay in.
 func (p *planner) shutOut(ids []uint32, tables int) map[uint32]bool {
 	out, listed, gone := map[uint32]bool{}, make([]float64, tables), make([]float64, tables)
 	for _, id := range ids {
@@ -376,9 +376,10 @@
 	}
 }
 
-// judge moves the line of utility. An overloaded fleet is first let less than the most it served lately, then
-// a part less at each look, unless the overload eases; a calm one a little more each second. It stands against
-// every overload, by flows, lost replicas or repeats; it could harm where answers are late for another cause.
+// judge moves the line of utility. An overloaded fleet is first let less than the most it served lately,
+// then a part less at each look, unless the overload eases; a calm one a little more each second. It stands
+// against every overload, by flows, lost replicas or repeats; it could harm where answers are late for
+// another cause.
 func (l *levels) judge(f fleet) {
 	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
 	press := math.Max(f.bad/missedMost, f.answer/strained/budget)
@@ -553,8 +554,9 @@
 }
 
 // queue is what may still wait in the channel: all that no answer has cleared. A channel that sends slowly
-// shows as answers that stay away, whatever the cause, and holds ordinary lines back. Answers that never come
-// (dead proxies) would hold it for ever, so what a channel at an eighth of its pace had sent is forgotten.
+// shows as answers that stay away, whatever the cause, and holds ordinary lines back. Answers that never
+// come (dead proxies) would hold it for ever, so what a channel at an eighth of its pace had sent is
+// forgotten.
 func (p *pacer) queue() float64 {
 	sum := 0.0
 	for _, b := range p.under {
@@ -645,9 +647,10 @@
 	g := &Governor{desk: desk{Provision: p}, replicas: map[uint32]*replica{}}
 	d := &g.desk
 	d.boxes = []*inbox{
-		theRoll:    {part: &roll{desk: d, seat: []int{0}, zone: map[int]int{}, wait: map[uint64]map[int]bool{}}},
-		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{}, offers: map[uint32]offer{}, crowd: map[int]control.Joined{}}},
-		theLevels:  {part: newLevels(d)},
+		theRoll: {part: &roll{desk: d, seat: []int{0}, zone: map[int]int{}, wait: map[uint64]map[int]bool{}}},
+		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{}, offers: map[uint32]offer{},
+			crowd: map[int]control.Joined{}}},
+		theLevels: {part: newLevels(d)},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
 		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{},
--- a/brain/types.go
+++ b/brain/types.go
@@ -9,7 +9,7 @@
 	tick    struct{}
 	redraw  struct{} // the planner has heard from all replicas
 	closing struct{} // the turn ends: the pacer sends
-	norm    struct { // planner to replica: its kind's answer time, good answers, weight; its own; the fleet's missed
+	norm    struct { // planner to replica: its kind's answer time, good answers, weight; its own; all's missed
 		answer, good, kind, goal, bad float64
 	}
 	offer struct { // replica to planner: what it can bear and what it was met with lately
