--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,7 +42,7 @@
 	leastLeft                = 0.5             // of the listed weight that the sick may not take away
 	spareGuest, spareIdler   = 1.1, 1.5        // a table whose need is this much more than its own takes guests
 	scarceHome               = 0.25            // and gives up its proxies under this part
-	coldSpare, coldBad       = 0.5, 0.5        // of the multiple at which the cold fall; missed part: they stay out
+	coldSpare, coldBad       = 0.5, 0.5        // of the multiple at which the cold fall; missed: out
 	strained, missedMost     = 0.65, 0.15      // an overloaded fleet: answer to budget, missed part
 	lineFirst                = 0.9             // part of the most it served that an overloaded fleet is let
 	lineDown, lineUp         = 0.85, 0.02      // the line falls by this part, rises by this each second
--- /dev/null
+++ b/brain/orders_test.go
@@ -0,0 +1,146 @@
+package brain
+
+import (
+	"reflect"
+	"testing"
+
+	"lilacbend/control"
+)
+
+func pacing(g *Governor, proxies int) *pacer {
+	p := g.boxes[thePacer].part.(*pacer)
+	for proxy := range proxies {
+		p.bound[proxy] = 0
+	}
+	p.laid[0] = true
+	return p
+}
+
+func TestOrdinaryLinesLeaveRoomForWithdrawals(t *testing.T) {
+	g := at(0)
+	p := pacing(g, 10)
+	for id := range 200 {
+		p.step.orders = append(p.step.orders, control.SetLine{Replica: uint32(id), Weight: 1})
+	}
+	p.take(control.Withdraw{Replica: 5, Out: true})
+	p.send()
+	want(t, "withdrawn", len(orders[control.Withdraw](g.out)), 1)
+	if q := p.queue(); q > urgentPart*400 || len(orders[control.SetLine](g.out)) == 0 {
+		t.Errorf("queue %v", q)
+	}
+	sent := len(g.out)
+	p.send()
+	want(t, "more while nobody answers", len(g.out), sent)
+	p.take(caught{p.mark, true})
+	p.send()
+	want(t, "goes on once answered", len(g.out) > sent, true)
+}
+
+func TestUnansweredLinesAreForgottenInTime(t *testing.T) {
+	p := pacing(at(0), 1)
+	p.under = []batch{{1, 100, 0}}
+	p.now = second
+	want(t, "held", p.queue(), 100.0)
+	p.now = 3 * second
+	want(t, "forgotten", p.queue(), 0.0)
+}
+
+func TestMessageCapOfAProxy(t *testing.T) {
+	g := at(0)
+	g.MessagesMost, g.ChannelLimit = 10, 1<<20
+	p := pacing(g, 1)
+	for k := range 20 {
+		p.step = step{overwrite, []control.Order{control.SetLine{Replica: 1, Weight: float64(k + 1)}}}
+		p.send()
+	}
+	want(t, "changed lines", len(orders[control.SetLine](g.out)), int(ordinaryMsgs*10))
+	for k := range 20 {
+		p.take(control.Withdraw{Replica: uint32(k), Out: true})
+		p.send()
+	}
+	want(t, "messages", len(p.wrote[0]) <= 10, true)
+	want(t, "room for withdrawals", float64(len(p.wrote[0])) > addMsgs*10, true)
+}
+
+func TestNoProxyIsBoundBeforeItsTableIsLaid(t *testing.T) {
+	g := at(0)
+	p := pacing(g, 1)
+	p.laid[0] = false
+	p.take(control.Bind{Proxy: 0, Table: 0})
+	p.take(control.Bind{Proxy: 99, Table: 0}) // never joined
+	p.send()
+	want(t, "binds", len(orders[control.Bind](g.out)), 0)
+	p.laid[0] = true
+	p.send()
+	want(t, "binds", len(orders[control.Bind](g.out)), 1)
+}
+
+func levelling(g *Governor) *levels {
+	l := g.boxes[theLevels].part.(*levels)
+	l.take(control.Demand{Group: 0, Flows: 200})
+	l.take(control.Demand{Group: 1, Flows: 200})
+	return l
+}
+
+func TestTheLineBlocksTheLeastUtilityFirst(t *testing.T) {
+	g := at(100 * second)
+	l := levelling(g)
+	l.take(fleet{tries: 100, bad: 0.2, answer: 0.2})
+	want(t, "line", l.line < 2 && l.line > 1, true)
+	o := mail[control.Level](g, thePacer)
+	want(t, "only the lesser group", len(o) == 1 && o[0].Group == 0 && o[0].Share < 1, true)
+	want(t, "tries stay the usual", o[0].Tries, control.TryIfNeverRan)
+}
+
+func TestTheLineHoldsWhileSumsAreOldOrTheOverloadEases(t *testing.T) {
+	l := levelling(at(100 * second))
+	l.take(fleet{tries: 100, bad: 0.5, answer: 1})
+	first := l.line
+	l.now += second
+	l.take(fleet{tries: 100, bad: 0.6, answer: 1})
+	want(t, "old sums", l.line, first)
+	l.now += recent
+	l.take(fleet{tries: 100, bad: 0.3, answer: 0.7})
+	want(t, "eases", l.line, first)
+	l.now += recent
+	l.take(fleet{tries: 100, bad: 0.4, answer: 0.7})
+	want(t, "worse", l.line < first, true)
+	l.now += 2 * recent
+	l.take(fleet{tries: 100, answer: 0.2})
+	l.now += 100 * second
+	l.take(fleet{tries: 100, answer: 0.2})
+	want(t, "back", l.line, 2.0)
+}
+
+func TestNoLevelWhereLevelsAreNotFollowed(t *testing.T) {
+	g := at(100 * second)
+	g.Admission = control.AdmitAll
+	levelling(g).take(fleet{tries: 100, bad: 0.9, answer: 3})
+	want(t, "levels", len(mail[control.Level](g, thePacer)), 0)
+}
+
+func day(events ...control.Event) (all []control.Order) {
+	g := New(provision())
+	all = g.Turn(0, []control.Event{control.Listed{Full: true, Entries: entries(6)}})
+	for proxy := range 6 {
+		events = append([]control.Event{control.Joined{Proxy: proxy, Zone: proxy % 2, Rate: 10}}, events...)
+	}
+	for k, ev := range events {
+		all = append(all, g.Turn(int64(k+1)*second, []control.Event{ev, control.Woken{}})...)
+	}
+	return all
+}
+
+func TestOddEventsNameNothingUnknown(t *testing.T) {
+	odd := []control.Event{control.Met{Replica: 77, Tries: 9, Missed: 9}, control.Met{Replica: 1},
+		control.Left{Proxy: 88}, control.Demand{Group: 9, Proxy: 99}, control.Answered{Proxy: 99, Mark: 4},
+		control.Answered{Proxy: 1, Mark: 60000}, control.Probed{Replica: 77}, control.Listed{Failed: true},
+		control.Listed{Full: true}, control.Listed{}, control.Joined{Proxy: 50, Zone: 200},
+		control.Listed{Entries: []control.Entry{{Replica: 3, Zone: 99, Kind: 9}}}}
+	all := day(odd...)
+	for _, o := range orders[control.SetLine](all) {
+		want(t, "known replica", o.Replica >= 1 && o.Replica <= 6, true)
+	}
+	want(t, "all bound", len(orders[control.Bind](all)), 7)
+	want(t, "the same again", reflect.DeepEqual(all, day(odd...)), true)
+}
--- /dev/null
+++ b/brain/replica_test.go
@@ -0,0 +1,99 @@
+package brain
+
+import (
+	"testing"
+
+	"lilacbend/control"
+)
+
+func met(g *Governor, tries, bad, answer float64) *replica {
+	r := &replica{desk: &g.desk, box: parts, entry: control.Entry{Replica: 9, Weight: 1}, speed: 1}
+	r.fleet = norm{answer: 0.2, good: 20, kind: 1, goal: 1}
+	r.met = []sample{{g.now, tries, bad, answer}}
+	return r
+}
+
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		name                      string
+		tries, bad, answer, fleet float64
+		rests                     bool
+	}{
+		{"silent", 10, 10, 0, 0, true},
+		{"quick failer", 20, 14, 0.1, 0, true},
+		{"slow but serving", 20, 14, 0.9, 0, false},
+		{"busy: misses, but gives its share", 60, 40, 0.3, 0, false},
+		{"trouble of the whole fleet", 10, 8, 0.2, 0.8, false},
+		{"quick failer in a strained fleet", 20, 16, 0.2, 0.3, false},
+		{"too few tries", 4, 4, 0, 0, false},
+	} {
+		r := met(at(100*second), c.tries, c.bad, c.answer)
+		r.fleet.bad = c.fleet
+		r.judge()
+		want(t, c.name, r.resting > r.now, c.rests)
+	}
+}
+
+func TestTrialEndsOrRelapses(t *testing.T) {
+	r := met(at(100*second), 10, 10, 0)
+	r.judge()
+	first := r.resting - r.now
+	r.now = r.resting
+	r.judge()
+	want(t, "on trial", r.trial, r.now)
+	r.now += second
+	r.met = []sample{{r.now, trialTries, trialTries, 0}}
+	r.judge()
+	want(t, "longer rest at a relapse", r.resting-r.now, 2*first)
+	r.now = r.resting
+	r.judge()
+	r.now += second
+	r.met = []sample{{r.now, trialTries, 0, 0.2}}
+	r.judge()
+	want(t, "well again", r.trial == 0 && r.resting == 0, true)
+}
+
+func TestOldSamplesAreNotJudged(t *testing.T) {
+	r := met(at(100*second), 10, 10, 0)
+	r.now += recent
+	r.judge()
+	want(t, "rests", r.resting > 0, false)
+}
+
+func TestWarmthStaysInTheColdBudget(t *testing.T) {
+	r := met(at(100*second), 0, 0, 0)
+	r.entry.Start, r.heard = r.now-second, r.now
+	for ; r.now < r.entry.Start+r.WarmAfter; r.now += second {
+		able := r.ColdShare + (1-r.ColdShare)*float64(r.now-r.entry.Start)/float64(r.WarmAfter)
+		if w := r.warmth(); w > coldSpare*r.FallMultiple*able || r.now-r.heard < entrySpan && w > entryShare {
+			t.Errorf("at age %d: weight %v with %v able", r.now-r.entry.Start, w, able)
+		}
+	}
+	want(t, "warm", r.warmth(), 1.0)
+}
+
+func TestColdIsKeptOutOfACollapse(t *testing.T) {
+	g := at(100 * second)
+	r := met(g, 0, 0, 0)
+	r.entry.Start = r.now - second
+	calm := r.warmth()
+	n := r.fleet
+	n.bad = 0.8
+	r.take(n)
+	want(t, "out", mail[offer](g, thePlanner)[0].sick, true)
+	if w := r.warmth(); w > calm/2 {
+		t.Errorf("weight %v while the fleet misses, %v in calm", w, calm)
+	}
+	r.Pick = control.PickIdler
+	want(t, "half where idlers are picked", r.warmth() <= calm/4, true)
+}
+
+func TestRestartIsANewReplica(t *testing.T) {
+	r := met(at(100*second), 10, 10, 0)
+	r.judge()
+	e := r.entry
+	e.Start = r.now - second
+	r.take(e)
+	want(t, "rests", r.resting, int64(0))
+	want(t, "cold", r.cold(), true)
+}
--- /dev/null
+++ b/brain/tables_test.go
@@ -0,0 +1,108 @@
+package brain
+
+import (
+	"testing"
+
+	"lilacbend/control"
+)
+
+func planning(g *Governor, offers ...offer) *planner {
+	p := g.boxes[thePlanner].part.(*planner)
+	for _, o := range offers {
+		p.offers[o.Replica] = o
+	}
+	return p
+}
+
+func offered(id uint32, zone int, sick bool, state control.State) offer {
+	return offer{Entry: control.Entry{Replica: id, Zone: zone, State: state, Weight: 1}, weight: 1, size: 1,
+		ticket: 1 / float64(id), sick: sick, warm: true, box: int(parts)}
+}
+
+func TestTheSickLeaveHalfOfEachTable(t *testing.T) {
+	g := at(0)
+	var all []offer
+	for id := uint32(1); id <= 6; id++ {
+		all = append(all, offered(id, int(id%2), id%2 == 1, control.Ready))
+	}
+	out := planning(g, all...).shutOut([]uint32{1, 2, 3, 4, 5, 6}, 2)
+	want(t, "sick of zone 1 that go", out[1] && !out[3] && !out[5], true)
+	out = planning(g, offered(2, 0, false, control.Draining)).shutOut([]uint32{1, 2, 3, 4, 5, 6}, 2)
+	want(t, "draining goes", out[2], true)
+	want(t, "withdrawn at once", mail[control.Withdraw](g, thePacer)[1], control.Withdraw{Replica: 2, Out: true})
+}
+
+func TestATableWithoutItsOwnTakesGuests(t *testing.T) {
+	g := at(0)
+	g.Proxies = 12
+	p := planning(g, offered(1, 0, false, control.Ready), offered(2, 1, false, control.Gone))
+	p.crowd[3] = control.Joined{Proxy: 3, Zone: 1, Rate: 5}
+	p.redraw()
+	lines := mail[target](g, theSequence)[0].lines
+	want(t, "guest", lines[line{1, 1}] > 0, true)
+	want(t, "gone", lines[line{1, 2}], 0.0)
+	want(t, "zone 1 sits at the table that has most", mail[[]int](g, theRoll)[0][1], 0)
+}
+
+func TestWeightsFollowWhatIsAnsweredNotTheAnswerTimeAlone(t *testing.T) {
+	g := at(10 * second)
+	busy, calm := offered(1, 0, false, control.Ready), offered(2, 0, false, control.Ready)
+	busy.box, calm.box = parts, parts+1
+	busy.tries, busy.answer, calm.tries, calm.answer = 90, 0.4, 30, 0.1
+	g.boxes = append(g.boxes, &inbox{}, &inbox{})
+	p := planning(g, busy, calm)
+	p.calm[0] = []float64{0.1}
+	p.norms()
+	a, b := mail[norm](g, parts)[0].goal, mail[norm](g, parts+1)[0].goal
+	if a > b || b > 2*a {
+		t.Errorf("near equal worth wanted: the busy %v, the calm %v", a, b)
+	}
+}
+
+func steering(g *Governor, laid, wanted map[line]float64, out map[uint32]bool) *sequence {
+	s := g.boxes[theSequence].part.(*sequence)
+	s.laid, s.want, s.out = laid, target{wanted, map[uint32]bool{}}, out
+	return s
+}
+
+func TestStepsComeInOrderTheLargestFirst(t *testing.T) {
+	s := steering(at(0), map[line]float64{{0, 1}: 1, {0, 2}: 1, {0, 3}: 1},
+		map[line]float64{{0, 1}: 0.5, {0, 2}: 0.1, {0, 4}: 1}, map[uint32]bool{})
+	s.moves[5] = 1
+	want(t, "add", s.orders(add)[0], control.Order(control.SetLine{Replica: 4, Weight: 1}))
+	want(t, "overwrite", s.orders(overwrite)[0], control.Order(control.SetLine{Replica: 2, Weight: 0.1}))
+	want(t, "rebind", s.orders(rebind)[0], control.Order(control.Bind{Proxy: 5, Table: 1}))
+	want(t, "remove", s.orders(remove)[0], control.Order(control.SetLine{Replica: 3}))
+	s.open[1] = 0
+	s.at = remove
+	s.proceed()
+	want(t, "additions fold in", s.at, add)
+}
+
+func TestARemovalOfWhoIsBackNeverLeaves(t *testing.T) {
+	s := steering(at(0), map[line]float64{{0, 1}: 1}, map[line]float64{}, map[uint32]bool{1: true})
+	want(t, "queued", len(s.orders(remove)), 1)
+	s.take(target{map[line]float64{{0, 1}: 1}, map[uint32]bool{}})
+	want(t, "dropped", len(s.orders(remove)), 0)
+	want(t, "lifted", s.orders(add)[0], control.Order(control.Withdraw{Replica: 1}))
+}
+
+func TestALateAnswerEndsAStepAtItsTimeout(t *testing.T) {
+	s := steering(at(0), map[line]float64{{0, 1}: 1}, map[line]float64{}, map[uint32]bool{})
+	s.open[1], s.at = 0, overwrite
+	s.take(tick{})
+	want(t, "waits", s.at, overwrite)
+	s.now = stepTimeout + 1
+	s.take(tick{})
+	want(t, "goes on", s.at, remove)
+}
+
+func TestNothingWaitsForAProxyThatLeft(t *testing.T) {
+	g := at(0)
+	r := g.boxes[theRoll].part.(*roll)
+	r.take(marked{mark: 70000, proxies: []int{1, 2}})
+	r.take(control.Answered{Proxy: 1, Mark: 70000 & marksMask})
+	want(t, "still open", len(mail[caught](g, theSequence)), 0)
+	r.take(control.Left{Proxy: 2})
+	want(t, "closed", mail[caught](g, theSequence)[0], caught{70000, true})
+}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -24,7 +24,7 @@
 
 func serve(in io.Reader, out io.Writer) error {
 	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriter(out)
-	h := host{governors: map[uint32]*brain.Governor{}}
+	h := newHost()
 	for {
 		batch, err := wire.ReadBatch(r)
 		if errors.Is(err, io.EOF) {
@@ -43,11 +43,15 @@
 	}
 }
 
+type governor = brain.Governor
+
 type host struct {
-	governors map[uint32]*brain.Governor
+	governors map[uint32]*governor
 	reply     wire.Reply
 }
 
+func newHost() *host { return &host{governors: map[uint32]*governor{}} }
+
 func (h *host) turn(batch wire.Batch) {
 	events := map[uint32][]any{}
 	var order []uint32
--- /dev/null
+++ b/wire/codec_test.go
@@ -0,0 +1,162 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"lilacbend/control"
+)
+
+// The frames of the protocol note: three events, three orders.
+const (
+	eventsHex = "00000000206ec040" + "56000000" + "03000000" +
+		"1a0422000000030000000100000000000000002048400e000000074a1203000000000000408f4000" +
+		"4c040c000000030000004d00000000000000" + "e80306000000050000002900"
+	ordersHex = "4f000000" + "f2030e000000030000000000403f7500f211902c" +
+		"240414000000030000004d000000000000000000000000407f40" +
+		"1a0417000000050000001100" + "74776f2073657276657273206b6e6f776e"
+)
+
+func frame(t testing.TB, text string) []byte {
+	b, err := hex.DecodeString(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestEventsOfTheNote(t *testing.T) {
+	b, err := ReadBatch(bytes.NewReader(frame(t, eventsHex)))
+	if err != nil || len(b.Records) != 3 || b.Now != 8412250000 {
+		t.Fatalf("%v %+v", err, b)
+	}
+	wanted := []Record{
+		{3, control.Met{Replica: 0x03124a07, Tries: 14, Missed: 1, Answer: 48250000, Span: 1e9, Held: -1}},
+		{3, control.Woken{Label: 77}},
+		{5, control.Left{Proxy: 41}},
+	}
+	for k, w := range wanted {
+		if b.Records[k] != w {
+			t.Errorf("record %d: got %+v, want %+v", k, b.Records[k], w)
+		}
+	}
+}
+
+func TestOrdersOfTheNote(t *testing.T) {
+	var r Reply
+	r.Add(3, control.SetLine{Table: 117, Replica: 0x2c9011f2, Weight: 0.75})
+	r.Add(3, control.Wake{Label: 77, After: 500e6})
+	r.Add(5, control.Log{Text: "two servers known"})
+	if got := r.Frame(); !bytes.Equal(got, frame(t, ordersHex)) {
+		t.Errorf("got  %x\nwant %s", got, ordersHex)
+	}
+	if got := r.Frame(); !bytes.Equal(got, []byte{4, 0, 0, 0}) {
+		t.Errorf("empty reply %x", got)
+	}
+}
+
+func TestBrokenFramesAreNamed(t *testing.T) {
+	for _, c := range []struct {
+		name, says string
+		spoil      func(b []byte) []byte
+	}{
+		{"cut header", "header cut off after 9 of 16", func(b []byte) []byte { return b[:9] }},
+		{"cut body", "cut off after 80 of 86", func(b []byte) []byte { return b[:80] }},
+		{"length", "length 3 is impossible", func(b []byte) []byte { b[8] = 3; return b }},
+		{"count", "record count 4278190083", func(b []byte) []byte { b[15] = 255; return b }},
+		{"record length", "for instance", func(b []byte) []byte { b[18] = 30; return b }},
+		{"past the end", "passes the frame's end", func(b []byte) []byte { b[76] = 7; return b }},
+		{"left over", "12 bytes are left over", func(b []byte) []byte { b[12] = 2; return b }},
+		{"load report", "load report of 9 values", func(b []byte) []byte { b[55] = 9; return b }},
+	} {
+		_, err := ReadBatch(bytes.NewReader(c.spoil(frame(t, eventsHex))))
+		if err == nil || errors.Is(err, io.EOF) || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: got %v, want %q", c.name, err, c.says)
+		}
+	}
+	if _, err := ReadBatch(bytes.NewReader(nil)); !errors.Is(err, io.EOF) {
+		t.Errorf("end of input: %v", err)
+	}
+}
+
+func TestUnknownRecordsAreSkipped(t *testing.T) {
+	b := frame(t, eventsHex)
+	binary.LittleEndian.PutUint16(b[16:], 4711)
+	if got, err := ReadBatch(bytes.NewReader(b)); err != nil || len(got.Records) != 2 {
+		t.Errorf("%v %+v", err, got)
+	}
+}
+
+const sheetText = `balancers=1
+domain.admit=fraction
+domain.blackhole_ms=4100.0
+domain.class_own_zone=false
+domain.cycle_ms=500.0
+domain.envelope=4.0
+domain.pending_max=1800.0
+domain.pick=random
+domain.proxy_count=6
+domain.push_rate=1200.0
+domain.pushes_allowed=30
+domain.reload_span_ms=10000.0
+domain.shards=0
+domain.transit_ms=103.0
+domain.try_factor=1.0
+domain.usual_how=1
+domain.worst_transit_ms=257.5
+invariants.cold_from=0.18
+invariants.drain_grace_ms=2500.0
+invariants.fall_ms=3000.0
+invariants.tip_multiple=4.0
+invariants.warm_after_ms=18000.0
+kinds=small-2c,wide-4c
+lanes.count=1
+lanes.0.deadline_ms=4000.0
+lanes.0.effect=idempotency_key
+lanes.0.gain=3.0
+lanes.0.group=zone
+lanes.0.slo_ms=1200.0
+lanes.0.window_ms=2500.0
+some.new_key=skipped
+zones=lahore,islamabad,multan
+`
+
+func TestProvision(t *testing.T) {
+	p, err := ParseProvision(9, sheetText)
+	if err != nil || p.Zones != 3 || p.Kinds != 2 || p.WorstTransit != 257500000 || p.MessagesMost != 30 {
+		t.Errorf("%v %+v", err, p)
+	}
+	if g := p.Groups[0]; g.Scope != control.ScopeZone || g.Effect != control.Deduped || g.Window != 2500e6 {
+		t.Errorf("%+v", g)
+	}
+	for _, c := range [][3]string{
+		{"domain.push_rate=1200.0\n", "", "setting domain.push_rate is missing"},
+		{"usual_how=1", "usual_how=x", `domain.usual_how="x" is not a number`},
+		{"admit=fraction", "admit=odd", `domain.admit="odd" is not known`},
+		{"shards=0", "shards=12", "slices are not served"},
+	} {
+		if _, err := ParseProvision(9, strings.Replace(sheetText, c[0], c[1], 1)); err == nil ||
+			!strings.Contains(err.Error(), c[2]) {
+			t.Errorf("got %v, want %q", err, c[2])
+		}
+	}
+}
+
+func FuzzReadBatch(f *testing.F) {
+	whole := frame(f, eventsHex)
+	for cut := range len(whole) {
+		f.Add(whole[:cut])
+	}
+	f.Add(whole)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		batch, err := ReadBatch(bytes.NewReader(b))
+		if err == nil && len(batch.Records) > len(b)/recordHeadBytes {
+			t.Errorf("%d records from %d bytes", len(batch.Records), len(b))
+		}
+	})
+}
