--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,14 +35,15 @@
 	shrink                   = 8               // answers that weigh as much as what the kind shows
 	slowest                  = 1.0 / 16        // least weight against its kind's
 	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
+	lostBad                  = 0.7             // missed part of a fleet in which no verdict means anything
 	sickPart                 = 0.5             // sick: misses more, above the fleet's own
-	fewGood, noneGood        = 0.6, 0.1        // and gives less of its kind's good answers: quick or not at all
+	fewGood                  = 0.2             // and gives less of its kind's good answers
 	trialPart                = 0.3             // weight of a replica on trial
 	restSpan, mostRelapses   = 3 * second, 2   // the first rest of the sick, how often it doubles
-	leastLeft                = 0.5             // of the listed weight that the sick may not take away
+	sickMost                 = 0.75            // of the list that may be out
 	spareGuest, spareIdler   = 1.1, 1.5        // a table whose need is this much more than its own takes guests
-	scarceHome               = 0.25            // and gives up its proxies under this part
-	coldSpare, coldBad       = 0.5, 0.5        // of the multiple at which the cold fall; missed: out
+	coldSpare, coldBad       = 0.5, 0.5        // of the multiple at which the cold fall; missed part: out
+	idlerSpare               = 0.2             // of a cold weight, where idlers are picked
 	strained, missedMost     = 0.65, 0.15      // an overloaded fleet: answer to budget, missed part
 	lineFirst                = 0.9             // part of the most it served that an overloaded fleet is let
 	lineDown, lineUp         = 0.85, 0.02      // the line falls by this part, rises by this each second
@@ -70,12 +71,14 @@
 	}
 	tries, bad, answer := r.lately()
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
-	w := size * r.speed
+	w, sick := size*r.speed, r.resting > 0 || r.cold() && r.fleet.bad > coldBad
 	if r.trial > 0 {
 		w *= trialPart
 	}
-	r.post(thePlanner, offer{r.entry, r.box, w, size * r.fleet.kind, r.ticket, tries, bad, answer,
-		!r.cold(), r.resting > 0 || r.cold() && r.fleet.bad > coldBad, r.trial > 0})
+	if size *= r.fleet.kind; sick || r.trial > 0 {
+		size = 0
+	}
+	r.post(thePlanner, offer{r.entry, r.box, w, size, r.ticket, tries, bad, answer, r.cold(), sick, r.trial > 0})
 }
 
 // lately sums the samples still worth judging; answer is a mean in seconds.
@@ -97,9 +100,8 @@
 // that still gives its share is busy, and without it the rest would be worse off. A trouble of the whole
 // fleet or of the reports condemns nobody. It could harm where tries miss by chance: hence sickTries.
 func (r *replica) judge() {
-	tries, bad, answer := r.lately()
+	tries, bad, _ := r.lately()
 	part := bad / math.Max(1, tries)
-	late := answer / math.Max(1e-9, r.fleet.answer)
 	span := min(settleSpan, max(second, (r.now-r.heard)/firstSteps)) // what is new is learned faster
 	r.speed *= math.Pow(r.fleet.goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(span)))
 	r.judged = r.now
@@ -108,9 +110,8 @@
 	case r.resting > 0:
 		r.resting, r.trial = 0, r.now
 		r.say("replica %d on trial after rest %d", r.entry.Replica, r.relapse)
-	case r.trial > 0 && tries < trialTries || tries < sickTries && r.trial == 0:
-	case part > r.fleet.bad+sickPart*(1-r.fleet.bad) && (r.trial > 0 || tries-bad < noneGood*r.fleet.good ||
-		r.fleet.bad < missedMost && tries-bad < fewGood*r.fleet.good && late < slowAnswer):
+	case r.fleet.bad > lostBad || r.trial > 0 && tries < trialTries || tries < sickTries && r.trial == 0:
+	case part > r.fleet.bad+sickPart*(1-r.fleet.bad) && (r.trial > 0 || tries-bad < fewGood*r.fleet.good):
 		rest := restSpan << min(r.relapse, mostRelapses)
 		r.resting, r.trial, r.relapse, r.met = r.now+rest, 0, r.relapse+1, nil
 		r.say("replica %d sick: %.0f of %.0f missed, fleet %.2f, rests %ds", r.entry.Replica, bad, tries,
@@ -133,7 +134,7 @@
 	able := r.ColdShare + (1-r.ColdShare)*float64(max(0, r.now-r.entry.Start))/float64(r.WarmAfter)
 	w := math.Min(1, coldSpare*r.FallMultiple*able*(1-r.fleet.bad))
 	if r.Pick == control.PickIdler { // drawn twice as often as its weight says, as it refuses what it can't take
-		w /= 2
+		w *= idlerSpare
 	}
 	if r.now-r.heard < entrySpan {
 		w = math.Min(w, entryShare)
@@ -160,15 +161,15 @@
 
 // norms tells each replica how its kind answers and how much the whole fleet misses, and what weight its
 // answers make it worth. Where the list gives sizes, those hold but for the slow; else a replica is worth
-// the flows it could answer: what it answers now, by how busy its answer time shows it. Late sums then still
-// tell the truth, as flows and answer times are of the same moment; answer times alone would make the
+// the flows it could answer: what it answers now, by how busy its answer time shows it. Late sums then
+// still tell the truth, as flows and answer times are of the same moment; answer times alone would make the
 // weights swing.
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
 	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
 	missed, tries := 0.0, 0.0
 	well := func(o offer) bool {
-		return !o.sick && !o.trial && o.State == control.Ready && o.warm && o.answer > 0
+		return !o.sick && !o.trial && o.State == control.Ready && !o.cold && o.answer > 0
 	}
 	for _, id := range ids {
 		o := p.offers[id]
@@ -234,11 +235,13 @@
 	slices.SortStableFunc(ids, func(a, b uint32) int {
 		return cmp.Compare(p.offers[b].ticket, p.offers[a].ticket)
 	})
-	t := target{map[line]float64{}, p.shutOut(ids, tables)}
-	need, home, total, all := make([]float64, tables), make([]float64, tables), 1e-9, 1e-9
+	t := target{map[line]float64{}, p.shutOut(ids)}
+	need, home, own := make([]float64, tables), make([]float64, tables), make([]int, tables)
+	total, all := 1e-9, 1e-9
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
 			home[o.Zone%tables] += o.size
+			own[o.Zone%tables]++
 			all += o.size
 		}
 	}
@@ -246,10 +249,11 @@
 		need[p.crowd[proxy].Zone%tables] += p.crowd[proxy].Rate
 		total += p.crowd[proxy].Rate
 	}
-	var seats []int // the table of each zone, counted round
+	seats := make([]int, tables) // the table of each zone, counted round
 	for table := range tables {
-		if seats = append(seats, table); home[table] < scarceHome*all*need[table]/total {
-			seats[table] = slices.Index(home, slices.Max(home))
+		seats[table] = table
+		if own[table] == 0 {
+			seats[table] = slices.Index(own, slices.Max(own))
 		}
 	}
 	p.post(theRoll, seats)
@@ -281,22 +285,20 @@
 	p.post(theSequence, t)
 }
 
-// shutOut says who is withdrawn: whoever drains or is gone, and the sick as long as half the listed weight
-// of their table's own is left, so that the rest are not overloaded nor a proxy bare, whatever made so many
-// miss. It could harm when most of a table is sick for good: those over the half stay in.
-func (p *planner) shutOut(ids []uint32, tables int) map[uint32]bool {
-	out, listed, gone := map[uint32]bool{}, make([]float64, tables), make([]float64, tables)
+// shutOut says who is withdrawn: whoever drains or is gone, and the sick while a quarter of the list is
+// left, so that no proxy is bare, whatever made so many miss. The sick count as no capacity: guests come to
+// their table. It could harm when more than that is sick for good: those stay in.
+func (p *planner) shutOut(ids []uint32) map[uint32]bool {
+	out, stays := map[uint32]bool{}, 0.0
 	for _, id := range ids {
-		if o := p.offers[id]; o.State == control.Ready {
-			listed[o.Zone%tables] += o.size
+		if out[id] = p.offers[id].State != control.Ready; !out[id] {
+			stays += sickMost
 		}
 	}
 	for _, id := range ids {
-		o := p.offers[id]
-		t := o.Zone % tables
-		if out[id] = o.State != control.Ready; o.sick && !out[id] && gone[t]+o.size <= listed[t]*(1-leastLeft) {
-			gone[t] += o.size
+		if p.offers[id].sick && !out[id] && stays >= 1 {
 			out[id] = true
+			stays--
 		}
 		if out[id] && !p.out[id] {
 			p.post(thePacer, control.Withdraw{Replica: id, Out: true})
@@ -472,9 +474,9 @@
 	s.proceed()
 }
 
-// proceed hands the pacer what the open step still has to send. A new target folds in: additions start again
-// from the first step, all else goes on from where the sequence stands, and what is no longer wanted is
-// dropped with it, so that a removal queued for a replica that is back never leaves.
+// proceed hands the pacer what the open step still has to send. A new target folds in: additions start
+// again from the first step, all else goes on from where the sequence stands, and what is no longer wanted
+// is dropped with it, so that a removal queued for a replica that is back never leaves.
 func (s *sequence) proceed() {
 	if len(s.orders(add)) > 0 {
 		s.at = add
--- a/brain/types.go
+++ b/brain/types.go
@@ -16,7 +16,7 @@
 		control.Entry
 		box                                      int
 		weight, size, ticket, tries, bad, answer float64
-		warm, sick, trial                        bool
+		cold, sick, trial                        bool
 	}
 	fleet  struct{ tries, bad, answer float64 } // planner to levels: tries a second, missed part, answer time
 	target struct {                             // planner to sequence: weights, below 0 for what stays as it is
