--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,11 +42,12 @@
 	restSpan, mostRelapses   = 3 * second, 2   // the first rest of the sick, how often it doubles
 	sickMost                 = 0.75            // of the list that may be out
 	spareGuest, spareIdler   = 1.1, 1.5        // a table whose need is this much more than its own takes guests
-	coldSpare, coldBad       = 0.5, 0.5        // of the multiple at which the cold fall; missed part: out
-	idlerSpare               = 0.2             // of a cold weight, where idlers are picked
+	coldSpare, coldLost      = 0.5, 0.35       // of the multiple at which the cold fall; lost flows: out
+	idlerSpare               = 0.5             // of a cold weight, where idlers are picked
 	strained, missedMost     = 0.65, 0.15      // an overloaded fleet: answer to budget, missed part
 	lineFirst                = 0.9             // part of the most it served that an overloaded fleet is let
 	lineDown, lineUp         = 0.85, 0.02      // the line falls by this part, rises by this each second
+	slowPace                 = 8               // a channel is not taken to be slower than by this
 	marksMask                = 1<<16 - 1       // marks are told apart up to here
 	shareSteps, guestSteps   = 20, 10          // levels and guests move in such parts, to save orders
 )
@@ -71,7 +72,7 @@
 	}
 	tries, bad, answer := r.lately()
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
-	w, sick := size*r.speed, r.resting > 0 || r.cold() && r.fleet.bad > coldBad
+	w, sick := size*r.speed, r.resting > 0 || r.cold() && r.fleet.lost > coldLost
 	if r.trial > 0 {
 		w *= trialPart
 	}
@@ -132,9 +133,9 @@
 		return 1
 	}
 	able := r.ColdShare + (1-r.ColdShare)*float64(max(0, r.now-r.entry.Start))/float64(r.WarmAfter)
-	w := math.Min(1, coldSpare*r.FallMultiple*able*(1-r.fleet.bad))
+	w := math.Min(1, coldSpare*r.FallMultiple*able*(1-r.fleet.lost))
 	if r.Pick == control.PickIdler { // drawn twice as often as its weight says, as it refuses what it can't take
-		w *= idlerSpare
+		w *= idlerSpare * able * (1 - r.fleet.lost)
 	}
 	if r.now-r.heard < entrySpan {
 		w = math.Min(w, entryShare)
@@ -154,6 +155,8 @@
 		delete(p.crowd, n.Proxy)
 	case offer:
 		p.offers[n.Replica] = n
+	case float64:
+		p.lost = n
 	case redraw:
 		p.redraw()
 	}
@@ -167,10 +170,20 @@
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
 	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
-	missed, tries := 0.0, 0.0
+	missed, tries, quick := 0.0, 0.0, math.Inf(1)
+	for _, calm := range p.calm {
+		quick = min(quick, slices.Min(calm))
+	}
 	well := func(o offer) bool {
 		return !o.sick && !o.trial && o.State == control.Ready && !o.cold && o.answer > 0
 	}
+	able := func(o offer) float64 {
+		base := math.Min(o.answer, quick*kindSpread)
+		if calm := p.calm[o.Kind]; len(calm) > 0 {
+			base = math.Min(base, slices.Min(calm))
+		}
+		return (o.tries - o.bad) / (1 - idle*base/o.answer)
+	}
 	for _, id := range ids {
 		o := p.offers[id]
 		if sizes[o.Weight] = true; !o.sick && !o.trial && o.State == control.Ready {
@@ -178,30 +191,16 @@
 		}
 		for _, kind := range []int{o.Kind, all} {
 			if k, good := kinds[kind], o.tries-o.bad; well(o) {
-				kinds[kind] = sum{k.good + good, k.answer + o.answer*good, k.count + 1, 0}
+				kinds[kind] = sum{k.good + good, k.answer + o.answer*good, k.count + 1, k.able + able(o)}
 			}
 		}
 	}
-	quick, due := math.Inf(1), p.now-p.judged >= second
-	for kind, k := range kinds {
-		if due && k.good >= sickTries {
-			p.calm[kind] = append(p.calm[kind], k.answer/k.good)
-			p.calm[kind] = p.calm[kind][max(0, len(p.calm[kind])-samplesKept):]
-		}
-		quick = min(quick, slices.Min(append(p.calm[kind], quick)))
-	}
-	if due {
+	if p.now-p.judged >= second {
 		p.judged = p.now
-	}
-	able := func(o offer) float64 {
-		base := slices.Min(append(p.calm[o.Kind], quick*kindSpread))
-		return (o.tries - o.bad) / (1 - idle/math.Max(1, o.answer/base))
-	}
-	for _, id := range ids {
-		for _, kind := range []int{p.offers[id].Kind, all} {
-			if k := kinds[kind]; well(p.offers[id]) {
-				k.able += able(p.offers[id])
-				kinds[kind] = k
+		for kind, k := range kinds {
+			if k.good >= sickTries {
+				p.calm[kind] = append(p.calm[kind], k.answer/k.good)
+				p.calm[kind] = p.calm[kind][max(0, len(p.calm[kind])-samplesKept):]
 			}
 		}
 	}
@@ -209,7 +208,7 @@
 	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
-		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, 1, bad}
+		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, 1, bad, math.Max(bad, p.lost)}
 		good, late := o.tries-o.bad, o.answer/math.Max(1e-9, n.answer)
 		if len(sizes) > 1 && late > slowAnswer {
 			n.goal = math.Max(slowest, 1/late)
@@ -372,8 +371,16 @@
 		l.came = append(l.came, sums{n, l.now})
 		l.came = l.came[max(0, len(l.came)-samplesKept*len(l.Groups)*l.Proxies):]
 	case fleet:
+		flows, all, missed := map[int]float64{}, 0, 0
+		for _, d := range l.came {
+			if d.at > l.now-recent {
+				flows[d.Group] += float64(d.Flows) * float64(second) / float64(recent)
+				all, missed = all+d.Flows, missed+d.Missed
+			}
+		}
+		l.post(thePlanner, float64(missed)/math.Max(1, float64(all)))
 		if l.Admission == control.AdmitShare {
-			l.judge(n)
+			l.judge(n, flows)
 		}
 	}
 }
@@ -382,7 +389,7 @@
 // then a part less at each look, unless the overload eases; a calm one a little more each second. It stands
 // against every overload, by flows, lost replicas or repeats; it could harm where answers are late for
 // another cause.
-func (l *levels) judge(f fleet) {
+func (l *levels) judge(f fleet, flows map[int]float64) {
 	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
 	press := math.Max(f.bad/missedMost, f.answer/strained/budget)
 	over := press > 1
@@ -398,12 +405,6 @@
 		}
 		l.press, l.fell = press, l.now
 	case over:
-		flows := map[int]float64{}
-		for _, d := range l.came {
-			if d.at > l.now-recent {
-				flows[d.Group] += float64(d.Flows) * float64(second) / float64(recent)
-			}
-		}
 		left := lineFirst * slices.Max(l.served)
 		l.line, l.press, l.fell = 0, press, l.now
 		for _, g := range l.groups {
@@ -564,7 +565,10 @@
 	for _, b := range p.under {
 		sum += b.lines
 	}
-	for len(p.under) > 0 && float64(p.now-p.under[0].at-2*p.WorstTransit) > sum*8/p.ChannelRate*float64(second) {
+	for len(p.under) > 0 {
+		if waited := p.now - p.under[0].at - 2*p.WorstTransit; float64(waited)*p.ChannelRate <= sum*slowPace*1e9 {
+			break
+		}
 		sum -= p.under[0].lines
 		p.under = p.under[1:]
 	}
@@ -606,6 +610,10 @@
 		p.bound[o.Proxy] = o.Table
 	case control.SetLine:
 		p.laid[o.Table] = true
+	case control.Withdraw:
+		if late := (control.Withdraw{Replica: o.Replica, Out: true}); !o.Out { // must not undo this lift
+			p.urgent = slices.DeleteFunc(p.urgent, func(u control.Order) bool { return u == control.Order(late) })
+		}
 	}
 	for _, proxy := range to {
 		p.reached[proxy] = true
@@ -644,23 +652,6 @@
 
 // ---- governor
 
-// New makes a governor that knows nothing but its provision.
-func New(p control.Provision) *Governor {
-	g := &Governor{desk: desk{Provision: p}, replicas: map[uint32]*replica{}}
-	d := &g.desk
-	d.boxes = []*inbox{
-		theRoll: {part: &roll{desk: d, seat: []int{0}, zone: map[int]int{}, wait: map[uint64]map[int]bool{}}},
-		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{}, offers: map[uint32]offer{},
-			crowd: map[int]control.Joined{}}},
-		theLevels: {part: newLevels(d)},
-		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
-			moves: map[int]int{}, open: map[uint64]int64{}}},
-		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{},
-			wrote: map[int][]int64{}}},
-	}
-	return g
-}
-
 // Turn tells the governor what has come in and returns what it orders.
 func (g *Governor) Turn(now int64, events []control.Event) []control.Order {
 	g.now, g.out = now, nil
@@ -693,12 +684,6 @@
 	return g.out
 }
 
-func (g *Governor) toAll(note any) {
-	for to := range parts {
-		g.post(to, note)
-	}
-}
-
 // listed passes news of the list to its replicas; whoever a whole list leaves out is gone.
 func (g *Governor) listed(l control.Listed) {
 	for _, id := range sorted(g.replicas) {
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -65,3 +65,26 @@
 		}
 	}
 }
+
+func (g *Governor) toAll(note any) {
+	for to := range parts {
+		g.post(to, note)
+	}
+}
+
+// New makes a governor that knows nothing but its provision.
+func New(p control.Provision) *Governor {
+	g := &Governor{desk: desk{Provision: p}, replicas: map[uint32]*replica{}}
+	d := &g.desk
+	d.boxes = []*inbox{
+		theRoll: {part: &roll{desk: d, seat: []int{0}, zone: map[int]int{}, wait: map[uint64]map[int]bool{}}},
+		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{}, offers: map[uint32]offer{},
+			crowd: map[int]control.Joined{}}},
+		theLevels: {part: newLevels(d)},
+		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
+			moves: map[int]int{}, open: map[uint64]int64{}}},
+		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{},
+			wrote: map[int][]int64{}}},
+	}
+	return g
+}
--- a/brain/replica_test.go
+++ b/brain/replica_test.go
@@ -78,7 +78,7 @@
 	r.entry.Start = r.now - second
 	calm := r.warmth()
 	n := r.fleet
-	n.bad = 0.8
+	n.lost = 0.8
 	r.take(n)
 	o := mail[offer](g, thePlanner)[0]
 	want(t, "out, and no capacity at home", o.sick && o.size == 0, true)
--- a/brain/types.go
+++ b/brain/types.go
@@ -9,8 +9,8 @@
 	tick    struct{}
 	redraw  struct{} // the planner has heard from all replicas
 	closing struct{} // the turn ends: the pacer sends
-	norm    struct { // planner to replica: its kind's answer time, good answers, weight; its own; all's missed
-		answer, good, kind, goal, bad float64
+	norm    struct { // planner to replica: of its kind; its own goal; of all: missed tries, lost flows
+		answer, good, kind, goal, bad, lost float64
 	}
 	offer struct { // replica to planner: what it can bear and what it was met with lately
 		control.Entry
@@ -69,6 +69,7 @@
 	calm   map[int][]float64 // the last answer times of each kind
 	judged int64
 	out    map[uint32]bool
+	lost   float64 // part of the flows that got no answer
 }
 
 type roll struct {
