--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,8 +42,7 @@
 	restSpan, mostRelapses   = 3 * second, 2   // the first rest of the sick, how often it doubles
 	sickMost                 = 0.75            // of the list that may be out
 	spareGuest, spareIdler   = 1.1, 1.5        // a table whose need is this much more than its own takes guests
-	coldSpare, coldLost      = 0.5, 0.35       // of the multiple at which the cold fall; lost flows: out
-	idlerSpare               = 0.5             // of a cold weight, where idlers are picked
+	coldSpare, coldLost      = 0.5, 0.2        // of the multiple at which the cold fall; lost flows: out
 	strained, missedMost     = 0.65, 0.15      // an overloaded fleet: answer to budget, missed part
 	lineFirst                = 0.9             // part of the most it served that an overloaded fleet is let
 	lineDown, lineUp         = 0.85, 0.02      // the line falls by this part, rises by this each second
@@ -135,7 +134,7 @@
 	able := r.ColdShare + (1-r.ColdShare)*float64(max(0, r.now-r.entry.Start))/float64(r.WarmAfter)
 	w := math.Min(1, coldSpare*r.FallMultiple*able*(1-r.fleet.lost))
 	if r.Pick == control.PickIdler { // drawn twice as often as its weight says, as it refuses what it can't take
-		w *= idlerSpare * able * (1 - r.fleet.lost)
+		w *= 1 - r.fleet.lost
 	}
 	if r.now-r.heard < entrySpan {
 		w = math.Min(w, entryShare)
@@ -204,6 +203,7 @@
 			}
 		}
 	}
+	mean := kinds[all].answer / math.Max(1, kinds[all].good)
 	bad, fleetAble := missed/math.Max(1, tries), kinds[all].able/math.Max(1, kinds[all].count)
 	for _, id := range ids {
 		o := p.offers[id]
@@ -222,8 +222,7 @@
 		}
 		p.post(o.box, n)
 	}
-	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad,
-		kinds[all].answer / math.Max(1, kinds[all].good)})
+	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad, mean})
 }
 
 // redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones,
