--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,7 +42,7 @@
 	restSpan, mostRelapses   = 3 * second, 2   // the first rest of the sick, how often it doubles
 	sickMost                 = 0.75            // of the list that may be out
 	spareGuest, spareIdler   = 1.1, 1.5        // a table whose need is this much more than its own takes guests
-	coldSpare, coldLost      = 0.5, 0.2        // of the multiple at which the cold fall; lost flows: out
+	coldSpare, coldLost      = 0.4, 0.2        // of the multiple at which the cold fall; lost flows: out
 	strained, missedMost     = 0.65, 0.15      // an overloaded fleet: answer to budget, missed part
 	lineFirst                = 0.9             // part of the most it served that an overloaded fleet is let
 	lineDown, lineUp         = 0.85, 0.02      // the line falls by this part, rises by this each second
@@ -71,7 +71,8 @@
 	}
 	tries, bad, answer := r.lately()
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
-	w, sick := size*r.speed, r.resting > 0 || r.cold() && r.fleet.lost > coldLost
+	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
+	w, sick := size*r.speed, r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
 	if r.trial > 0 {
 		w *= trialPart
 	}
@@ -283,20 +284,22 @@
 	p.post(theSequence, t)
 }
 
-// shutOut says who is withdrawn: whoever drains or is gone, and the sick while a quarter of the list is
-// left, so that no proxy is bare, whatever made so many miss. The sick count as no capacity: guests come to
-// their table. It could harm when more than that is sick for good: those stay in.
+// shutOut says who is withdrawn: whoever drains or is gone, and the sick while a quarter of the warm is left,
+// so that no proxy is bare, whatever made so many miss. The sick count as no capacity: guests come to their
+// table. It could harm when more than that is sick for good: those stay in.
 func (p *planner) shutOut(ids []uint32) map[uint32]bool {
 	out, stays := map[uint32]bool{}, 0.0
 	for _, id := range ids {
-		if out[id] = p.offers[id].State != control.Ready; !out[id] {
+		if out[id] = p.offers[id].State != control.Ready; !out[id] && !p.offers[id].cold {
 			stays += sickMost
 		}
 	}
+	warm := stays > 0
 	for _, id := range ids {
-		if p.offers[id].sick && !out[id] && stays >= 1 {
-			out[id] = true
-			stays--
+		if o := p.offers[id]; o.sick && !out[id] && (o.cold && warm || !o.cold && stays >= 1) {
+			if out[id] = true; !o.cold {
+				stays--
+			}
 		}
 		if out[id] && !p.out[id] {
 			p.post(thePacer, control.Withdraw{Replica: id, Out: true})
--- a/brain/replica_test.go
+++ b/brain/replica_test.go
@@ -89,6 +89,15 @@
 	want(t, "less where idlers are picked", r.warmth() <= calm/4, true)
 }
 
+func TestColdWaitsForTheFirstWordOfTheFleet(t *testing.T) {
+	g := at(100 * second)
+	r := &replica{desk: &g.desk, box: parts, speed: 1}
+	r.take(control.Entry{Replica: 9, Weight: 1, Start: 99 * second})
+	want(t, "out", mail[offer](g, thePlanner)[0].sick, true)
+	r.take(norm{goal: 1, kind: 1})
+	want(t, "in", mail[offer](g, thePlanner)[1].sick, false)
+}
+
 func TestRestartIsANewReplica(t *testing.T) {
 	r := met(at(100*second), 10, 10, 0)
 	r.judge()
