Guests by the capacity a table lost, as far as the fleet has room; few sick stay home trouble

Now lost capacity (draining, cold) brings guests from 1.1, sickness only when most of a table's own is, and all only as answer times show room.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,23 +29,23 @@
 	slowAnswer               = 2.0             // a replica answers slowly if so much later than its kind
 	changeWorth              = 0.15            // relative change of a weight worth a line
 	recent, samplesKept      = 4 * second, 32  // older samples are not judged, more are not kept
-	settleSpan               = 4 * second      // time in which a weight follows answer times
-	firstSteps               = 8               // a new replica's weight follows in this part of its age
-	kindSpread, idle         = 2, 0.75         // a calm kind answers within this of the quickest; its idle part
-	shrink                   = 8               // answers that weigh as much as what the kind shows
+	settleSpan, firstSteps   = 4 * second, 8   // a weight follows answers in this; at first in a part of its age
+	kindSpread, idle, shrink = 2, 0.75, 8.0    // a calm kind's most against the quickest; its idle part; prior
 	slowest                  = 1.0 / 16        // least weight against its kind's
 	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
-	lostBad                  = 0.7             // missed part of a fleet in which no verdict means anything
-	sickPart                 = 0.5             // sick: misses more, above the fleet's own
+	sickPart, lostBad        = 0.5, 0.7        // sick: misses more, above the fleet's own, unless that is lost
 	fewGood                  = 0.2             // and gives less of its kind's good answers
 	trialPart                = 0.3             // weight of a replica on trial
 	restSpan, mostRelapses   = 3 * second, 2   // the first rest of the sick, how often it doubles
 	sickMost                 = 0.75            // of the list that may be out
+	fullFrom, fullSteep      = 0.85, 4.0       // a fleet so busy takes no guests; below it takes more by this
+	deadPart                 = 0.65            // if less of a table's own serves, guests come for the sick too
+	fullSpan                 = 60 * second     // in which a lasting loss is got used to
 	spareGuest, spareIdler   = 1.1, 1.5        // a table whose need is this much more than its own takes guests
 	coldSpare, coldLost      = 0.4, 0.2        // of the multiple at which the cold fall; lost flows: out
 	strained, missedMost     = 0.65, 0.15      // an overloaded fleet: answer to budget, missed part
-	lineFirst                = 0.9             // part of the most it served that an overloaded fleet is let
-	lineDown, lineUp         = 0.85, 0.02      // the line falls by this part, rises by this each second
+	lineFirst, lineDown      = 0.9, 0.85       // of the most it served that a strained fleet is let; then less
+	lineUp                   = 0.02            // the line rises by this part of all groups each second
 	slowPace                 = 8               // a channel is not taken to be slower than by this
 	marksMask                = 1<<16 - 1       // marks are told apart up to here
 	shareSteps, guestSteps   = 20, 10          // levels and guests move in such parts, to save orders
@@ -76,10 +76,8 @@
 	if r.trial > 0 {
 		w *= trialPart
 	}
-	if size *= r.fleet.kind; sick || r.trial > 0 {
-		size = 0
-	}
-	r.post(thePlanner, offer{r.entry, r.box, w, size, r.ticket, tries, bad, answer, r.cold(), sick, r.trial > 0})
+	r.post(thePlanner, offer{r.entry, r.box, w, size * r.fleet.kind, r.ticket, tries, bad, answer,
+		r.cold(), sick, r.trial > 0})
 }
 
 // lately sums the samples still worth judging; answer is a mean in seconds.
@@ -133,10 +131,7 @@
 		return 1
 	}
 	able := r.ColdShare + (1-r.ColdShare)*float64(max(0, r.now-r.entry.Start))/float64(r.WarmAfter)
-	w := math.Min(1, coldSpare*r.FallMultiple*able*(1-r.fleet.lost))
-	if r.Pick == control.PickIdler { // drawn twice as often as its weight says, as it refuses what it can't take
-		w *= 1 - r.fleet.lost
-	}
+	w := math.Min(1, coldSpare*r.FallMultiple*able*math.Pow(1-r.fleet.lost, 2))
 	if r.now-r.heard < entrySpan {
 		w = math.Min(w, entryShare)
 	}
@@ -197,6 +192,9 @@
 	}
 	if p.now-p.judged >= second {
 		p.judged = p.now
+		for table := range p.full { // a lasting loss is got used to
+			p.full[table] *= 1 - float64(second)/float64(fullSpan)
+		}
 		for kind, k := range kinds {
 			if k.good >= sickTries {
 				p.calm[kind] = append(p.calm[kind], k.answer/k.good)
@@ -206,6 +204,7 @@
 	}
 	mean := kinds[all].answer / math.Max(1, kinds[all].good)
 	bad, fleetAble := missed/math.Max(1, tries), kinds[all].able/math.Max(1, kinds[all].count)
+	p.spare = math.Max(0, math.Min(1, (fullFrom-kinds[all].good/math.Max(1, kinds[all].able))*fullSteep))
 	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
@@ -235,36 +234,45 @@
 		return cmp.Compare(p.offers[b].ticket, p.offers[a].ticket)
 	})
 	t := target{map[line]float64{}, p.shutOut(ids)}
-	need, home, own := make([]float64, tables), make([]float64, tables), make([]int, tables)
+	need, home, serves := make([]float64, tables), make([]float64, tables), make([]float64, tables)
 	total, all := 1e-9, 1e-9
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
 			home[o.Zone%tables] += o.size
-			own[o.Zone%tables]++
-			all += o.size
+			if !o.sick && !o.trial {
+				serves[o.Zone%tables] += o.size
+			}
 		}
 	}
 	for _, proxy := range sorted(p.crowd) {
 		need[p.crowd[proxy].Zone%tables] += p.crowd[proxy].Rate
 		total += p.crowd[proxy].Rate
 	}
+	// Proxies that pick the idler of two even out more by themselves.
+	spare, fullAll := cmp.Or(map[control.Pick]float64{control.PickIdler: spareIdler}[p.Pick], spareGuest), 1e-9
+	for table := range home { // a few of the sick are its own zones' trouble; when most are, guests must come
+		if serves[table]*spare < deadPart*home[table] {
+			home[table] = serves[table]
+		}
+		p.full[table] = math.Max(home[table], p.full[table])
+		all, fullAll = all+home[table], fullAll+p.full[table]
+	}
 	seats := make([]int, tables) // the table of each zone, counted round
 	for table := range tables {
-		seats[table] = table
-		if own[table] == 0 {
-			seats[table] = slices.Index(own, slices.Max(own))
+		if seats[table] = table; home[table] == 0 {
+			seats[table] = slices.Index(home, slices.Max(home))
 		}
 	}
 	p.post(theRoll, seats)
-	// Proxies that pick the idler of two even out more by themselves.
-	spare := cmp.Or(map[control.Pick]float64{control.PickIdler: spareIdler}[p.Pick], spareGuest)
 	// A table is as large as lets all proxies be bound within half the channel's limit.
 	size := max(3, p.ChannelLimit/2/max(1, p.Proxies)-p.MessageHead-2)
 	for table := range tables {
 		guests, drawn := 0.0, 0
-		if want := need[table] / total * all; want >= home[table]*spare {
-			guests = math.Min(1, (want/spareGuest-home[table])/(all-home[table]+1e-9))
-			guests = math.Ceil(guests*guestSteps) / guestSteps
+		want := math.Max(need[table]/total*all/spare, p.full[table]/fullAll*all/spareGuest)
+		if lacks := (want - home[table]) * p.spare; home[table] == 0 { // whatever the room, nobody is left bare
+			guests = 1
+		} else if lacks > 0 {
+			guests = math.Ceil(math.Min(1, lacks/(all-home[table]+1e-9))*guestSteps) / guestSteps
 		}
 		for _, id := range ids {
 			o := p.offers[id]
--- a/brain/types.go
+++ b/brain/types.go
@@ -69,7 +69,9 @@
 	calm   map[int][]float64 // the last answer times of each kind
 	judged int64
 	out    map[uint32]bool
-	lost   float64 // part of the flows that got no answer
+	full   map[int]float64 // the most that the own zones of a table could carry lately
+	spare  float64         // part of the guests wanted that the fleet has room for
+	lost   float64         // part of the flows that got no answer
 }
 
 type roll struct {
