--- a/brain/brain.go
+++ b/brain/brain.go
@@ -177,7 +177,8 @@
 		if calm := p.calm[o.Kind]; len(calm) > 0 {
 			base = math.Min(base, slices.Min(calm))
 		}
-		return (o.tries - o.bad) / (1 - idle*base/o.answer)
+		busy := 1 - idle*base/o.answer // what timed out at a busy one was work too
+		return (o.tries - o.bad + busy*busy*math.Min(o.bad, o.tries-o.bad)) / busy
 	}
 	for _, id := range ids {
 		o := p.offers[id]
