--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,7 +30,9 @@
 	changeWorth              = 0.15            // relative change of a weight worth a line
 	recent, samplesKept      = 4 * second, 32  // older samples are not judged, more are not kept
 	settleSpan, firstSteps   = 4 * second, 8   // a weight follows answers in this; at first in a part of its age
-	kindSpread, idle, shrink = 2, 0.75, 8.0    // a calm kind's most against the quickest; its idle part; prior
+	kindSpread, shrink       = 2, 8.0          // a calm kind's most against the quickest; prior answers of a kind
+	idleFirst, idleLast      = 0.85, 0.6       // idle part of the calm, at first and later
+	firstSpan                = 15 * second     // how long at first is
 	slowest                  = 1.0 / 16        // least weight against its kind's
 	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
 	sickPart, lostBad        = 0.5, 0.7        // sick: misses more, above the fleet's own, unless that is lost
@@ -172,6 +174,11 @@
 	well := func(o offer) bool {
 		return !o.sick && !o.trial && o.State == control.Ready && !o.cold && o.answer > 0
 	}
+	if p.judged == 0 {
+		p.born = p.now
+	}
+	// Sizes are far off at first and need large steps; later such steps would swing.
+	idle := idleLast + (idleFirst-idleLast)*math.Max(0, 1-float64(p.now-p.born)/float64(firstSpan))
 	able := func(o offer) float64 {
 		base := math.Min(o.answer, quick*kindSpread)
 		if calm := p.calm[o.Kind]; len(calm) > 0 {
