--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,7 +35,7 @@
 	firstSpan                = 15 * second     // how long at first is
 	slowest                  = 1.0 / 16        // least weight against its kind's
 	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
-	sickPart, lostBad        = 0.5, 0.7        // sick: misses more, above the fleet's own, unless that is lost
+	sickPart, lostBad        = 0.5, 0.4        // sick: misses more, above the fleet's own, unless that is lost
 	fewGood                  = 0.2             // and gives less of its kind's good answers
 	trialPart                = 0.3             // weight of a replica on trial
 	restSpan, mostRelapses   = 3 * second, 2   // the first rest of the sick, how often it doubles
@@ -47,7 +47,7 @@
 	coldSpare, coldLost      = 0.4, 0.2        // of the multiple at which the cold fall; lost flows: out
 	strained, missedMost     = 0.65, 0.15      // an overloaded fleet: answer to budget, missed part
 	lineFirst, lineDown      = 0.9, 0.85       // of the most it served that a strained fleet is let; then less
-	lineUp                   = 0.02            // the line rises by this part of all groups each second
+	lineUp                   = 0.01            // the line rises by this part of all groups each second
 	slowPace                 = 8               // a channel is not taken to be slower than by this
 	marksMask                = 1<<16 - 1       // marks are told apart up to here
 	shareSteps, guestSteps   = 20, 10          // levels and guests move in such parts, to save orders
