--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,37 +20,33 @@
 // Tuned values. Whatever a deployment states or shows is preferred to a figure here.
 const (
 	second                   = int64(1e9)
-	proxiesTable             = 5               // less than one table for so many proxies
-	stepTimeout              = 2 * second      // a step ends without the answers still missing
-	entryShare, entrySpan    = 0.5, 5 * second // weight of a new replica, for how long
-	ordinaryPart, urgentPart = 0.4, 0.85       // of the channel's limit, for lines and for all
-	ordinaryMsgs, addMsgs    = 0.5, 0.75       // of a proxy's message cap, for changed lines and new ones
-	urgentMsgs               = 0.95            // and for all
-	slowAnswer               = 2.0             // a replica answers slowly if so much later than its kind
-	changeWorth              = 0.15            // relative change of a weight worth a line
-	recent, samplesKept      = 4 * second, 32  // older samples are not judged, more are not kept
-	settleSpan, firstSteps   = 4 * second, 8   // a weight follows answers in this; at first in a part of its age
-	kindSpread, shrink       = 2, 8.0          // a calm kind's most against the quickest; prior answers of a kind
-	idleFirst, idleLast      = 0.85, 0.6       // idle part of the calm, at first and later
-	firstSpan                = 15 * second     // how long at first is
-	slowest                  = 1.0 / 16        // least weight against its kind's
-	sickTries, trialTries    = 5, 3            // tries needed for a verdict, and on trial
-	sickPart, lostBad        = 0.5, 0.4        // sick: misses more, above the fleet's own, unless that is lost
-	fewGood                  = 0.2             // and gives less of its kind's good answers
-	trialPart                = 0.3             // weight of a replica on trial
-	restSpan, mostRelapses   = 3 * second, 2   // the first rest of the sick, how often it doubles
-	sickMost                 = 0.75            // of the list that may be out
-	fullFrom, fullSteep      = 0.85, 4.0       // a fleet so busy takes no guests; below it takes more by this
-	deadPart                 = 0.65            // if less of a table's own serves, guests come for the sick too
-	fullSpan                 = 60 * second     // in which a lasting loss is got used to
-	spareGuest, spareIdler   = 1.1, 1.5        // a table whose need is this much more than its own takes guests
-	coldSpare, coldLost      = 0.4, 0.2        // of the multiple at which the cold fall; lost flows: out
-	strained, missedMost     = 0.65, 0.15      // an overloaded fleet: answer to budget, missed part
-	lineFirst, lineDown      = 0.9, 0.85       // of the most it served that a strained fleet is let; then less
-	lineUp                   = 0.01            // the line rises by this part of all groups each second
-	slowPace                 = 8               // a channel is not taken to be slower than by this
-	marksMask                = 1<<16 - 1       // marks are told apart up to here
-	shareSteps, guestSteps   = 20, 10          // levels and guests move in such parts, to save orders
+	proxiesTable             = 5                 // less than one table for so many proxies
+	stepTimeout              = 2 * second        // a step ends without the answers still missing
+	entryShare, entrySpan    = 0.5, 5 * second   // weight of a new replica, for how long
+	ordinaryPart, urgentPart = 0.4, 0.85         // of the channel's limit, for lines and for all
+	ordinaryMsgs, addMsgs    = 0.5, 0.75         // of a proxy's message cap, for changed lines and new ones
+	urgentMsgs               = 0.95              // and for all
+	changeWorth              = 0.15              // relative change of a weight worth a line
+	recent, samplesKept      = 4 * second, 32    // older samples are not judged, more are not kept
+	settleSpan, firstSteps   = 4 * second, 8     // a weight follows answers in this; first in a part of its age
+	kindSpread, shrink       = 2, 8.0            // a calm kind's most against the quickest; a kind's prior
+	idleFirst, idleLast      = 0.85, 0.6         // idle part of a calm replica, at first and later
+	firstSamples             = 15.0              // seconds of answers that are the first
+	slowest                  = 1.0 / 16          // least weight against its kind's
+	sickTries, trialTries    = 5, 3              // tries needed for a verdict, and on trial
+	sickPart, lostBad        = 0.5, 0.4          // sick: misses more, above the fleet's own, unless that is lost
+	fewGood, sickMost        = 0.2, 0.75         // gives less of its kind's good answers; so many may be out
+	restSpan, mostRelapses   = 3 * second, 2     // the first rest of the sick, how often it doubles
+	trialPart, slowAnswer    = 0.3, 2.0          // weight on trial; slow: so much later than its kind
+	deadPart, fullSpan       = 0.65, 60 * second // guests for the sick if less serves; a loss is got used to
+	spareGuest, spareIdler   = 1.1, 1.5          // a table that needs this much more than its own takes guests
+	coldSpare, coldLost      = 0.4, 0.2          // of the multiple at which the cold fall; lost flows: out
+	strained, missedMost     = 0.65, 0.15        // an overloaded fleet: answer to budget, missed part
+	lineFirst, lineDown      = 0.9, 0.85         // of the most it served that a strained fleet is let; then less
+	lineUp                   = 0.01              // the line rises by this part of all groups each second
+	slowPace                 = 8                 // a channel is not taken to be slower than by this
+	marksMask                = 1<<16 - 1         // marks are told apart up to here
+	shareSteps, guestSteps   = 20, 10            // levels and guests move in such parts, to save orders
 )
 
 // ---- replica: health, warmth, speed
@@ -174,11 +170,8 @@
 	well := func(o offer) bool {
 		return !o.sick && !o.trial && o.State == control.Ready && !o.cold && o.answer > 0
 	}
-	if p.judged == 0 {
-		p.born = p.now
-	}
 	// Sizes are far off at first and need large steps; later such steps would swing.
-	idle := idleLast + (idleFirst-idleLast)*math.Max(0, 1-float64(p.now-p.born)/float64(firstSpan))
+	idle := idleLast + (idleFirst-idleLast)*math.Max(0, 1-float64(len(p.calm[all]))/firstSamples)
 	able := func(o offer) float64 {
 		base := math.Min(o.answer, quick*kindSpread)
 		if calm := p.calm[o.Kind]; len(calm) > 0 {
@@ -212,7 +205,6 @@
 	}
 	mean := kinds[all].answer / math.Max(1, kinds[all].good)
 	bad, fleetAble := missed/math.Max(1, tries), kinds[all].able/math.Max(1, kinds[all].count)
-	p.spare = math.Max(0, math.Min(1, (fullFrom-kinds[all].good/math.Max(1, kinds[all].able))*fullSteep))
 	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
@@ -277,7 +269,7 @@
 	for table := range tables {
 		guests, drawn := 0.0, 0
 		want := math.Max(need[table]/total*all/spare, p.full[table]/fullAll*all/spareGuest)
-		if lacks := (want - home[table]) * p.spare; home[table] == 0 { // whatever the room, nobody is left bare
+		if lacks := want - home[table]; home[table] == 0 { // nobody is left bare
 			guests = 1
 		} else if lacks > 0 {
 			guests = math.Ceil(math.Min(1, lacks/(all-home[table]+1e-9))*guestSteps) / guestSteps
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -78,7 +78,7 @@
 	d := &g.desk
 	d.boxes = []*inbox{
 		theRoll: {part: &roll{desk: d, seat: []int{0}, zone: map[int]int{}, wait: map[uint64]map[int]bool{}}},
-		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{}, full: map[int]float64{}, spare: 1,
+		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{}, full: map[int]float64{},
 			offers: map[uint32]offer{}, crowd: map[int]control.Joined{}}},
 		theLevels: {part: newLevels(d)},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
--- a/brain/types.go
+++ b/brain/types.go
@@ -70,8 +70,6 @@
 	judged int64
 	out    map[uint32]bool
 	full   map[int]float64 // the most that the own zones of a table could carry lately
-	born   int64           // when it first judged
-	spare  float64         // part of the guests wanted that the fleet has room for
 	lost   float64         // part of the flows that got no answer
 }
 
