Try: groups under the line share a small table where levels are not followed

Cause aimed at: sites whose proxies let all in cannot shed, and collapse. Change: the groups of least utility are bound to a lower table of 15% of the capacity once flows over the line are lost.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,36 +19,42 @@
 
 // Tuned values. Whatever a deployment states or shows is preferred to a figure here.
 const (
-	second                   = int64(1e9)
-	proxiesTable             = 5                 // less than one table for so many proxies
-	stepTimeout              = 2 * second        // a step ends without the answers still missing
-	entryShare, entrySpan    = 0.5, 5 * second   // weight of a new replica, for how long
-	ordinaryPart, urgentPart = 0.4, 0.85         // of the channel's limit, for lines and for all
-	ordinaryMsgs, addMsgs    = 0.5, 0.75         // of a proxy's message cap, for changed lines and new ones
-	urgentMsgs               = 0.95              // and for all
-	changeWorth              = 0.15              // relative change of a weight worth a line
-	recent, samplesKept      = 4 * second, 32    // older samples are not judged, more are not kept
-	settleSpan, firstSteps   = 4 * second, 8     // a weight follows answers in this; first in a part of its age
-	kindSpread, shrink       = 2, 8.0            // a calm kind's most against the quickest; a kind's prior
-	idleFirst, idleLast      = 0.85, 0.6         // idle part of a calm replica, at first and later
-	firstSamples             = 15.0              // seconds of answers that are the first
-	slowest                  = 1.0 / 16          // least weight against its kind's
-	sickTries, trialTries    = 5, 3              // tries needed for a verdict, and on trial
-	sickPart, lostBad        = 0.5, 0.4          // sick: misses more, above the fleet's own, unless that is lost
-	fewGood, sickMost        = 0.2, 0.75         // gives less of its kind's good answers; so many may be out
-	restSpan, mostRelapses   = 3 * second, 2     // the first rest of the sick, how often it doubles
-	trialPart, slowAnswer    = 0.3, 2.0          // weight on trial; slow: so much later than its kind
-	deadPart, fullSpan       = 0.65, 60 * second // guests for the sick if less serves; a loss is got used to
-	spareGuest, spareIdler   = 1.1, 1.5          // a table that needs this much more than its own takes guests
-	coldSpare, coldLost      = 0.4, 0.2          // of the multiple at which the cold fall; lost flows: out
-	strained, missedMost     = 0.65, 0.15        // an overloaded fleet: answer to budget, missed part
-	lineFirst, lineDown      = 0.9, 0.85         // of the most it served that a strained fleet is let; then less
-	lineUp                   = 0.01              // the line rises by this part of all groups each second
-	slowPace                 = 8                 // a channel is not taken to be slower than by this
-	marksMask                = 1<<16 - 1         // marks are told apart up to here
-	shareSteps, guestSteps   = 20, 10            // levels and guests move in such parts, to save orders
+	second, beat             = int64(1e9), int64(1e9) / 4 // the governor looks up at each beat
+	proxiesTable             = 5                          // less than one table for so many proxies
+	stepTimeout              = 2 * second                 // a step ends without the answers still missing
+	entryShare, entrySpan    = 0.5, 5 * second            // weight of a new replica, for how long
+	ordinaryPart, urgentPart = 0.4, 0.85                  // of the channel's limit, for lines and for all
+	ordinaryMsgs, addMsgs    = 0.5, 0.75                  // of a proxy's message cap, for changed lines and new ones
+	urgentMsgs               = 0.95                       // and for all
+	changeWorth              = 0.15                       // relative change of a weight worth a line
+	recent, samplesKept      = 4 * second, 32             // older samples are not judged, more are not kept
+	settleSpan, firstSteps   = 4 * second, 8              // a weight follows answers in this; first in a part of its age
+	kindSpread, shrink       = 2, 8.0                     // a calm kind's most against the quickest; a kind's prior
+	idleFirst, idleLast      = 0.85, 0.6                  // idle part of a calm replica, at first and later
+	firstSamples             = 15.0                       // seconds of answers that are the first
+	slowest                  = 1.0 / 16                   // least weight against its kind's
+	sickTries, trialTries    = 5, 3                       // tries needed for a verdict, and on trial
+	sickPart, lostBad        = 0.5, 0.4                   // sick: misses more, above the fleet's own, unless that is lost
+	fewGood, sickMost        = 0.2, 0.75                  // gives less of its kind's good answers; so many may be out
+	restSpan, mostRelapses   = 3 * second, 2              // the first rest of the sick, how often it doubles
+	trialPart, slowAnswer    = 0.3, 2.0                   // weight on trial; slow: so much later than its kind
+	deadPart, fullSpan       = 0.65, 60 * second          // guests for the sick if less serves; a loss is got used to
+	spareGuest, spareIdler   = 1.1, 1.5                   // a table that needs this much more than its own takes guests
+	coldSpare, coldLost      = 0.4, 0.2                   // of the multiple at which the cold fall; lost flows: out
+	strained, missedMost     = 0.65, 0.15                 // an overloaded fleet: answer to budget, missed part
+	lineFirst, lineDown      = 0.9, 0.85                  // of the most it served that a strained fleet is let; then less
+	lineUp                   = 0.01                       // the line rises by this part of all groups each second
+	slowPace                 = 8                          // a channel is not taken to be slower than by this
+	marksMask                = 1<<16 - 1                  // marks are told apart up to here
+	lowerTable, lowerShare   = 1 << 15, 0.5               // groups with less of a share go to this table
+	lostMost                 = 0.35                        // x
+	lowerPart, lowerKeep     = 0.15, 0.05                 // of all that can be carried; weight of its replicas elsewhere
+	shareSteps, guestSteps   = 20, 10                     // levels and guests move in such parts, to save orders
 )
 
+// draw gives a replica its ticket in the draw of tables: the higher, the sooner drawn; by listed weight.
+func (d *desk) draw(weight float64) float64 { return math.Pow(d.chance(), 1/math.Max(weight, 1e-6)) }
+
 // ---- replica: health, warmth, speed
 
 func (r *replica) take(n any) {
@@ -150,6 +156,8 @@
 		p.offers[n.Replica] = n
 	case float64:
 		p.lost = n
+	case lower:
+		p.lower = len(n) > 0
 	case redraw:
 		p.redraw()
 	}
@@ -266,6 +274,13 @@
 	p.post(theRoll, seats)
 	// A table is as large as lets all proxies be bound within half the channel's limit.
 	size := max(3, p.ChannelLimit/2/max(1, p.Proxies)-p.MessageHead-2)
+	low, carried := map[uint32]bool{}, 0.0 // the replicas left to the groups under the line
+	for _, id := range ids {
+		if o := p.offers[id]; p.lower && o.State == control.Ready && !t.out[id] && !o.cold && carried < lowerPart*all {
+			low[id], t.lines[line{lowerTable, id}] = true, o.weight
+			carried += o.size
+		}
+	}
 	for table := range tables {
 		guests, drawn := 0.0, 0
 		want := math.Max(need[table]/total*all/spare, p.full[table]/fullAll*all/spareGuest)
@@ -280,6 +295,9 @@
 			if o.Zone%tables != table {
 				w *= guests
 			}
+			if low[id] && len(low) < len(ids)/2 {
+				w *= lowerKeep
+			}
 			if o.State != control.Ready || w <= 0 || drawn == size {
 				continue
 			}
@@ -324,14 +342,27 @@
 	case []int:
 		for _, proxy := range sorted(r.zone) {
 			if z := r.zone[proxy] % len(n); z < len(r.seat) && n[z] != r.seat[z] {
-				r.post(theSequence, control.Bind{Proxy: proxy, Table: n[z]})
+				r.place(theSequence, proxy, n)
 			}
 		}
 		r.seat = n
+	case lower:
+		for _, proxy := range sorted(r.zone) {
+			for g := range r.Groups {
+				b := control.Bind{Proxy: proxy, Table: r.seat[r.zone[proxy]%len(r.seat)], Groups: 1 << g}
+				if slices.Contains(n, g) {
+					b.Table = lowerTable
+				}
+				if slices.Contains(n, g) != slices.Contains(r.low, g) {
+					r.post(theSequence, b)
+				}
+			}
+		}
+		r.low = n
 	case control.Joined:
 		r.strike(n.Proxy, math.MaxUint64)
 		r.zone[n.Proxy] = n.Zone
-		r.post(thePacer, control.Bind{Proxy: n.Proxy, Table: r.seat[n.Zone%len(r.seat)]})
+		r.place(thePacer, n.Proxy, r.seat)
 	case control.Left:
 		r.strike(n.Proxy, math.MaxUint64)
 		delete(r.zone, n.Proxy)
@@ -347,6 +378,14 @@
 	}
 }
 
+// place binds a proxy to its zone's table, and its groups under the line to theirs.
+func (r *roll) place(by, proxy int, seat []int) {
+	r.post(by, control.Bind{Proxy: proxy, Table: seat[r.zone[proxy]%len(seat)]})
+	for _, g := range r.low {
+		r.post(by, control.Bind{Proxy: proxy, Table: lowerTable, Groups: 1 << g})
+	}
+}
+
 // strike: no mark up to this one waits for the proxy any more. An answer speaks for the proxy's earlier
 // marks, and nothing waits for a proxy that has left.
 func (r *roll) strike(proxy int, upto uint64) {
@@ -381,17 +420,21 @@
 		l.came = append(l.came, sums{n, l.now})
 		l.came = l.came[max(0, len(l.came)-samplesKept*len(l.Groups)*l.Proxies):]
 	case fleet:
-		flows, all, missed := map[int]float64{}, 0, 0
+		flows, all, missed, upper, lost := map[int]float64{}, 0, 0, 1, 0
 		for _, d := range l.came {
 			if d.at > l.now-recent {
 				flows[d.Group] += float64(d.Flows) * float64(second) / float64(recent)
 				all, missed = all+d.Flows, missed+d.Missed
+				if !slices.Contains(l.under, d.Group) {
+					upper, lost = upper+d.Flows, lost+d.Missed
+				}
 			}
 		}
 		l.post(thePlanner, float64(missed)/math.Max(1, float64(all)))
-		if l.Admission == control.AdmitShare {
-			l.judge(n, flows)
+		if l.Admission != control.AdmitShare { // who can't be turned away is moved only for flows lost
+			n.bad, n.answer = float64(lost)/float64(upper)*missedMost/lostMost, 0
 		}
+		l.judge(n, flows)
 	}
 }
 
@@ -429,14 +472,24 @@
 		l.say("overload %v: %.2f missed, answers %.3fs, line at %.2f of %d groups", over, f.bad, f.answer, l.line,
 			len(l.groups))
 	}
+	under := lower{}
 	for rank, g := range l.groups { // those over the line get all, those under it what is left
 		share := math.Min(1, math.Max(0, math.Ceil(shareSteps*(l.line-float64(rank)))/shareSteps))
+		if l.Admission != control.AdmitShare {
+			if rank > 0 && share < lowerShare {
+				under = append(under, g)
+			}
+			continue
+		}
 		o := control.Level{Table: control.AllTables, Group: g, Share: share, Tries: l.UsualTries}
 		if last, ok := l.set[g]; ok && last != o || !ok && share < 1 {
 			l.set[g] = o
 			l.post(thePacer, o)
 		}
 	}
+	l.under = under
+	l.post(theRoll, under)
+	l.post(thePlanner, under)
 }
 
 // ---- sequence: the four steps
@@ -457,16 +510,18 @@
 			s.out[id] = s.out[id] || out
 		}
 	case control.Bind:
-		s.moves[n.Proxy] = n.Table
+		s.moves = append(slices.DeleteFunc(s.moves, func(b control.Bind) bool {
+			return b.Proxy == n.Proxy && (b.Groups == n.Groups || n.Groups == 0)
+		}), n)
 	case control.Left:
-		delete(s.moves, n.Proxy)
+		s.moves = slices.DeleteFunc(s.moves, func(b control.Bind) bool { return b.Proxy == n.Proxy })
 	case marked:
 		for _, o := range n.orders {
 			switch o := o.(type) {
 			case control.Withdraw:
 				delete(s.out, o.Replica)
 			case control.Bind:
-				delete(s.moves, o.Proxy)
+				s.moves = slices.DeleteFunc(s.moves, func(b control.Bind) bool { return b == o })
 			case control.SetLine:
 				if s.laid[line{o.Table, o.Replica}] = o.Weight; o.Weight == 0 {
 					delete(s.laid, line{o.Table, o.Replica})
@@ -489,7 +544,7 @@
 // again from the first step, all else goes on from where the sequence stands, and what is no longer wanted
 // is dropped with it, so that a removal queued for a replica that is back never leaves.
 func (s *sequence) proceed() {
-	if len(s.orders(add)) > 0 {
+	if len(s.orders(add)) > 0 || s.at == remove && len(s.moves) > 0 { // nothing goes before all have moved
 		s.at = add
 	}
 	var orders []control.Order
@@ -534,9 +589,9 @@
 			orders = append(orders, control.Withdraw{Replica: id})
 		}
 	}
-	for _, proxy := range sorted(s.moves) {
+	for _, b := range s.moves {
 		if at == rebind {
-			orders = append(orders, control.Bind{Proxy: proxy, Table: s.moves[proxy]})
+			orders = append(orders, b)
 		}
 	}
 	return orders
@@ -551,7 +606,7 @@
 	case control.Bind, control.Level:
 		p.urgent = append(p.urgent, n)
 	case control.Joined:
-		p.bound[n.Proxy], p.wrote[n.Proxy] = -1, nil
+		p.bound[n.Proxy], p.wrote[n.Proxy], p.low[n.Proxy] = -1, nil, 0
 	case control.Left:
 		delete(p.bound, n.Proxy)
 	case step:
@@ -591,7 +646,9 @@
 	case control.Bind:
 		return []int{o.Proxy}, len(p.boxes) + len(p.Groups) // no more than that many lines and withdrawals
 	case control.SetLine:
-		return slices.DeleteFunc(sorted(p.bound), func(proxy int) bool { return p.bound[proxy] != o.Table }), 1
+		return slices.DeleteFunc(sorted(p.bound), func(proxy int) bool {
+			return p.bound[proxy] != o.Table && (o.Table != lowerTable || p.low[proxy] == 0)
+		}), 1
 	}
 	return sorted(p.bound), 1
 }
@@ -617,7 +674,14 @@
 		if _, joined := p.bound[o.Proxy]; !p.laid[o.Table] || !joined { // not before its table is laid
 			return !joined
 		}
-		p.bound[o.Proxy] = o.Table
+		switch {
+		case o.Groups == 0:
+			p.bound[o.Proxy], p.low[o.Proxy] = o.Table, 0
+		case o.Table == lowerTable:
+			p.low[o.Proxy] |= o.Groups
+		default:
+			p.low[o.Proxy] &^= o.Groups
+		}
 	case control.SetLine:
 		p.laid[o.Table] = true
 	case control.Withdraw:
@@ -659,57 +723,3 @@
 	}
 	p.post(theSequence, m)
 }
-
-// ---- governor
-
-// Turn tells the governor what has come in and returns what it orders.
-func (g *Governor) Turn(now int64, events []control.Event) []control.Order {
-	g.now, g.out = now, nil
-	woken := !g.started
-	for _, ev := range events {
-		switch e := ev.(type) {
-		case control.Listed:
-			g.listed(e)
-		case control.Met:
-			if r := g.replicas[e.Replica]; r != nil && e.Tries > 0 {
-				g.post(r.box, e)
-			}
-		case control.Woken:
-			woken = true
-		default:
-			g.toAll(e)
-		}
-		g.settle()
-	}
-	if woken {
-		g.started = true
-		g.out = append(g.out, control.Wake{After: max(1, min(g.ReportEvery/2, second/4))})
-		g.toAll(tick{})
-		g.settle()
-	}
-	g.post(thePlanner, redraw{})
-	g.settle()
-	g.post(thePacer, closing{})
-	g.settle()
-	return g.out
-}
-
-// listed passes news of the list to its replicas; whoever a whole list leaves out is gone.
-func (g *Governor) listed(l control.Listed) {
-	for _, id := range sorted(g.replicas) {
-		if e := g.replicas[id].entry; l.Full && !l.Failed {
-			e.State = control.Gone
-			g.post(g.replicas[id].box, e)
-		}
-	}
-	for _, e := range l.Entries {
-		r := g.replicas[e.Replica]
-		if r == nil {
-			r = &replica{desk: &g.desk, box: len(g.boxes), entry: e, heard: g.now, speed: 1}
-			r.ticket = math.Pow(g.chance(), 1/math.Max(e.Weight, 1e-6))
-			g.replicas[e.Replica] = r
-			g.boxes = append(g.boxes, &inbox{part: r})
-		}
-		g.post(r.box, e)
-	}
-}
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -82,9 +82,61 @@
 			offers: map[uint32]offer{}, crowd: map[int]control.Joined{}}},
 		theLevels: {part: newLevels(d)},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
-			moves: map[int]int{}, open: map[uint64]int64{}}},
-		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{},
+			open: map[uint64]int64{}}},
+		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{}, low: map[int]uint16{},
 			wrote: map[int][]int64{}}},
 	}
 	return g
 }
+
+// Turn tells the governor what has come in and returns what it orders.
+func (g *Governor) Turn(now int64, events []control.Event) []control.Order {
+	g.now, g.out = now, nil
+	woken := !g.started
+	for _, ev := range events {
+		switch e := ev.(type) {
+		case control.Listed:
+			g.listed(e)
+		case control.Met:
+			if r := g.replicas[e.Replica]; r != nil && e.Tries > 0 {
+				g.post(r.box, e)
+			}
+		case control.Woken:
+			woken = true
+		default:
+			g.toAll(e)
+		}
+		g.settle()
+	}
+	if woken {
+		g.started = true
+		g.out = append(g.out, control.Wake{After: max(1, min(g.ReportEvery/2, beat))})
+		g.toAll(tick{})
+		g.settle()
+	}
+	g.post(thePlanner, redraw{})
+	g.settle()
+	g.post(thePacer, closing{})
+	g.settle()
+	return g.out
+}
+
+// listed passes news of the list to its replicas; whoever a whole list leaves out is gone.
+func (g *Governor) listed(l control.Listed) {
+	for _, id := range sorted(g.replicas) {
+		if e := g.replicas[id].entry; l.Full && !l.Failed {
+			e.State = control.Gone
+			g.post(g.replicas[id].box, e)
+		}
+	}
+	for _, e := range l.Entries {
+		r := g.replicas[e.Replica]
+		if r == nil {
+			r = &replica{desk: &g.desk, box: len(g.boxes), entry: e, heard: g.now, speed: 1}
+			r.ticket = g.draw(e.Weight)
+			g.replicas[e.Replica] = r
+			g.boxes = append(g.boxes, &inbox{part: r})
+		}
+		g.post(r.box, e)
+	}
+}
