--- a/brain/brain.go
+++ b/brain/brain.go
@@ -46,13 +46,10 @@
 	lineUp                   = 0.01                       // the line rises by this part of all groups each second
 	slowPace                 = 8                          // a channel is not taken to be slower than by this
 	marksMask                = 1<<16 - 1                  // marks are told apart up to here
-	lowerTable, lowerShare   = 1 << 15, 0.5               // groups with less of a share go to this table
-	lostMost                 = 0.35                        // x
-	lowerPart, lowerKeep     = 0.15, 0.05                 // of all that can be carried; weight of its replicas elsewhere
 	shareSteps, guestSteps   = 20, 10                     // levels and guests move in such parts, to save orders
 )
 
-// draw gives a replica its ticket in the draw of tables: the higher, the sooner drawn; by listed weight.
+// draw gives a replica its ticket in the draw of tables, by listed weight: the highest are drawn first.
 func (d *desk) draw(weight float64) float64 { return math.Pow(d.chance(), 1/math.Max(weight, 1e-6)) }
 
 // ---- replica: health, warmth, speed
@@ -156,8 +153,6 @@
 		p.offers[n.Replica] = n
 	case float64:
 		p.lost = n
-	case lower:
-		p.lower = len(n) > 0
 	case redraw:
 		p.redraw()
 	}
@@ -274,13 +269,6 @@
 	p.post(theRoll, seats)
 	// A table is as large as lets all proxies be bound within half the channel's limit.
 	size := max(3, p.ChannelLimit/2/max(1, p.Proxies)-p.MessageHead-2)
-	low, carried := map[uint32]bool{}, 0.0 // the replicas left to the groups under the line
-	for _, id := range ids {
-		if o := p.offers[id]; p.lower && o.State == control.Ready && !t.out[id] && !o.cold && carried < lowerPart*all {
-			low[id], t.lines[line{lowerTable, id}] = true, o.weight
-			carried += o.size
-		}
-	}
 	for table := range tables {
 		guests, drawn := 0.0, 0
 		want := math.Max(need[table]/total*all/spare, p.full[table]/fullAll*all/spareGuest)
@@ -295,9 +283,6 @@
 			if o.Zone%tables != table {
 				w *= guests
 			}
-			if low[id] && len(low) < len(ids)/2 {
-				w *= lowerKeep
-			}
 			if o.State != control.Ready || w <= 0 || drawn == size {
 				continue
 			}
@@ -342,27 +327,14 @@
 	case []int:
 		for _, proxy := range sorted(r.zone) {
 			if z := r.zone[proxy] % len(n); z < len(r.seat) && n[z] != r.seat[z] {
-				r.place(theSequence, proxy, n)
+				r.post(theSequence, control.Bind{Proxy: proxy, Table: n[z]})
 			}
 		}
 		r.seat = n
-	case lower:
-		for _, proxy := range sorted(r.zone) {
-			for g := range r.Groups {
-				b := control.Bind{Proxy: proxy, Table: r.seat[r.zone[proxy]%len(r.seat)], Groups: 1 << g}
-				if slices.Contains(n, g) {
-					b.Table = lowerTable
-				}
-				if slices.Contains(n, g) != slices.Contains(r.low, g) {
-					r.post(theSequence, b)
-				}
-			}
-		}
-		r.low = n
 	case control.Joined:
 		r.strike(n.Proxy, math.MaxUint64)
 		r.zone[n.Proxy] = n.Zone
-		r.place(thePacer, n.Proxy, r.seat)
+		r.post(thePacer, control.Bind{Proxy: n.Proxy, Table: r.seat[n.Zone%len(r.seat)]})
 	case control.Left:
 		r.strike(n.Proxy, math.MaxUint64)
 		delete(r.zone, n.Proxy)
@@ -378,14 +350,6 @@
 	}
 }
 
-// place binds a proxy to its zone's table, and its groups under the line to theirs.
-func (r *roll) place(by, proxy int, seat []int) {
-	r.post(by, control.Bind{Proxy: proxy, Table: seat[r.zone[proxy]%len(seat)]})
-	for _, g := range r.low {
-		r.post(by, control.Bind{Proxy: proxy, Table: lowerTable, Groups: 1 << g})
-	}
-}
-
 // strike: no mark up to this one waits for the proxy any more. An answer speaks for the proxy's earlier
 // marks, and nothing waits for a proxy that has left.
 func (r *roll) strike(proxy int, upto uint64) {
@@ -420,21 +384,17 @@
 		l.came = append(l.came, sums{n, l.now})
 		l.came = l.came[max(0, len(l.came)-samplesKept*len(l.Groups)*l.Proxies):]
 	case fleet:
-		flows, all, missed, upper, lost := map[int]float64{}, 0, 0, 1, 0
+		flows, all, missed := map[int]float64{}, 0, 0
 		for _, d := range l.came {
 			if d.at > l.now-recent {
 				flows[d.Group] += float64(d.Flows) * float64(second) / float64(recent)
 				all, missed = all+d.Flows, missed+d.Missed
-				if !slices.Contains(l.under, d.Group) {
-					upper, lost = upper+d.Flows, lost+d.Missed
-				}
 			}
 		}
 		l.post(thePlanner, float64(missed)/math.Max(1, float64(all)))
-		if l.Admission != control.AdmitShare { // who can't be turned away is moved only for flows lost
-			n.bad, n.answer = float64(lost)/float64(upper)*missedMost/lostMost, 0
+		if l.Admission == control.AdmitShare {
+			l.judge(n, flows)
 		}
-		l.judge(n, flows)
 	}
 }
 
@@ -472,24 +432,14 @@
 		l.say("overload %v: %.2f missed, answers %.3fs, line at %.2f of %d groups", over, f.bad, f.answer, l.line,
 			len(l.groups))
 	}
-	under := lower{}
 	for rank, g := range l.groups { // those over the line get all, those under it what is left
 		share := math.Min(1, math.Max(0, math.Ceil(shareSteps*(l.line-float64(rank)))/shareSteps))
-		if l.Admission != control.AdmitShare {
-			if rank > 0 && share < lowerShare {
-				under = append(under, g)
-			}
-			continue
-		}
 		o := control.Level{Table: control.AllTables, Group: g, Share: share, Tries: l.UsualTries}
 		if last, ok := l.set[g]; ok && last != o || !ok && share < 1 {
 			l.set[g] = o
 			l.post(thePacer, o)
 		}
 	}
-	l.under = under
-	l.post(theRoll, under)
-	l.post(thePlanner, under)
 }
 
 // ---- sequence: the four steps
@@ -510,18 +460,16 @@
 			s.out[id] = s.out[id] || out
 		}
 	case control.Bind:
-		s.moves = append(slices.DeleteFunc(s.moves, func(b control.Bind) bool {
-			return b.Proxy == n.Proxy && (b.Groups == n.Groups || n.Groups == 0)
-		}), n)
+		s.moves[n.Proxy] = n.Table
 	case control.Left:
-		s.moves = slices.DeleteFunc(s.moves, func(b control.Bind) bool { return b.Proxy == n.Proxy })
+		delete(s.moves, n.Proxy)
 	case marked:
 		for _, o := range n.orders {
 			switch o := o.(type) {
 			case control.Withdraw:
 				delete(s.out, o.Replica)
 			case control.Bind:
-				s.moves = slices.DeleteFunc(s.moves, func(b control.Bind) bool { return b == o })
+				delete(s.moves, o.Proxy)
 			case control.SetLine:
 				if s.laid[line{o.Table, o.Replica}] = o.Weight; o.Weight == 0 {
 					delete(s.laid, line{o.Table, o.Replica})
@@ -544,7 +492,7 @@
 // again from the first step, all else goes on from where the sequence stands, and what is no longer wanted
 // is dropped with it, so that a removal queued for a replica that is back never leaves.
 func (s *sequence) proceed() {
-	if len(s.orders(add)) > 0 || s.at == remove && len(s.moves) > 0 { // nothing goes before all have moved
+	if len(s.orders(add)) > 0 {
 		s.at = add
 	}
 	var orders []control.Order
@@ -589,9 +537,9 @@
 			orders = append(orders, control.Withdraw{Replica: id})
 		}
 	}
-	for _, b := range s.moves {
+	for _, proxy := range sorted(s.moves) {
 		if at == rebind {
-			orders = append(orders, b)
+			orders = append(orders, control.Bind{Proxy: proxy, Table: s.moves[proxy]})
 		}
 	}
 	return orders
@@ -606,7 +554,7 @@
 	case control.Bind, control.Level:
 		p.urgent = append(p.urgent, n)
 	case control.Joined:
-		p.bound[n.Proxy], p.wrote[n.Proxy], p.low[n.Proxy] = -1, nil, 0
+		p.bound[n.Proxy], p.wrote[n.Proxy] = -1, nil
 	case control.Left:
 		delete(p.bound, n.Proxy)
 	case step:
@@ -646,9 +594,7 @@
 	case control.Bind:
 		return []int{o.Proxy}, len(p.boxes) + len(p.Groups) // no more than that many lines and withdrawals
 	case control.SetLine:
-		return slices.DeleteFunc(sorted(p.bound), func(proxy int) bool {
-			return p.bound[proxy] != o.Table && (o.Table != lowerTable || p.low[proxy] == 0)
-		}), 1
+		return slices.DeleteFunc(sorted(p.bound), func(proxy int) bool { return p.bound[proxy] != o.Table }), 1
 	}
 	return sorted(p.bound), 1
 }
@@ -674,14 +620,7 @@
 		if _, joined := p.bound[o.Proxy]; !p.laid[o.Table] || !joined { // not before its table is laid
 			return !joined
 		}
-		switch {
-		case o.Groups == 0:
-			p.bound[o.Proxy], p.low[o.Proxy] = o.Table, 0
-		case o.Table == lowerTable:
-			p.low[o.Proxy] |= o.Groups
-		default:
-			p.low[o.Proxy] &^= o.Groups
-		}
+		p.bound[o.Proxy] = o.Table
 	case control.SetLine:
 		p.laid[o.Table] = true
 	case control.Withdraw:
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -82,8 +82,8 @@
 			offers: map[uint32]offer{}, crowd: map[int]control.Joined{}}},
 		theLevels: {part: newLevels(d)},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
-			open: map[uint64]int64{}}},
-		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{}, low: map[int]uint16{},
+			moves: map[int]int{}, open: map[uint64]int64{}}},
+		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{},
 			wrote: map[int][]int64{}}},
 	}
 	return g
--- a/brain/tables_test.go
+++ b/brain/tables_test.go
@@ -68,7 +68,7 @@
 func TestStepsComeInOrderTheLargestFirst(t *testing.T) {
 	s := steering(at(0), map[line]float64{{0, 1}: 1, {0, 2}: 1, {0, 3}: 1},
 		map[line]float64{{0, 1}: 0.5, {0, 2}: 0.1, {0, 4}: 1}, map[uint32]bool{})
-	s.moves = []control.Bind{{Proxy: 5, Table: 1}}
+	s.moves[5] = 1
 	want(t, "add", s.orders(add)[0], control.Order(control.SetLine{Replica: 4, Weight: 1}))
 	want(t, "overwrite", s.orders(overwrite)[0], control.Order(control.SetLine{Replica: 2, Weight: 0.1}))
 	want(t, "rebind", s.orders(rebind)[0], control.Order(control.Bind{Proxy: 5, Table: 1}))
--- a/brain/types.go
+++ b/brain/types.go
@@ -36,8 +36,7 @@
 		mark uint64
 		all  bool
 	}
-	lower []int // levels to roll and planner: groups under the line, where levels are not followed
-	line  struct {
+	line struct {
 		table int
 		id    uint32
 	}
@@ -72,13 +71,11 @@
 	out    map[uint32]bool
 	full   map[int]float64 // the most that the own zones of a table could carry lately
 	lost   float64         // part of the flows that got no answer
-	lower  bool            // some groups are under the line
 }
 
 type roll struct {
 	*desk
 	seat []int
-	low  lower
 	zone map[int]int
 	wait map[uint64]map[int]bool
 	last uint64
@@ -98,7 +95,6 @@
 	judged, fell int64
 	set          map[int]control.Level
 	strain       bool
-	under        lower
 }
 
 type sequence struct {
@@ -106,7 +102,7 @@
 	want  target
 	laid  map[line]float64
 	out   map[uint32]bool // withdrawn, not lifted yet
-	moves []control.Bind  // proxies to rebind
+	moves map[int]int     // proxies to rebind
 	at    int
 	open  map[uint64]int64 // marks of the open step and when they were set
 }
@@ -123,7 +119,6 @@
 	step   step
 	bound  map[int]int // joined proxies; -1 holds its standing table
 	laid   map[int]bool
-	low    map[int]uint16 // groups of each proxy on the lower table
 	wrote  map[int][]int64
 	under  []batch // sent, and no answer tells that it has left the channel
 	mark   uint64
--- a/control/control.go
+++ b/control/control.go
@@ -176,11 +176,10 @@
 		Replica uint32
 		Weight  float64
 	}
-	// Bind puts a proxy on a table for some traffic groups: the sum of 2^k over their places, 0 for all.
+	// Bind puts a proxy on a table for all traffic groups.
 	Bind struct {
-		Proxy  int
-		Table  int
-		Groups uint16
+		Proxy int
+		Table int
 	}
 	// Withdraw shuts a replica out of all tables, or lets it in again.
 	Withdraw struct {
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -313,7 +313,7 @@
 		at = begin(outPin)
 		r.u16(o.Proxy)
 		r.u16(o.Table)
-		r.u16(int(o.Groups))
+		r.u16(0)
 	case control.Withdraw:
 		at = begin(outWithdraw)
 		r.flag(o.Out)
