--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,34 +19,35 @@
 
 // Tuned values. Whatever a deployment states or shows is preferred to a figure here.
 const (
-	second, beat             = int64(1e9), int64(1e9) / 4 // the governor looks up at each beat
-	proxiesTable             = 5                          // less than one table for so many proxies
-	stepTimeout              = 2 * second                 // a step ends without the answers still missing
-	entryShare, entrySpan    = 0.5, 5 * second            // weight of a new replica, for how long
-	ordinaryPart, urgentPart = 0.4, 0.85                  // of the channel's limit, for lines and for all
-	ordinaryMsgs, addMsgs    = 0.5, 0.75                  // of a proxy's message cap, for changed lines and new ones
-	urgentMsgs               = 0.95                       // and for all
-	changeWorth              = 0.15                       // relative change of a weight worth a line
-	recent, samplesKept      = 4 * second, 32             // older samples are not judged, more are not kept
-	settleSpan, firstSteps   = 4 * second, 8              // a weight follows answers in this; first in a part of its age
-	kindSpread, shrink       = 2, 8.0                     // a calm kind's most against the quickest; a kind's prior
-	idleFirst, idleLast      = 0.85, 0.6                  // idle part of a calm replica, at first and later
-	firstSamples             = 15.0                       // seconds of answers that are the first
-	slowest                  = 1.0 / 16                   // least weight against its kind's
-	sickTries, trialTries    = 5, 3                       // tries needed for a verdict, and on trial
-	sickPart, lostBad        = 0.5, 0.4                   // sick: misses more, above the fleet's own, unless that is lost
-	fewGood, sickMost        = 0.2, 0.75                  // gives less of its kind's good answers; so many may be out
-	restSpan, mostRelapses   = 3 * second, 2              // the first rest of the sick, how often it doubles
-	trialPart, slowAnswer    = 0.3, 2.0                   // weight on trial; slow: so much later than its kind
-	deadPart, fullSpan       = 0.65, 60 * second          // guests for the sick if less serves; a loss is got used to
-	spareGuest, spareIdler   = 1.1, 1.5                   // a table that needs this much more than its own takes guests
-	coldSpare, coldLost      = 0.4, 0.2                   // of the multiple at which the cold fall; lost flows: out
-	strained, missedMost     = 0.65, 0.15                 // an overloaded fleet: answer to budget, missed part
-	lineFirst, lineDown      = 0.9, 0.85                  // of the most it served that a strained fleet is let; then less
-	lineUp                   = 0.01                       // the line rises by this part of all groups each second
-	slowPace                 = 8                          // a channel is not taken to be slower than by this
-	marksMask                = 1<<16 - 1                  // marks are told apart up to here
-	shareSteps, guestSteps   = 20, 10                     // levels and guests move in such parts, to save orders
+	second                   = int64(1e9)
+	beat                     = second / 4        // the governor looks up at each beat
+	proxiesTable             = 5                 // less than one table for so many proxies
+	stepTimeout              = 2 * second        // a step ends without the answers still missing
+	entryShare, entrySpan    = 0.5, 5 * second   // weight of a new replica, for how long
+	ordinaryPart, urgentPart = 0.4, 0.85         // of the channel's limit, for lines and for all
+	ordinaryMsgs, addMsgs    = 0.5, 0.75         // of a proxy's message cap, for changed lines and new ones
+	urgentMsgs               = 0.95              // and for all
+	changeWorth              = 0.15              // relative change of a weight worth a line
+	recent, samplesKept      = 4 * second, 32    // older samples are not judged, more are not kept
+	settleSpan, firstSteps   = 4 * second, 8     // a weight follows answers in this; first in a part of its age
+	kindSpread, shrink       = 2, 8.0            // a calm kind's most against the quickest; a kind's prior
+	idleFirst, idleLast      = 0.85, 0.6         // idle part of a calm replica, at first and later
+	firstSamples             = 15.0              // seconds of answers that are the first
+	slowest                  = 1.0 / 16          // least weight against its kind's
+	sickTries, trialTries    = 5, 3              // tries needed for a verdict, and on trial
+	sickPart, lostBad        = 0.5, 0.4          // sick: misses more, above the fleet's own, unless that is lost
+	fewGood, sickMost        = 0.2, 0.75         // gives less of its kind's good answers; so many may be out
+	restSpan, mostRelapses   = 3 * second, 2     // the first rest of the sick, how often it doubles
+	trialPart, slowAnswer    = 0.3, 2.0          // weight on trial; slow: so much later than its kind
+	deadPart, fullSpan       = 0.65, 60 * second // guests for the sick if less serves; a loss is got used to
+	spareGuest, spareIdler   = 1.1, 1.5          // a table that needs this much more than its own takes guests
+	coldSpare, coldLost      = 0.4, 0.2          // of the multiple at which the cold fall; lost flows: out
+	strained, missedMost     = 0.65, 0.15        // an overloaded fleet: answer to budget, missed part
+	lineFirst, lineDown      = 0.9, 0.85         // of the most it served that a strained fleet is let; then less
+	lineUp                   = 0.01              // the line rises by this part of all groups each second
+	slowPace                 = 8                 // a channel is not taken to be slower than by this
+	marksMask                = 1<<16 - 1         // marks are told apart up to here
+	shareSteps, guestSteps   = 20, 10            // levels and guests move in such parts, to save orders
 )
 
 // draw gives a replica its ticket in the draw of tables, by listed weight: the highest are drawn first.
