--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,7 +40,7 @@
 	restSpan, mostRelapses   = 3 * second, 2     // the first rest of the sick, how often it doubles
 	trialPart, slowAnswer    = 0.3, 2.0          // weight on trial; slow: so much later than its kind
 	deadPart, fullSpan       = 0.65, 60 * second // guests for the sick if less serves; a loss is got used to
-	spareGuest, spareIdler   = 1.1, 1.5          // a table that needs this much more than its own takes guests
+	spareGuest, spareIdler   = 1.1, 1.35          // a table that needs this much more than its own takes guests
 	coldSpare, coldLost      = 0.4, 0.2          // of the multiple at which the cold fall; lost flows: out
 	strained, missedMost     = 0.65, 0.15        // an overloaded fleet: answer to budget, missed part
 	lineFirst, lineDown      = 0.9, 0.85         // of the most it served that a strained fleet is let; then less
