--- a/brain/brain.go
+++ b/brain/brain.go
@@ -223,6 +223,7 @@
 				n.goal = (n.kind*shrink + able(o)/fleetAble*good) / (shrink + good)
 			}
 			n.goal = math.Max(slowest*n.kind, n.goal)
+			n.kind = n.goal
 		}
 		p.post(o.box, n)
 	}
