--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,7 +40,7 @@
 	restSpan, mostRelapses   = 3 * second, 2     // the first rest of the sick, how often it doubles
 	trialPart, slowAnswer    = 0.3, 2.0          // weight on trial; slow: so much later than its kind
 	deadPart, fullSpan       = 0.65, 60 * second // guests for the sick if less serves; a loss is got used to
-	spareGuest, spareIdler   = 1.1, 1.35          // a table that needs this much more than its own takes guests
+	spareGuest, spareIdler   = 1.1, 1.35         // a table that needs this much more than its own takes guests
 	coldSpare, coldLost      = 0.4, 0.2          // of the multiple at which the cold fall; lost flows: out
 	strained, missedMost     = 0.65, 0.15        // an overloaded fleet: answer to budget, missed part
 	lineFirst, lineDown      = 0.9, 0.85         // of the most it served that a strained fleet is let; then less
@@ -78,7 +78,7 @@
 	if r.trial > 0 {
 		w *= trialPart
 	}
-	r.post(thePlanner, offer{r.entry, r.box, w, size * r.fleet.kind, r.ticket, tries, bad, answer,
+	r.post(thePlanner, offer{r.entry, r.box, w, size * r.fleet.goal, r.ticket, tries, bad, answer,
 		r.cold(), sick, r.trial > 0})
 }
 
@@ -212,18 +212,17 @@
 	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
-		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, 1, bad, math.Max(bad, p.lost)}
+		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, bad, math.Max(bad, p.lost)}
 		good, late := o.tries-o.bad, o.answer/math.Max(1e-9, n.answer)
 		if len(sizes) > 1 && late > slowAnswer {
 			n.goal = math.Max(slowest, 1/late)
 		} else if len(sizes) == 1 && k.able > 0 {
-			n.kind = k.able / k.count / fleetAble
-			n.goal = n.kind
+			kind := k.able / k.count / fleetAble
+			n.goal = kind
 			if well(o) {
-				n.goal = (n.kind*shrink + able(o)/fleetAble*good) / (shrink + good)
+				n.goal = (kind*shrink + able(o)/fleetAble*good) / (shrink + good)
 			}
-			n.goal = math.Max(slowest*n.kind, n.goal)
-			n.kind = n.goal
+			n.goal = math.Max(slowest*kind, n.goal)
 		}
 		p.post(o.box, n)
 	}
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -132,7 +132,7 @@
 	for _, e := range l.Entries {
 		r := g.replicas[e.Replica]
 		if r == nil {
-			r = &replica{desk: &g.desk, box: len(g.boxes), entry: e, heard: g.now, speed: 1}
+			r = &replica{desk: &g.desk, box: len(g.boxes), entry: e, heard: g.now, speed: 1, fleet: norm{goal: 1}}
 			r.ticket = g.draw(e.Weight)
 			g.replicas[e.Replica] = r
 			g.boxes = append(g.boxes, &inbox{part: r})
--- a/brain/replica_test.go
+++ b/brain/replica_test.go
@@ -8,7 +8,7 @@
 
 func met(g *Governor, tries, bad, answer float64) *replica {
 	r := &replica{desk: &g.desk, box: parts, entry: control.Entry{Replica: 9, Weight: 1}, speed: 1}
-	r.fleet = norm{answer: 0.2, good: 20, kind: 1, goal: 1}
+	r.fleet = norm{answer: 0.2, good: 20, goal: 1}
 	r.met = []sample{{g.now, tries, bad, answer}}
 	return r
 }
@@ -91,7 +91,7 @@
 	r := &replica{desk: &g.desk, box: parts, speed: 1}
 	r.take(control.Entry{Replica: 9, Weight: 1, Start: 99 * second})
 	want(t, "out", mail[offer](g, thePlanner)[0].sick, true)
-	r.take(norm{goal: 1, kind: 1})
+	r.take(norm{goal: 1})
 	want(t, "in", mail[offer](g, thePlanner)[1].sick, false)
 }
 
