Links between zones are read from who is here; verdicts fall when a zone is back

Change: all proxies of a zone gone and all others whole means a cut, its replicas rest at once; the first to join again frees all. Catches governor cuts and splits of any cause. Harms where only a zone's proxies die.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,6 +39,7 @@
 	fewGood, sickMost        = 0.2, 0.75         // gives less of its kind's good answers; so many may be out
 	restSpan, mostRelapses   = 3 * second, 2     // the first rest of the sick, how often it doubles
 	trialPart, slowAnswer    = 0.3, 2.0          // weight on trial; slow: so much later than its kind
+	fewProxies               = 2                 // in a zone tell nothing of its links
 	deadPart, fullSpan       = 0.65, 60 * second // guests for the sick if less serves; a loss is got used to
 	spareGuest, spareIdler   = 1.1, 1.35         // a table that needs this much more than its own takes guests
 	coldSpare, coldLost      = 0.4, 0.2          // of the multiple at which the cold fall; lost flows: out
@@ -67,6 +68,10 @@
 		r.met = append(r.met, sample{r.now, float64(n.Tries), float64(n.Missed), answer})
 		r.met = r.met[max(0, len(r.met)-samplesKept):]
 		return
+	case links:
+		if r.resting, r.trial, r.relapse, r.met = 0, 0, 0, nil; n.cut {
+			r.resting = r.now + restSpan
+		}
 	case norm:
 		r.fleet = n
 		r.judge()
@@ -147,9 +152,11 @@
 	case tick:
 		p.norms()
 	case control.Joined:
-		p.crowd[n.Proxy] = n
+		p.zones[n.Proxy], p.crowd[n.Proxy] = n.Zone, n
+		p.links(n.Zone)
 	case control.Left:
 		delete(p.crowd, n.Proxy)
+		p.links(-1)
 	case offer:
 		p.offers[n.Replica] = n
 	case float64:
@@ -159,6 +166,34 @@
 	}
 }
 
+// links reads the links between zones from who is here, as sums tell of them seconds later. When whole zones
+// of proxies have left and all others are whole, their replicas are cut off too and rest. When the
+// first proxy of a zone joins (-1: none did), what was cut is whole: verdicts of a part of the proxies mean
+// nothing any more, and without them its flows do not meet a fleet half withdrawn. It harms where only the
+// proxies of a zone died, and where some are truly sick, until the next verdict.
+func (p *planner) links(joined int) {
+	known, here, split, told := map[int]int{}, map[int]int{-1: 0}, joined < 0, 0
+	for proxy, zone := range p.zones {
+		known[zone]++
+		if _, ok := p.crowd[proxy]; ok {
+			here[zone]++
+		}
+	}
+	for zone, n := range known {
+		split = split && n >= fewProxies && (here[zone] == 0 || here[zone] == n)
+	}
+	for _, id := range sorted(p.offers) {
+		o := p.offers[id]
+		if cut := split && known[o.Zone] > 0 && here[o.Zone] == 0; cut || here[joined] == 1 && (o.sick || o.trial) {
+			p.post(o.box, links{cut})
+			told++
+		}
+	}
+	if told > 0 {
+		p.say("links cut %v: %d proxies here of %d, %d replicas told", split, len(p.crowd), len(p.zones), told)
+	}
+}
+
 // norms tells each replica how its kind answers and how much the whole fleet misses, and what weight its
 // answers make it worth. Where the list gives sizes, those hold but for the slow; else a replica is worth
 // the flows it could answer: what it answers now, by how busy its answer time shows it. Late sums then
--- a/brain/types.go
+++ b/brain/types.go
@@ -7,9 +7,10 @@
 // Notes between the parts; events and orders go from part to part as they are.
 type (
 	tick    struct{}
-	redraw  struct{} // the planner has heard from all replicas
-	closing struct{} // the turn ends: the pacer sends
-	norm    struct { // planner to replica: of its kind; its own goal; of all: missed tries, lost flows
+	links   struct{ cut bool } // planner to replicas: cut off, or whole again
+	redraw  struct{}           // the planner has heard from all replicas
+	closing struct{}           // the turn ends: the pacer sends
+	norm    struct {           // planner to replica: of its kind; its own goal; of all: missed tries, lost flows
 		answer, good, goal, bad, lost float64
 	}
 	offer struct { // replica to planner: what it can bear and what it was met with lately
@@ -66,6 +67,7 @@
 	*desk
 	offers map[uint32]offer
 	crowd  map[int]control.Joined
+	zones  map[int]int       // of all proxies ever joined
 	calm   map[int][]float64 // the last answer times of each kind
 	judged int64
 	out    map[uint32]bool
