--- a/brain/brain.go
+++ b/brain/brain.go
@@ -47,6 +47,7 @@
 	lineFirst, lineDown      = 0.9, 0.85         // of the most it served that a strained fleet is let; then less
 	lineUp                   = 0.01              // the line rises by this part of all groups each second
 	slowPace                 = 8                 // a channel is not taken to be slower than by this
+	forgetSpan               = 600 * second      // after which a replica that is gone is forgotten
 	marksMask                = 1<<16 - 1         // marks are told apart up to here
 	shareSteps, guestSteps   = 20, 10            // levels and guests move in such parts, to save orders
 )
@@ -62,6 +63,9 @@
 		if n.Start != r.entry.Start && n.State == control.Ready {
 			r.met, r.resting, r.trial, r.relapse, r.heard = nil, 0, 0, 0, r.now
 		}
+		if n.State != r.entry.State {
+			r.changed = r.now
+		}
 		r.entry = n
 	case control.Met:
 		answer := float64(n.Answer) / float64(second)
@@ -161,6 +165,8 @@
 		p.offers[n.Replica] = n
 	case float64:
 		p.lost = n
+	case forget:
+		delete(p.offers, n.id)
 	case redraw:
 		p.redraw()
 	}
@@ -495,6 +501,8 @@
 		for id, out := range n.out {
 			s.out[id] = s.out[id] || out
 		}
+	case forget: // stays withdrawn: no lift is ordered for who is forgotten
+		delete(s.out, n.id)
 	case control.Bind:
 		s.moves[n.Proxy] = n.Table
 	case control.Left:
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -113,6 +113,7 @@
 		g.out = append(g.out, control.Wake{After: max(1, min(g.ReportEvery/2, beat))})
 		g.toAll(tick{})
 		g.settle()
+		g.tidy()
 	}
 	g.post(thePlanner, redraw{})
 	g.settle()
@@ -121,6 +122,17 @@
 	return g.out
 }
 
+// tidy forgets replicas that are long gone, so that a governor that runs for weeks does not grow.
+func (g *Governor) tidy() {
+	for _, id := range sorted(g.replicas) {
+		if r := g.replicas[id]; r.entry.State == control.Gone && g.now-r.changed > forgetSpan {
+			delete(g.replicas, id)
+			g.free = append(g.free, r.box)
+			g.toAll(forget{id})
+		}
+	}
+}
+
 // listed passes news of the list to its replicas; whoever a whole list leaves out is gone.
 func (g *Governor) listed(l control.Listed) {
 	for _, id := range sorted(g.replicas) {
@@ -132,10 +144,16 @@
 	for _, e := range l.Entries {
 		r := g.replicas[e.Replica]
 		if r == nil {
-			r = &replica{desk: &g.desk, box: len(g.boxes), entry: e, heard: g.now, speed: 1, fleet: norm{goal: 1}}
+			box := len(g.boxes)
+			if last := len(g.free) - 1; last >= 0 {
+				box, g.free = g.free[last], g.free[:last]
+			} else {
+				g.boxes = append(g.boxes, &inbox{})
+			}
+			r = &replica{desk: &g.desk, box: box, entry: e, heard: g.now, speed: 1, fleet: norm{goal: 1}}
 			r.ticket = g.draw(e.Weight)
 			g.replicas[e.Replica] = r
-			g.boxes = append(g.boxes, &inbox{part: r})
+			g.boxes[box].part = r
 		}
 		g.post(r.box, e)
 	}
--- a/brain/orders_test.go
+++ b/brain/orders_test.go
@@ -144,3 +144,17 @@
 	want(t, "all bound", len(orders[control.Bind](all)), 7)
 	want(t, "the same again", reflect.DeepEqual(all, day(odd...)), true)
 }
+
+func TestWhoIsLongGoneIsForgottenAndStaysWithdrawn(t *testing.T) {
+	g := New(provision())
+	g.Turn(0, []control.Event{control.Listed{Full: true, Entries: entries(3)}, control.Joined{Proxy: 1}})
+	g.Turn(second, []control.Event{control.Listed{Entries: []control.Entry{{Replica: 2, State: control.Gone}}}})
+	all := g.Turn(2*second+forgetSpan, []control.Event{control.Woken{}})
+	all = append(all, g.Turn(3*second+forgetSpan, []control.Event{control.Woken{}})...)
+	for _, o := range orders[control.Withdraw](all) {
+		want(t, "lifted", o.Out, true)
+	}
+	want(t, "known", len(g.replicas), 2)
+	g.Turn(4*second+forgetSpan, []control.Event{control.Listed{Entries: []control.Entry{{Replica: 9}}}})
+	want(t, "its inbox serves another", len(g.boxes), parts+3)
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -7,10 +7,11 @@
 // Notes between the parts; events and orders go from part to part as they are.
 type (
 	tick    struct{}
-	links   struct{ cut bool } // planner to replicas: cut off, or whole again
-	redraw  struct{}           // the planner has heard from all replicas
-	closing struct{}           // the turn ends: the pacer sends
-	norm    struct {           // planner to replica: of its kind; its own goal; of all: missed tries, lost flows
+	links   struct{ cut bool }  // planner to replicas: cut off, or whole again
+	forget  struct{ id uint32 } // a replica is long gone
+	redraw  struct{}            // the planner has heard from all replicas
+	closing struct{}            // the turn ends: the pacer sends
+	norm    struct {            // planner to replica: of its kind, its own goal, of all: missed, lost
 		answer, good, goal, bad, lost float64
 	}
 	offer struct { // replica to planner: what it can bear and what it was met with lately
@@ -61,6 +62,7 @@
 	trial   int64 // on trial since
 	relapse int
 	judged  int64
+	changed int64 // when its state in the list last changed
 }
 
 type planner struct {
@@ -133,5 +135,6 @@
 type Governor struct {
 	desk
 	replicas map[uint32]*replica
+	free     []int // inboxes of replicas that were forgotten
 	started  bool
 }
