--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,7 +42,8 @@
 	fewProxies               = 2                 // in a zone tell nothing of its links
 	deadPart, fullSpan       = 0.65, 60 * second // guests for the sick if less serves; a loss is got used to
 	spareGuest, spareIdler   = 1.1, 1.35         // a table that needs this much more than its own takes guests
-	coldSpare, coldLost      = 0.4, 0.2          // of the multiple at which the cold fall; lost flows: out
+	coldSpare                = 0.4               // of the multiple at which the cold fall
+	coldLost, coldShed       = 0.2, 0.7          // flows lost: the cold stay out; with levels
 	strained, missedMost     = 0.65, 0.15        // an overloaded fleet: answer to budget, missed part
 	lineFirst, lineDown      = 0.9, 0.85         // of the most it served that a strained fleet is let; then less
 	lineUp                   = 0.01              // the line rises by this part of all groups each second
@@ -82,8 +83,10 @@
 	}
 	tries, bad, answer := r.lately()
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
+	lost := cmp.Or(map[control.Admission]float64{control.AdmitShare: coldShed}[r.Admission], coldLost)
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
-	w, sick := size*r.speed, r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
+	// Where levels stop the flood they come in sooner, as they are what ends the strain.
+	w, sick := size*r.speed, r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > lost)
 	if r.trial > 0 {
 		w *= trialPart
 	}
