--- a/brain/brain.go
+++ b/brain/brain.go
@@ -211,7 +211,7 @@
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
 	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
-	missed, tries, quick := 0.0, 0.0, math.Inf(1)
+	missed, tries, serves, quick := 0.0, 0.0, 0.0, math.Inf(1)
 	for _, calm := range p.calm {
 		quick = min(quick, slices.Min(calm))
 	}
@@ -231,7 +231,7 @@
 	for _, id := range ids {
 		o := p.offers[id]
 		if sizes[o.Weight] = true; !o.sick && !o.trial && o.State == control.Ready {
-			missed, tries = missed+o.bad, tries+o.tries
+			missed, tries, serves = missed+o.bad, tries+o.tries, serves+1
 		}
 		for _, kind := range []int{o.Kind, all} {
 			if k, good := kinds[kind], o.tries-o.bad; well(o) {
@@ -270,7 +270,7 @@
 		}
 		p.post(o.box, n)
 	}
-	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad, mean})
+	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad, mean, serves})
 }
 
 // redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones,
@@ -451,7 +451,7 @@
 	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
 	press := math.Max(f.bad/missedMost, f.answer/strained/budget)
 	over := press > 1
-	l.served = append(l.served, f.tries*(1-f.bad))
+	l.served = append(l.served, f.tries*(1-f.bad)/math.Max(1e-9, f.serves)) // each of those in
 	l.served = l.served[max(0, len(l.served)-2*samplesKept):]
 	dt := l.now - l.judged
 	l.judged = l.now
@@ -463,7 +463,7 @@
 		}
 		l.press, l.fell = press, l.now
 	case over:
-		left := lineFirst * slices.Max(l.served)
+		left := lineFirst * slices.Max(l.served) * f.serves
 		l.line, l.press, l.fell = 0, press, l.now
 		for _, g := range l.groups {
 			l.line += math.Min(1, math.Max(0, left)/math.Max(1, flows[g]))
--- a/brain/orders_test.go
+++ b/brain/orders_test.go
@@ -85,7 +85,7 @@
 func TestTheLineBlocksTheLeastUtilityFirst(t *testing.T) {
 	g := at(100 * second)
 	l := levelling(g)
-	l.take(fleet{tries: 100, bad: 0.2, answer: 0.2})
+	l.take(fleet{tries: 100, bad: 0.2, answer: 0.2, serves: 1})
 	want(t, "line", l.line < 2 && l.line > 1, true)
 	o := mail[control.Level](g, thePacer)
 	want(t, "only the lesser group", len(o) == 1 && o[0].Group == 0 && o[0].Share < 1, true)
@@ -94,7 +94,7 @@
 
 func TestTheLineHoldsWhileSumsAreOldOrTheOverloadEases(t *testing.T) {
 	l := levelling(at(100 * second))
-	l.take(fleet{tries: 100, bad: 0.5, answer: 1})
+	l.take(fleet{tries: 100, bad: 0.5, answer: 1, serves: 1})
 	first := l.line
 	l.now += second
 	l.take(fleet{tries: 100, bad: 0.6, answer: 1})
