--- a/brain/brain.go
+++ b/brain/brain.go
@@ -44,8 +44,8 @@
 	spareGuest, spareIdler   = 1.1, 1.35         // a table that needs this much more than its own takes guests
 	coldSpare                = 0.4               // of the multiple at which the cold fall
 	coldLost, coldShed       = 0.2, 0.7          // flows lost: the cold stay out; with levels
-	strained, missedMost     = 0.65, 0.15        // an overloaded fleet: answer to budget, missed part
-	lineFirst, lineDown      = 0.9, 0.85         // of the most it served that a strained fleet is let; then less
+	strained, missedMost     = 0.75, 0.15        // an overloaded fleet: answer to budget, missed part
+	lineFirst, lineDown      = 0.9, 0.9         // of the most it served that a strained fleet is let; then less
 	lineUp                   = 0.01              // the line rises by this part of all groups each second
 	slowPace                 = 8                 // a channel is not taken to be slower than by this
 	forgetSpan               = 600 * second      // after which a replica that is gone is forgotten
--- a/brain/types.go
+++ b/brain/types.go
@@ -20,8 +20,8 @@
 		weight, size, ticket, tries, bad, answer float64
 		cold, sick, trial                        bool
 	}
-	fleet  struct{ tries, bad, answer, serves float64 } // planner to levels: tries a second, part missed, answer time
-	target struct {                                     // planner to sequence: weights, below 0 for what stays as it is
+	fleet  struct{ tries, bad, answer, serves float64 } // planner to levels: tries a second, part missed
+	target struct {                                     // planner to sequence: weights, below 0: stays as it is
 		lines map[line]float64
 		out   map[uint32]bool
 	}
