Further tries stop while a twelfth of all tries misses

Change: one try only while over 0.08 is missed, on all sites; it catches every such storm and harms a little where few replicas are full while others have room.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,7 +45,8 @@
 	coldSpare                = 0.4               // of the multiple at which the cold fall
 	coldLost, coldShed       = 0.2, 0.7          // flows lost: the cold stay out; with levels
 	strained, missedMost     = 0.75, 0.15        // an overloaded fleet: answer to budget, missed part
-	lineFirst, lineDown      = 0.9, 0.9         // of the most it served that a strained fleet is let; then less
+	missedOnce               = 0.08              // missed part at which further tries stop
+	lineFirst, lineDown      = 0.9, 0.9          // of the most it served that a strained fleet is let; then less
 	lineUp                   = 0.01              // the line rises by this part of all groups each second
 	slowPace                 = 8                 // a channel is not taken to be slower than by this
 	forgetSpan               = 600 * second      // after which a replica that is gone is forgotten
@@ -296,7 +297,6 @@
 		need[p.crowd[proxy].Zone%tables] += p.crowd[proxy].Rate
 		total += p.crowd[proxy].Rate
 	}
-	// Proxies that pick the idler of two even out more by themselves.
 	spare, fullAll := cmp.Or(map[control.Pick]float64{control.PickIdler: spareIdler}[p.Pick], spareGuest), 1e-9
 	for table := range home { // a few of the sick are its own zones' trouble; when most are, guests must come
 		if serves[table]*spare < deadPart*home[table] {
@@ -312,8 +312,7 @@
 		}
 	}
 	p.post(theRoll, seats)
-	// A table is as large as lets all proxies be bound within half the channel's limit.
-	size := max(3, p.ChannelLimit/2/max(1, p.Proxies)-p.MessageHead-2)
+	size := max(3, p.ChannelLimit/2/max(1, p.Proxies)-p.MessageHead-2) // all are bound in half the limit
 	for table := range tables {
 		guests, drawn := 0.0, 0
 		want := math.Max(need[table]/total*all/spare, p.full[table]/fullAll*all/spareGuest)
@@ -437,9 +436,7 @@
 			}
 		}
 		l.post(thePlanner, float64(missed)/math.Max(1, float64(all)))
-		if l.Admission == control.AdmitShare {
-			l.judge(n, flows)
-		}
+		l.judge(n, flows)
 	}
 }
 
@@ -450,7 +447,14 @@
 func (l *levels) judge(f fleet, flows map[int]float64) {
 	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
 	press := math.Max(f.bad/missedMost, f.answer/strained/budget)
-	over := press > 1
+	over := press > 1 && l.Admission == control.AdmitShare
+	// Full queues hold work whose clients have left, and only fewer tries let them drain. It harms a little
+	// where few replicas turn flows away while others have room.
+	if once := f.bad > missedOnce || l.once && f.bad > missedOnce/2; once != l.once && l.now-l.turned > recent {
+		l.once, l.turned = once, l.now
+		l.say("one try only %v: %.2f missed", once, f.bad)
+	}
+	tries := map[bool]control.Tries{false: l.UsualTries, true: control.TryOnce}[l.once]
 	l.served = append(l.served, f.tries*(1-f.bad)/math.Max(1e-9, f.serves)) // each of those in
 	l.served = l.served[max(0, len(l.served)-2*samplesKept):]
 	dt := l.now - l.judged
@@ -474,13 +478,12 @@
 	}
 	if over != l.strain {
 		l.strain = over
-		l.say("overload %v: %.2f missed, answers %.3fs, line at %.2f of %d groups", over, f.bad, f.answer, l.line,
-			len(l.groups))
+		l.say("overload %v: %.2f missed, answers %.3fs, line at %.2f groups", over, f.bad, f.answer, l.line)
 	}
 	for rank, g := range l.groups { // those over the line get all, those under it what is left
 		share := math.Min(1, math.Max(0, math.Ceil(shareSteps*(l.line-float64(rank)))/shareSteps))
-		o := control.Level{Table: control.AllTables, Group: g, Share: share, Tries: l.UsualTries}
-		if last, ok := l.set[g]; ok && last != o || !ok && share < 1 {
+		o := control.Level{Table: control.AllTables, Group: g, Share: share, Tries: tries}
+		if last, ok := l.set[g]; ok && last != o || !ok && (share < 1 || tries != l.UsualTries) {
 			l.set[g] = o
 			l.post(thePacer, o)
 		}
--- a/brain/types.go
+++ b/brain/types.go
@@ -98,7 +98,8 @@
 	line, press  float64   // how many of them are let in; how overloaded the fleet last was
 	judged, fell int64
 	set          map[int]control.Level
-	strain       bool
+	strain, once bool
+	turned       int64 // when further tries were last stopped or let on
 }
 
 type sequence struct {
