--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,39 +19,35 @@
 
 // Tuned values. Whatever a deployment states or shows is preferred to a figure here.
 const (
-	second                   = int64(1e9)
-	beat                     = second / 4        // the governor looks up at each beat
-	proxiesTable             = 5                 // less than one table for so many proxies
-	stepTimeout              = 2 * second        // a step ends without the answers still missing
-	entryShare, entrySpan    = 0.5, 5 * second   // weight of a new replica, for how long
-	ordinaryPart, urgentPart = 0.4, 0.85         // of the channel's limit, for lines and for all
-	ordinaryMsgs, addMsgs    = 0.5, 0.75         // of a proxy's message cap, for changed lines and new ones
-	urgentMsgs               = 0.95              // and for all
-	changeWorth              = 0.15              // relative change of a weight worth a line
-	recent, samplesKept      = 4 * second, 32    // older samples are not judged, more are not kept
-	settleSpan, firstSteps   = 4 * second, 8     // a weight follows answers in this; first in a part of its age
-	kindSpread, shrink       = 2, 8.0            // a calm kind's most against the quickest; a kind's prior
-	idleFirst, idleLast      = 0.85, 0.6         // idle part of a calm replica, at first and later
-	firstSamples             = 15.0              // seconds of answers that are the first
-	slowest                  = 1.0 / 16          // least weight against its kind's
-	sickTries, trialTries    = 5, 3              // tries needed for a verdict, and on trial
-	sickPart, lostBad        = 0.5, 0.4          // sick: misses more, above the fleet's own, unless that is lost
-	fewGood, sickMost        = 0.2, 0.75         // gives less of its kind's good answers; so many may be out
-	restSpan, mostRelapses   = 3 * second, 2     // the first rest of the sick, how often it doubles
-	trialPart, slowAnswer    = 0.3, 2.0          // weight on trial; slow: so much later than its kind
-	fewProxies               = 2                 // in a zone tell nothing of its links
-	deadPart, fullSpan       = 0.65, 60 * second // guests for the sick if less serves; a loss is got used to
-	spareGuest, spareIdler   = 1.1, 1.35         // a table that needs this much more than its own takes guests
-	coldSpare                = 0.4               // of the multiple at which the cold fall
-	coldLost, coldShed       = 0.2, 0.7          // flows lost: the cold stay out; with levels
-	strained, missedMost     = 0.75, 0.15        // an overloaded fleet: answer to budget, missed part
-	missedOnce               = 0.08              // missed part at which further tries stop
-	lineFirst, lineDown      = 0.9, 0.9          // of the most it served that a strained fleet is let; then less
-	lineUp                   = 0.01              // the line rises by this part of all groups each second
-	slowPace                 = 8                 // a channel is not taken to be slower than by this
-	forgetSpan               = 600 * second      // after which a replica that is gone is forgotten
-	marksMask                = 1<<16 - 1         // marks are told apart up to here
-	shareSteps, guestSteps   = 20, 10            // levels and guests move in such parts, to save orders
+	second                    = int64(1e9)
+	beat                      = second / 4        // the governor looks up at each beat
+	proxiesTable, stepTimeout = 5, 2 * second     // less than one table for so many proxies; a step ends then
+	entryShare, entrySpan     = 0.5, 5 * second   // weight of a new replica, for how long
+	ordinaryPart, urgentPart  = 0.4, 0.85         // of the channel's limit, for lines and for all
+	ordinaryMsgs, addMsgs     = 0.5, 0.75         // of a proxy's message cap, for changed lines and new ones
+	urgentMsgs, changeWorth   = 0.95, 0.15        // and for all; relative change of a weight worth a line
+	recent, samplesKept       = 4 * second, 32    // older samples are not judged, more are not kept
+	settleSpan, firstSteps    = 4 * second, 8     // a weight follows answers in this; first in a part of its age
+	kindSpread, shrink        = 2, 8.0            // a calm kind's most against the quickest; a kind's prior
+	idleFirst, idleLast       = 0.85, 0.6         // idle part of a calm replica, at first and later
+	firstSamples              = 15.0              // seconds of answers that are the first
+	slowest, coldSpare        = 1.0 / 16, 0.4     // least weight in its kind; of the multiple of a fall
+	sickTries, trialTries     = 5, 3              // tries needed for a verdict, and on trial
+	sickPart, lostBad         = 0.5, 0.4          // sick: misses more, above the fleet's own, unless lost
+	fewGood, sickMost         = 0.2, 0.75         // gives less of its kind's good answers; so many may be out
+	restSpan, mostRelapses    = 3 * second, 2     // the first rest of the sick, how often it doubles
+	trialPart, slowAnswer     = 0.3, 2.0          // weight on trial; slow: so much later than its kind
+	fewProxies                = 2                 // in a zone tell nothing of its links
+	deadPart, fullSpan        = 0.65, 60 * second // guests for the sick if less serves; a loss is got used to
+	spareGuest, spareIdler    = 1.1, 1.35         // a table that needs this much more than its own takes guests
+	coldLost, coldShed        = 0.3, 0.7          // flows lost: the cold stay out; with levels
+	strained, missedMost      = 0.75, 0.15        // an overloaded fleet: answer to budget, missed part
+	missedOnce                = 0.08              // missed part at which further tries stop
+	lineFirst, lineDown       = 0.9, 0.9          // of the most it served: let when strained; then less
+	lineUp                    = 0.01              // the line rises by this part of all groups each second
+	slowPace                  = 8                 // a channel is not taken to be slower than by this
+	forgetSpan                = 600 * second      // after which a replica that is gone is forgotten
+	shareSteps, guestSteps    = 20, 10            // levels and guests move in such parts, to save orders
 )
 
 // draw gives a replica its ticket in the draw of tables, by listed weight: the highest are drawn first.
@@ -82,7 +78,7 @@
 		r.fleet = n
 		r.judge()
 	}
-	tries, bad, answer := r.lately()
+	tries, bad, answer := r.lately(recent)
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
 	lost := cmp.Or(map[control.Admission]float64{control.AdmitShare: coldShed}[r.Admission], coldLost)
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
@@ -91,15 +87,16 @@
 	if r.trial > 0 {
 		w *= trialPart
 	}
-	r.post(thePlanner, offer{r.entry, r.box, w, size * r.fleet.goal, r.ticket, tries, bad, answer,
+	news, missed, _ := r.lately(r.ReportEvery + beat)
+	r.post(thePlanner, offer{r.entry, r.box, w, size * r.fleet.goal, r.ticket, tries, bad, answer, news, missed,
 		r.cold(), sick, r.trial > 0})
 }
 
 // lately sums the samples still worth judging; answer is a mean in seconds.
-func (r *replica) lately() (tries, bad, answer float64) {
+func (r *replica) lately(span int64) (tries, bad, answer float64) {
 	good := 0.0
 	for _, s := range r.met {
-		if s.at > max(r.now-recent, r.trial) {
+		if s.at > max(r.now-span, r.trial) {
 			tries, bad = tries+s.tries, bad+s.bad
 			if s.answer > 0 {
 				answer, good = answer+s.answer*(s.tries-s.bad), good+s.tries-s.bad
@@ -114,7 +111,7 @@
 // that still gives its share is busy, and without it the rest would be worse off. A trouble of the whole
 // fleet or of the reports condemns nobody. It could harm where tries miss by chance: hence sickTries.
 func (r *replica) judge() {
-	tries, bad, _ := r.lately()
+	tries, bad, _ := r.lately(recent)
 	part := bad / math.Max(1, tries)
 	span := min(settleSpan, max(second, (r.now-r.heard)/firstSteps)) // what is new is learned faster
 	r.speed *= math.Pow(r.fleet.goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(span)))
@@ -212,7 +209,7 @@
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
 	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
-	missed, tries, serves, quick := 0.0, 0.0, 0.0, math.Inf(1)
+	missed, tries, serves, quick, newMissed, newTries := 0.0, 0.0, 0.0, math.Inf(1), 0.0, 1.0
 	for _, calm := range p.calm {
 		quick = min(quick, slices.Min(calm))
 	}
@@ -233,6 +230,7 @@
 		o := p.offers[id]
 		if sizes[o.Weight] = true; !o.sick && !o.trial && o.State == control.Ready {
 			missed, tries, serves = missed+o.bad, tries+o.tries, serves+1
+			newMissed, newTries = newMissed+o.newBad, newTries+o.newTries
 		}
 		for _, kind := range []int{o.Kind, all} {
 			if k, good := kinds[kind], o.tries-o.bad; well(o) {
@@ -252,12 +250,13 @@
 			}
 		}
 	}
-	mean := kinds[all].answer / math.Max(1, kinds[all].good)
+	// A collapse takes 2 s and means take 4: the cold go by the worst of all measures, the newest sums too.
 	bad, fleetAble := missed/math.Max(1, tries), kinds[all].able/math.Max(1, kinds[all].count)
+	lost := max(bad, p.lost, newMissed/newTries)
 	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
-		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, bad, math.Max(bad, p.lost)}
+		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, bad, lost}
 		good, late := o.tries-o.bad, o.answer/math.Max(1e-9, n.answer)
 		if len(sizes) > 1 && late > slowAnswer {
 			n.goal = math.Max(slowest, 1/late)
@@ -271,7 +270,8 @@
 		}
 		p.post(o.box, n)
 	}
-	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad, mean, serves})
+	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad,
+		kinds[all].answer / math.Max(1, kinds[all].good), serves})
 }
 
 // redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones,
@@ -440,10 +440,9 @@
 	}
 }
 
-// judge moves the line of utility. An overloaded fleet is first let less than the most it served lately,
-// then a part less at each look, unless the overload eases; a calm one a little more each second. It stands
-// against every overload, by flows, lost replicas or repeats; it could harm where answers are late for
-// another cause.
+// judge moves the line of utility. An overloaded fleet is first let less than the most it served lately, then
+// a part less at each look, unless the overload eases; a calm one a bit more each second. It stands against
+// every overload, by flows, lost replicas or repeats; it harms where answers are late for another cause.
 func (l *levels) judge(f fleet, flows map[int]float64) {
 	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
 	press := math.Max(f.bad/missedMost, f.answer/strained/budget)
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -23,6 +23,8 @@
 	parts
 )
 
+const marksMask = 1<<16 - 1 // marks on the way are told apart up to here
+
 type inbox struct {
 	part interface{ take(note any) }
 	mail []any
--- a/brain/tables_test.go
+++ b/brain/tables_test.go
@@ -85,6 +85,16 @@
 	}
 }
 
+func TestTheNewestSumsTellTheColdOfACollapse(t *testing.T) {
+	g := at(10 * second)
+	o := offered(1, 0, false, control.Ready)
+	o.box, o.tries, o.bad, o.newTries, o.newBad = parts, 100, 10, 12, 9
+	g.boxes = append(g.boxes, &inbox{})
+	planning(g, o).norms()
+	n := mail[norm](g, parts)[0]
+	want(t, "verdicts go by the mean, the cold by the worst", n.bad < 0.11 && n.lost > coldLost, true)
+}
+
 func steering(g *Governor, laid, wanted map[line]float64, out map[uint32]bool) *sequence {
 	s := g.boxes[theSequence].part.(*sequence)
 	s.laid, s.want, s.out = laid, target{wanted, map[uint32]bool{}}, out
--- a/brain/types.go
+++ b/brain/types.go
@@ -16,9 +16,9 @@
 	}
 	offer struct { // replica to planner: what it can bear and what it was met with lately
 		control.Entry
-		box                                      int
-		weight, size, ticket, tries, bad, answer float64
-		cold, sick, trial                        bool
+		box                                                        int
+		weight, size, ticket, tries, bad, answer, newTries, newBad float64
+		cold, sick, trial                                          bool
 	}
 	fleet  struct{ tries, bad, answer, serves float64 } // planner to levels: tries a second, part missed
 	target struct {                                     // planner to sequence: weights, below 0: stays as it is
