Further tries are capped where a repeat could act twice; unread settings go

Where proxies by themselves try again after any failure, ordering their usual way would be our doing; groups that are not provably safe by effect, scope and window get one try after proof only.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,23 +30,20 @@
 	settleSpan, firstSteps    = 4 * second, 8     // a weight follows answers in this; first in a part of its age
 	kindSpread, shrink        = 2, 8.0            // a calm kind's most against the quickest; a kind's prior
 	idleFirst, idleLast       = 0.85, 0.6         // idle part of a calm replica, at first and later
-	firstSamples              = 15.0              // seconds of answers that are the first
+	firstSamples, fewProxies  = 15.0, 2           // seconds of first answers; so few tell nothing of links
 	slowest, coldSpare        = 1.0 / 16, 0.4     // least weight in its kind; of the multiple of a fall
 	sickTries, trialTries     = 5, 3              // tries needed for a verdict, and on trial
 	sickPart, lostBad         = 0.5, 0.4          // sick: misses more, above the fleet's own, unless lost
 	fewGood, sickMost         = 0.2, 0.75         // gives less of its kind's good answers; so many may be out
 	restSpan, mostRelapses    = 3 * second, 2     // the first rest of the sick, how often it doubles
 	trialPart, slowAnswer     = 0.3, 2.0          // weight on trial; slow: so much later than its kind
-	fewProxies                = 2                 // in a zone tell nothing of its links
 	deadPart, fullSpan        = 0.65, 60 * second // guests for the sick if less serves; a loss is got used to
 	spareGuest, spareIdler    = 1.1, 1.35         // a table that needs this much more than its own takes guests
 	coldLost, coldShed        = 0.3, 0.7          // flows lost: the cold stay out; with levels
 	strained, missedMost      = 0.75, 0.15        // an overloaded fleet: answer to budget, missed part
-	missedOnce                = 0.08              // missed part at which further tries stop
 	lineFirst, lineDown       = 0.9, 0.9          // of the most it served: let when strained; then less
-	lineUp                    = 0.01              // the line rises by this part of all groups each second
-	slowPace                  = 8                 // a channel is not taken to be slower than by this
-	forgetSpan                = 600 * second      // after which a replica that is gone is forgotten
+	missedOnce, lineUp        = 0.08, 0.01        // missed part: further tries stop; the line's rise a second
+	slowPace, forgetSpan      = 8, 600 * second   // slowest pace of a channel; the gone are forgotten
 	shareSteps, guestSteps    = 20, 10            // levels and guests move in such parts, to save orders
 )
 
@@ -174,10 +171,9 @@
 }
 
 // links reads the links between zones from who is here, as sums tell of them seconds later. When whole zones
-// of proxies have left and all others are whole, their replicas are cut off too and rest. When the
-// first proxy of a zone joins (-1: none did), what was cut is whole: verdicts of a part of the proxies mean
-// nothing any more, and without them its flows do not meet a fleet half withdrawn. It harms where only the
-// proxies of a zone died, and where some are truly sick, until the next verdict.
+// have left and all others are whole, their replicas are cut off too and rest. When the first proxy of a zone
+// joins (-1: none did), what was cut is whole, and verdicts of a part of the proxies mean nothing now. It harms
+// where only the proxies of a zone died, and where some are truly sick, until the next verdict.
 func (p *planner) links(joined int) {
 	known, here, split, told := map[int]int{}, map[int]int{-1: 0}, joined < 0, 0
 	for proxy, zone := range p.zones {
@@ -201,11 +197,10 @@
 	}
 }
 
-// norms tells each replica how its kind answers and how much the whole fleet misses, and what weight its
-// answers make it worth. Where the list gives sizes, those hold but for the slow; else a replica is worth
-// the flows it could answer: what it answers now, by how busy its answer time shows it. Late sums then
-// still tell the truth, as flows and answer times are of the same moment; answer times alone would make the
-// weights swing.
+// norms tells each replica how its kind answers, how much all miss, and what its answers make it worth. Where
+// the list gives sizes, those hold but for the slow; else a replica is worth the flows it could answer: what
+// it answers now, by how busy its answer time shows it. Late sums still tell the truth then, as both are of
+// the same moment; answer times alone would make the weights swing.
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
 	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
@@ -305,19 +300,14 @@
 		p.full[table] = math.Max(home[table], p.full[table])
 		all, fullAll = all+home[table], fullAll+p.full[table]
 	}
-	seats := make([]int, tables) // the table of each zone, counted round
-	for table := range tables {
-		if seats[table] = table; home[table] == 0 {
-			seats[table] = slices.Index(home, slices.Max(home))
-		}
-	}
-	p.post(theRoll, seats)
+	var seats []int                                                    // the table of each zone, counted round
 	size := max(3, p.ChannelLimit/2/max(1, p.Proxies)-p.MessageHead-2) // all are bound in half the limit
 	for table := range tables {
 		guests, drawn := 0.0, 0
+		seats = append(seats, table)
 		want := math.Max(need[table]/total*all/spare, p.full[table]/fullAll*all/spareGuest)
 		if lacks := want - home[table]; home[table] == 0 { // nobody is left bare
-			guests = 1
+			guests, seats[table] = 1, slices.Index(home, slices.Max(home))
 		} else if lacks > 0 {
 			guests = math.Ceil(math.Min(1, lacks/(all-home[table]+1e-9))*guestSteps) / guestSteps
 		}
@@ -336,6 +326,7 @@
 			t.lines[line{table, id}] = w
 		}
 	}
+	p.post(theRoll, seats)
 	p.post(theSequence, t)
 }
 
@@ -410,16 +401,14 @@
 
 // ---- levels: admission, further tries
 
-func newLevels(d *desk) *levels {
-	l := &levels{desk: d, line: float64(len(d.Groups)), set: map[int]control.Level{}}
-	for g := range d.Groups {
-		l.groups = append(l.groups, g)
+// usual is what proxies do by themselves after a failure, or less where a try that may have run could then be
+// repeated with an effect: only what may run again, or is deduped everywhere for twice as long, is safe.
+func (l *levels) usual(g control.TrafficGroup) control.Tries {
+	last := 2 * l.TryFactor * float64(g.LatencyBudget) * float64(l.UsualTries-control.TryIfNeverRan)
+	if g.Effect == control.Retriable || g.Scope == control.ScopeAll && last < float64(g.Window) {
+		return l.UsualTries
 	}
-	slices.SortStableFunc(l.groups, func(a, b int) int {
-		x, y := d.Groups[a], d.Groups[b]
-		return cmp.Or(cmp.Compare(y.Utility, x.Utility), cmp.Compare(x.LatencyBudget, y.LatencyBudget))
-	})
-	return l
+	return min(l.UsualTries, control.TryIfNeverRan)
 }
 
 func (l *levels) take(n any) {
@@ -444,6 +433,16 @@
 // a part less at each look, unless the overload eases; a calm one a bit more each second. It stands against
 // every overload, by flows, lost replicas or repeats; it harms where answers are late for another cause.
 func (l *levels) judge(f fleet, flows map[int]float64) {
+	if l.groups == nil {
+		for g := range l.Groups {
+			l.groups = append(l.groups, g)
+		}
+		slices.SortStableFunc(l.groups, func(a, b int) int {
+			x, y := l.Groups[a], l.Groups[b]
+			return cmp.Or(cmp.Compare(y.Utility, x.Utility), cmp.Compare(x.LatencyBudget, y.LatencyBudget))
+		})
+		l.line = float64(len(l.groups))
+	}
 	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
 	press := math.Max(f.bad/missedMost, f.answer/strained/budget)
 	over := press > 1 && l.Admission == control.AdmitShare
@@ -453,7 +452,6 @@
 		l.once, l.turned = once, l.now
 		l.say("one try only %v: %.2f missed", once, f.bad)
 	}
-	tries := map[bool]control.Tries{false: l.UsualTries, true: control.TryOnce}[l.once]
 	l.served = append(l.served, f.tries*(1-f.bad)/math.Max(1e-9, f.serves)) // each of those in
 	l.served = l.served[max(0, len(l.served)-2*samplesKept):]
 	dt := l.now - l.judged
@@ -481,8 +479,11 @@
 	}
 	for rank, g := range l.groups { // those over the line get all, those under it what is left
 		share := math.Min(1, math.Max(0, math.Ceil(shareSteps*(l.line-float64(rank)))/shareSteps))
-		o := control.Level{Table: control.AllTables, Group: g, Share: share, Tries: tries}
-		if last, ok := l.set[g]; ok && last != o || !ok && (share < 1 || tries != l.UsualTries) {
+		o := control.Level{Table: control.AllTables, Group: g, Share: share, Tries: l.usual(l.Groups[g])}
+		if l.once {
+			o.Tries = control.TryOnce
+		}
+		if last, ok := l.set[g]; ok && last != o || !ok && (share < 1 || o.Tries != l.UsualTries) {
 			l.set[g] = o
 			l.post(thePacer, o)
 		}
@@ -618,10 +619,9 @@
 	}
 }
 
-// queue is what may still wait in the channel: all that no answer has cleared. A channel that sends slowly
-// shows as answers that stay away, whatever the cause, and holds ordinary lines back. Answers that never
-// come (dead proxies) would hold it for ever, so what a channel at an eighth of its pace had sent is
-// forgotten.
+// queue is what may still wait in the channel: all that no answer has cleared, so that a slow channel holds
+// ordinary lines back, whatever makes it slow. Dead proxies would hold it for ever, so what a channel at an
+// eighth of its pace had sent is forgotten.
 func (p *pacer) queue() float64 {
 	sum := 0.0
 	for _, b := range p.under {
--- a/brain/help_test.go
+++ b/brain/help_test.go
@@ -12,8 +12,8 @@
 		WarmAfter: 10 * second, ColdShare: 0.2, FallMultiple: 4, Admission: control.AdmitShare,
 		UsualTries: control.TryIfNeverRan,
 		Groups: []control.TrafficGroup{
-			{Utility: 1, LatencyBudget: second, Expiry: 2 * second, Effect: control.Retriable},
-			{Utility: 3, LatencyBudget: second, Expiry: 2 * second, Effect: control.NonRetriable}}}
+			{Utility: 1, LatencyBudget: second, Effect: control.Retriable},
+			{Utility: 3, LatencyBudget: second, Effect: control.NonRetriable}}}
 }
 
 // at gives a governor whose clock stands there; its parts are the boxes' parts.
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -82,7 +82,7 @@
 		theRoll: {part: &roll{desk: d, seat: []int{0}, zone: map[int]int{}, wait: map[uint64]map[int]bool{}}},
 		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{}, full: map[int]float64{},
 			offers: map[uint32]offer{}, crowd: map[int]control.Joined{}, zones: map[int]int{}}},
-		theLevels: {part: newLevels(d)},
+		theLevels: {part: &levels{desk: d, set: map[int]control.Level{}}},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
 		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{},
--- a/brain/orders_test.go
+++ b/brain/orders_test.go
@@ -172,3 +172,21 @@
 	p.send()
 	want(t, "orders", reflect.DeepEqual(orders[control.Withdraw](g.out), []control.Withdraw{{Replica: 5}}), true)
 }
+
+func TestNoFurtherTryThatCouldActTwice(t *testing.T) {
+	l := at(0).boxes[theLevels].part.(*levels)
+	l.UsualTries, l.TryFactor = control.TryTwiceMore, 1
+	for _, c := range []struct {
+		group control.TrafficGroup
+		tries control.Tries
+	}{
+		{control.TrafficGroup{Effect: control.Retriable}, control.TryTwiceMore},
+		{control.TrafficGroup{Effect: control.NonRetriable}, control.TryIfNeverRan},
+		{control.TrafficGroup{Effect: control.Deduped, Scope: control.ScopeZone, Window: 1e12}, control.TryIfNeverRan},
+		{control.TrafficGroup{Effect: control.Deduped, Scope: control.ScopeAll, Window: 5e9}, control.TryTwiceMore},
+		{control.TrafficGroup{Effect: control.Deduped, Scope: control.ScopeAll, Window: 3e9}, control.TryIfNeverRan},
+	} {
+		c.group.LatencyBudget = second
+		want(t, "tries", l.usual(c.group), c.tries)
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -43,11 +43,9 @@
 type TrafficGroup struct {
 	Utility       float64
 	LatencyBudget int64
-	Expiry        int64
 	Effect        Effect
 	Scope         Scope
 	Window        int64 // how long a repeat of a deduped flow is dropped
-	OwnZone       bool  // only replicas in the proxy's zone may serve it
 }
 
 // Provision is what a governor is told before its first turn.
@@ -62,25 +60,19 @@
 	ChannelRate  float64 // lines a second when all is well
 	ChannelLimit int     // lines that may wait
 	MessageHead  int     // lines each message costs beside its own
-	Transit      int64   // mean way from the channel to a proxy
 	WorstTransit int64
 	MessagesMost int // messages to one proxy within MessagesSpan; 0 is no limit
 	MessagesSpan int64
 	ReportEvery  int64
 
-	BareLimit    int64 // longest a proxy may lack a line
-	DrainGrace   int64
 	ColdShare    float64 // least part of its capacity a replica starts with
 	WarmAfter    int64
 	FallMultiple float64
-	FallSpan     int64
-
-	Pick        Pick
-	Admission   Admission
-	TryFactor   float64 // latency budgets a try waits where a further one may follow
-	UsualTries  Tries
-	Probes      bool
-	LoadReports bool // sums carry the flows a replica holds
+
+	Pick       Pick
+	Admission  Admission
+	TryFactor  float64 // latency budgets a try waits where a further one may follow
+	UsualTries Tries
 }
 
 // Tries says when a proxy tries another replica.
--- a/wire/provision.go
+++ b/wire/provision.go
@@ -85,18 +85,14 @@
 		ChannelRate:  s.number("domain.push_rate"),
 		ChannelLimit: int(s.number("domain.pending_max")),
 		MessageHead:  int(math.Ceil(s.number("domain.envelope"))),
-		Transit:      s.ms("domain.transit_ms"),
 		WorstTransit: s.ms("domain.worst_transit_ms"),
 		MessagesMost: s.count("domain.pushes_allowed"),
 		MessagesSpan: s.ms("domain.reload_span_ms"),
 		ReportEvery:  s.ms("domain.cycle_ms"),
 
-		BareLimit:    s.ms("domain.blackhole_ms"),
-		DrainGrace:   s.ms("invariants.drain_grace_ms"),
 		ColdShare:    s.number("invariants.cold_from"),
 		WarmAfter:    s.ms("invariants.warm_after_ms"),
 		FallMultiple: s.number("invariants.tip_multiple"),
-		FallSpan:     s.ms("invariants.fall_ms"),
 
 		Pick: choice(s, "domain.pick", map[string]control.Pick{
 			"random": control.PickChance, "rotate": control.PickRound, "p2c": control.PickIdler}),
@@ -104,17 +100,13 @@
 			"silent": control.AdmitAll, "fraction": control.AdmitShare, "per_second": control.AdmitRate}),
 		TryFactor:  s.number("domain.try_factor"),
 		UsualTries: control.Tries(s.count("domain.usual_how")),
-		Probes:     s.lines["limits.probes"] == "true",
-		LoadReports: s.lines["report.source"] == "piggyback" &&
-			strings.HasPrefix(s.lines["report.fields"], "inflight"),
 	}
 	if s.lines["domain.shards"] != "0" {
 		s.note("domain.shards=%q: sites with slices are not served", s.lines["domain.shards"])
 	}
-	own := s.list("domain.class_own_zone")
 	lanes := s.count("lanes.count")
 	for k := 0; k < lanes && s.err == nil; k++ {
-		p.Groups = append(p.Groups, group(s, fmt.Sprintf("lanes.%d.", k), k < len(own) && own[k] == "true"))
+		p.Groups = append(p.Groups, group(s, fmt.Sprintf("lanes.%d.", k)))
 	}
 	if s.err != nil {
 		return control.Provision{}, s.err
@@ -122,16 +114,14 @@
 	return p, nil
 }
 
-func group(s *sheet, at string, ownZone bool) control.TrafficGroup {
+func group(s *sheet, at string) control.TrafficGroup {
 	g := control.TrafficGroup{
 		Utility:       s.number(at + "gain"),
 		LatencyBudget: s.ms(at + "slo_ms"),
-		Expiry:        s.ms(at + "deadline_ms"),
 		Effect: choice(s, at+"effect", map[string]control.Effect{
 			"read_like":       control.Retriable,
 			"idempotency_key": control.Deduped,
 			"non_idempotent":  control.NonRetriable}),
-		OwnZone: ownZone,
 	}
 	if g.Effect == control.Deduped {
 		g.Window = s.ms(at + "window_ms")
