--- a/brain/brain.go
+++ b/brain/brain.go
@@ -172,7 +172,7 @@
 
 // links reads the links between zones from who is here, as sums tell of them seconds later. When whole zones
 // have left and all others are whole, their replicas are cut off too and rest. When the first proxy of a zone
-// joins (-1: none did), what was cut is whole, and verdicts of a part of the proxies mean nothing now. It harms
+// joins (-1: none did), what was cut is whole, and verdicts of a part of the proxies mean nothing. It harms
 // where only the proxies of a zone died, and where some are truly sick, until the next verdict.
 func (p *planner) links(joined int) {
 	known, here, split, told := map[int]int{}, map[int]int{-1: 0}, joined < 0, 0
