--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -34,7 +34,8 @@
 func TestKilledAndUnknownInstancesStaySilent(t *testing.T) {
 	h := newHost()
 	h.turn(wire.Batch{Records: []wire.Record{
-		{Instance: 4, Event: control.Left{}}, {Instance: 4, Event: wire.Killed{}}, {Instance: 4, Event: control.Left{}}}})
+		{Instance: 4, Event: control.Left{}}, {Instance: 4, Event: wire.Killed{}},
+		{Instance: 4, Event: control.Left{}}}})
 	if got := h.reply.Frame(); !bytes.Equal(got, []byte{4, 0, 0, 0}) {
 		t.Errorf("reply %x", got)
 	}
