--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,8 +41,8 @@
 	spareGuest, spareIdler    = 1.1, 1.35         // a table that needs this much more than its own takes guests
 	coldLost, coldShed        = 0.3, 0.7          // flows lost: the cold stay out; with levels
 	strained, missedMost      = 0.75, 0.15        // an overloaded fleet: answer to budget, missed part
-	lineFirst, lineDown       = 0.9, 0.9          // of the most it served: let when strained; then less
 	missedOnce, lineUp        = 0.08, 0.01        // missed part: further tries stop; the line's rise a second
+	lineFirst, lineDown       = 0.9, 0.9          // of the most it served: let when strained; then less
 	slowPace, forgetSpan      = 8, 600 * second   // slowest pace of a channel; the gone are forgotten
 	shareSteps, guestSteps    = 20, 10            // levels and guests move in such parts, to save orders
 )
@@ -103,12 +103,12 @@
 	return tries, bad, answer / math.Max(1, good)
 }
 
-// judge moves the replica between well, resting and on trial, and its speed to what its answers show.
-// Silent, failing and cut-off replicas miss most tries while others do not, and give few good answers: one
-// that still gives its share is busy, and without it the rest would be worse off. A trouble of the whole
-// fleet or of the reports condemns nobody. It could harm where tries miss by chance: hence sickTries.
+// judge moves the replica between well, resting and on trial, and its speed to what its answers show. Silent,
+// failing and cut-off replicas miss most tries while others do not, and give few good answers: one that still
+// gives its share is busy, and where weights follow answers a late one gets less without a verdict. A trouble
+// of the whole fleet or the reports condemns nobody. It could harm where tries miss by chance: sickTries.
 func (r *replica) judge() {
-	tries, bad, _ := r.lately(recent)
+	tries, bad, answer := r.lately(recent)
 	part := bad / math.Max(1, tries)
 	span := min(settleSpan, max(second, (r.now-r.heard)/firstSteps)) // what is new is learned faster
 	r.speed *= math.Pow(r.fleet.goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(span)))
@@ -119,7 +119,8 @@
 		r.resting, r.trial = 0, r.now
 		r.say("replica %d on trial after rest %d", r.entry.Replica, r.relapse)
 	case r.fleet.bad > lostBad || r.trial > 0 && tries < trialTries || tries < sickTries && r.trial == 0:
-	case part > r.fleet.bad+sickPart*(1-r.fleet.bad) && (r.trial > 0 || tries-bad < fewGood*r.fleet.good):
+	case part > r.fleet.bad+sickPart*(1-r.fleet.bad) && (r.trial > 0 || tries-bad < fewGood*r.fleet.good &&
+		answer < r.fleet.late):
 		rest := restSpan << min(r.relapse, mostRelapses)
 		r.resting, r.trial, r.relapse, r.met = r.now+rest, 0, r.relapse+1, nil
 		r.say("replica %d sick: %.0f of %.0f missed, fleet %.2f, rests %ds", r.entry.Replica, bad, tries,
@@ -245,18 +246,18 @@
 			}
 		}
 	}
-	// A collapse takes 2 s and means take 4: the cold go by the worst of all measures, the newest sums too.
 	bad, fleetAble := missed/math.Max(1, tries), kinds[all].able/math.Max(1, kinds[all].count)
-	lost := max(bad, p.lost, newMissed/newTries)
 	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
-		n := norm{k.answer / math.Max(1, k.good), k.good / math.Max(1, k.count), 1, bad, lost}
-		good, late := o.tries-o.bad, o.answer/math.Max(1e-9, n.answer)
+		// A collapse takes 2 s and means take 4: the cold go by the worst of all measures, the newest sums too.
+		n := norm{math.Inf(1), k.good / math.Max(1, k.count), 1, bad, max(bad, p.lost, newMissed/newTries)}
+		good, late := o.tries-o.bad, o.answer/math.Max(1e-9, k.answer/math.Max(1, k.good))
 		if len(sizes) > 1 && late > slowAnswer {
 			n.goal = math.Max(slowest, 1/late)
 		} else if len(sizes) == 1 && k.able > 0 {
 			kind := k.able / k.count / fleetAble
+			n.late = slowAnswer * k.answer / math.Max(1, k.good)
 			n.goal = kind
 			if well(o) {
 				n.goal = (kind*shrink + able(o)/fleetAble*good) / (shrink + good)
--- a/brain/replica_test.go
+++ b/brain/replica_test.go
@@ -8,7 +8,7 @@
 
 func met(g *Governor, tries, bad, answer float64) *replica {
 	r := &replica{desk: &g.desk, box: parts, entry: control.Entry{Replica: 9, Weight: 1}, speed: 1}
-	r.fleet = norm{answer: 0.2, good: 20, goal: 1}
+	r.fleet = norm{late: 0.4, good: 20, goal: 1}
 	r.met = []sample{{g.now, tries, bad, answer}}
 	return r
 }
@@ -21,6 +21,7 @@
 	}{
 		{"silent", 10, 10, 0, 0, true},
 		{"quick failer", 20, 17, 0.1, 0, true},
+		{"slow: answers late", 20, 17, 0.9, 0, false},
 		{"half failing: worth more than nothing", 20, 12, 0.1, 0, false},
 		{"busy: misses, but gives its share", 60, 40, 0.3, 0, false},
 		{"trouble of the whole fleet", 9, 6, 0.2, 0.35, false},
--- a/brain/types.go
+++ b/brain/types.go
@@ -12,7 +12,7 @@
 	redraw  struct{}            // the planner has heard from all replicas
 	closing struct{}            // the turn ends: the pacer sends
 	norm    struct {            // planner to replica: of its kind, its own goal, of all: missed, lost
-		answer, good, goal, bad, lost float64
+		late, good, goal, bad, lost float64
 	}
 	offer struct { // replica to planner: what it can bear and what it was met with lately
 		control.Entry
