--- a/brain/orders_test.go
+++ b/brain/orders_test.go
@@ -190,3 +190,14 @@
 		want(t, "tries", l.usual(c.group), c.tries)
 	}
 }
+
+func TestTheFirstFallGoesByTheReplicasLeft(t *testing.T) {
+	var lines []float64
+	for _, left := range []float64{10, 5} {
+		l := levelling(at(100 * second))
+		l.take(fleet{tries: 60, answer: 0.2, serves: 10})
+		l.take(fleet{tries: 10, bad: 0.5, answer: 2, serves: left})
+		lines = append(lines, l.line)
+	}
+	want(t, "half are lost, half is let in", lines[1], lines[0]/2)
+}
--- a/brain/replica_test.go
+++ b/brain/replica_test.go
@@ -105,3 +105,9 @@
 	want(t, "rests", r.resting, int64(0))
 	want(t, "cold", r.cold(), true)
 }
+
+func TestWhatATableCanCarryGoesByOwnWorth(t *testing.T) {
+	g := at(100 * second)
+	met(g, 0, 0, 0).take(norm{goal: 0.5})
+	want(t, "size", mail[offer](g, thePlanner)[0].size, 0.5)
+}
--- a/brain/tables_test.go
+++ b/brain/tables_test.go
@@ -93,6 +93,10 @@
 	planning(g, o).norms()
 	n := mail[norm](g, parts)[0]
 	want(t, "verdicts go by the mean, the cold by the worst", n.bad < 0.11 && n.lost > coldLost, true)
+	p := planning(g)
+	p.take(0.9) // flows that got no answer
+	p.norms()
+	want(t, "lost flows count too", mail[norm](g, parts)[1].lost, 0.9)
 }
 
 func steering(g *Governor, laid, wanted map[line]float64, out map[uint32]bool) *sequence {
