--- a/brain/brain.go
+++ b/brain/brain.go
@@ -47,6 +47,9 @@
 	shareSteps, guestSteps    = 20, 10            // levels and guests move in such parts, to save orders
 )
 
+var coldOut = [...]float64{coldLost, coldShed, coldLost}      // by control.Admission
+var spares = [...]float64{spareGuest, spareGuest, spareIdler} // by control.Pick
+
 // draw gives a replica its ticket in the draw of tables, by listed weight: the highest are drawn first.
 func (d *desk) draw(weight float64) float64 { return math.Pow(d.chance(), 1/math.Max(weight, 1e-6)) }
 
@@ -77,10 +80,9 @@
 	}
 	tries, bad, answer := r.lately(recent)
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
-	lost := cmp.Or(map[control.Admission]float64{control.AdmitShare: coldShed}[r.Admission], coldLost)
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
 	// Where levels stop the flood they come in sooner, as they are what ends the strain.
-	w, sick := size*r.speed, r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > lost)
+	w, sick := size*r.speed, r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldOut[r.Admission])
 	if r.trial > 0 {
 		w *= trialPart
 	}
@@ -109,7 +111,6 @@
 // of the whole fleet or the reports condemns nobody. It could harm where tries miss by chance: sickTries.
 func (r *replica) judge() {
 	tries, bad, answer := r.lately(recent)
-	part := bad / math.Max(1, tries)
 	span := min(settleSpan, max(second, (r.now-r.heard)/firstSteps)) // what is new is learned faster
 	r.speed *= math.Pow(r.fleet.goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(span)))
 	r.judged = r.now
@@ -119,8 +120,8 @@
 		r.resting, r.trial = 0, r.now
 		r.say("replica %d on trial after rest %d", r.entry.Replica, r.relapse)
 	case r.fleet.bad > lostBad || r.trial > 0 && tries < trialTries || tries < sickTries && r.trial == 0:
-	case part > r.fleet.bad+sickPart*(1-r.fleet.bad) && (r.trial > 0 || tries-bad < fewGood*r.fleet.good &&
-		answer < r.fleet.late):
+	case bad/math.Max(1, tries) > r.fleet.bad+sickPart*(1-r.fleet.bad) &&
+		(r.trial > 0 || tries-bad < fewGood*r.fleet.good && answer < r.fleet.late):
 		rest := restSpan << min(r.relapse, mostRelapses)
 		r.resting, r.trial, r.relapse, r.met = r.now+rest, 0, r.relapse+1, nil
 		r.say("replica %d sick: %.0f of %.0f missed, fleet %.2f, rests %ds", r.entry.Replica, bad, tries,
@@ -272,7 +273,7 @@
 
 // redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones,
 // with guests from other zones where its own could not carry its proxies. Zones are dealt to the tables in
-// turn; a table whose own replicas are nearly all lost gives its proxies to the table that has most.
+// turn; a table of whose own nobody serves gives its proxies to the table that has most.
 func (p *planner) redraw() {
 	ids, tables := sorted(p.offers), min(max(1, p.Zones), max(1, (p.Proxies/max(1, p.Governors)-1)/proxiesTable))
 	slices.SortStableFunc(ids, func(a, b uint32) int {
@@ -280,7 +281,7 @@
 	})
 	t := target{map[line]float64{}, p.shutOut(ids)}
 	need, home, serves := make([]float64, tables), make([]float64, tables), make([]float64, tables)
-	total, all := 1e-9, 1e-9
+	total, all, fullAll := 1e-9, 1e-9, 1e-9
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
 			home[o.Zone%tables] += o.size
@@ -293,20 +294,19 @@
 		need[p.crowd[proxy].Zone%tables] += p.crowd[proxy].Rate
 		total += p.crowd[proxy].Rate
 	}
-	spare, fullAll := cmp.Or(map[control.Pick]float64{control.PickIdler: spareIdler}[p.Pick], spareGuest), 1e-9
 	for table := range home { // a few of the sick are its own zones' trouble; when most are, guests must come
-		if serves[table]*spare < deadPart*home[table] {
+		if serves[table]*spares[p.Pick] < deadPart*home[table] {
 			home[table] = serves[table]
 		}
 		p.full[table] = math.Max(home[table], p.full[table])
 		all, fullAll = all+home[table], fullAll+p.full[table]
 	}
-	var seats []int                                                    // the table of each zone, counted round
+	seats := []int{}                                                   // the table of each zone, counted round
 	size := max(3, p.ChannelLimit/2/max(1, p.Proxies)-p.MessageHead-2) // all are bound in half the limit
 	for table := range tables {
 		guests, drawn := 0.0, 0
 		seats = append(seats, table)
-		want := math.Max(need[table]/total*all/spare, p.full[table]/fullAll*all/spareGuest)
+		want := math.Max(need[table]/total*all/spares[p.Pick], p.full[table]/fullAll*all/spareGuest)
 		if lacks := want - home[table]; home[table] == 0 { // nobody is left bare
 			guests, seats[table] = 1, slices.Index(home, slices.Max(home))
 		} else if lacks > 0 {
@@ -332,8 +332,8 @@
 }
 
 // shutOut says who is withdrawn: whoever drains or is gone, and the sick while a quarter of the warm is left,
-// so that no proxy is bare, whatever made so many miss. The sick count as no capacity: guests come to their
-// table. It could harm when more than that is sick for good: those stay in.
+// so that no proxy is bare, whatever made so many miss. The cold may all go while anybody warm is listed. It
+// could harm when more than three quarters are sick for good: those stay in.
 func (p *planner) shutOut(ids []uint32) map[uint32]bool {
 	out, stays := map[uint32]bool{}, 0.0
 	for _, id := range ids {
@@ -455,8 +455,6 @@
 	}
 	l.served = append(l.served, f.tries*(1-f.bad)/math.Max(1e-9, f.serves)) // each of those in
 	l.served = l.served[max(0, len(l.served)-2*samplesKept):]
-	dt := l.now - l.judged
-	l.judged = l.now
 	switch all := float64(len(l.groups)); {
 	case l.now-l.fell < recent: // the samples still tell of the time before the last move
 	case over && l.line < all:
@@ -472,8 +470,9 @@
 			left -= flows[g]
 		}
 	default:
-		l.line = math.Min(all, l.line+lineUp*all*float64(dt)/float64(second))
+		l.line = math.Min(all, l.line+lineUp*all*float64(l.now-l.judged)/float64(second))
 	}
+	l.judged = l.now
 	if over != l.strain {
 		l.strain = over
 		l.say("overload %v: %.2f missed, answers %.3fs, line at %.2f groups", over, f.bad, f.answer, l.line)
@@ -535,6 +534,8 @@
 		delete(s.open, n.mark)
 	case tick:
 		maps.DeleteFunc(s.open, func(_ uint64, since int64) bool { return s.now-since > stepTimeout })
+	default:
+		return
 	}
 	s.proceed()
 }
@@ -621,15 +622,15 @@
 }
 
 // queue is what may still wait in the channel: all that no answer has cleared, so that a slow channel holds
-// ordinary lines back, whatever makes it slow. Dead proxies would hold it for ever, so what a channel at an
-// eighth of its pace had sent is forgotten.
+// ordinary lines back. Dead proxies would hold it for ever, so what one at slowPace had sent is forgotten.
 func (p *pacer) queue() float64 {
 	sum := 0.0
 	for _, b := range p.under {
 		sum += b.lines
 	}
 	for len(p.under) > 0 {
-		if waited := p.now - p.under[0].at - 2*p.WorstTransit; float64(waited)*p.ChannelRate <= sum*slowPace*1e9 {
+		waited := float64(p.now - p.under[0].at - 2*p.WorstTransit)
+		if waited*p.ChannelRate <= sum*slowPace*float64(second) {
 			break
 		}
 		sum -= p.under[0].lines
@@ -662,7 +663,7 @@
 			}
 		}
 	}
-	if len(to) > 0 && p.queue()+p.cost+more > part*float64(p.ChannelLimit) {
+	if len(to) > 0 && p.waits+p.cost+more > part*float64(p.ChannelLimit) {
 		return false
 	}
 	switch o := o.(type) {
@@ -687,7 +688,7 @@
 
 // send writes the turn's messages: the step's lines, then all that is urgent in the room kept for it.
 func (p *pacer) send() {
-	p.cost, p.reached = 0, map[int]bool{}
+	p.waits, p.cost, p.reached = p.queue(), 0, map[int]bool{}
 	done, messages := 0, ordinaryMsgs
 	if p.step.at == add { // who lacks lines comes before who has stale ones
 		messages = addMsgs
--- a/brain/types.go
+++ b/brain/types.go
@@ -128,6 +128,7 @@
 	under  []batch // sent, and no answer tells that it has left the channel
 	mark   uint64
 
+	waits   float64 // in the channel as this turn's messages are written
 	cost    float64 // of this turn's messages
 	reached map[int]bool
 }
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -43,14 +43,12 @@
 	}
 }
 
-type governor = brain.Governor
-
 type host struct {
-	governors map[uint32]*governor
+	governors map[uint32]*brain.Governor
 	reply     wire.Reply
 }
 
-func newHost() *host { return &host{governors: map[uint32]*governor{}} }
+func newHost() *host { return &host{governors: map[uint32]*brain.Governor{}} }
 
 func (h *host) turn(batch wire.Batch) {
 	events := map[uint32][]any{}
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"lilacbend/brain"
 	"lilacbend/control"
 	"lilacbend/wire"
 )
@@ -21,7 +22,7 @@
 	h := newHost()
 	h.governors[4] = nil
 	h.instance(4, 0, []any{nil})
-	h.governors[4] = new(governor)
+	h.governors[4] = new(brain.Governor)
 	h.instance(4, 0, []any{control.Left{}})
 	if got := string(h.reply.Frame()); !strings.Contains(got, "the module failed") {
 		t.Errorf("reply %q", got)
