--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,6 +45,7 @@
 	lineFirst, lineDown       = 0.9, 0.9          // of the most it served: let when strained; then less
 	slowPace, forgetSpan      = 8, 600 * second   // slowest pace of a channel; the gone are forgotten
 	shareSteps, guestSteps    = 20, 10            // levels and guests move in such parts, to save orders
+	linesTable, turns         = 12, 10007
 )
 
 var coldOut = [...]float64{coldLost, coldShed, coldLost}      // by control.Admission
@@ -53,6 +54,18 @@
 // draw gives a replica its ticket in the draw of tables, by listed weight: the highest are drawn first.
 func (d *desk) draw(weight float64) float64 { return math.Pow(d.chance(), 1/math.Max(weight, 1e-6)) }
 
+// least is the table that holds least, of those that serve a zone.
+func (d *desk) least(zone int, held []float64) int {
+	row := min(max(1, d.Zones), len(held))
+	best := zone % row
+	for table := best; table < len(held); table += row {
+		if held[table] < held[best] {
+			best = table
+		}
+	}
+	return best
+}
+
 // ---- replica: health, warmth, speed
 
 func (r *replica) take(n any) {
@@ -160,6 +173,7 @@
 		p.links(n.Zone)
 	case control.Left:
 		delete(p.crowd, n.Proxy)
+		delete(p.seat, n.Proxy)
 		p.links(-1)
 	case offer:
 		p.offers[n.Replica] = n
@@ -167,9 +181,14 @@
 		p.lost = n
 	case forget:
 		delete(p.offers, n.id)
+		delete(p.own, n.id)
+	case control.Bind:
+		p.seat[n.Proxy] = n.Table
 	case redraw:
 		p.redraw()
+		return
 	}
+	p.same = false
 }
 
 // links reads the links between zones from who is here, as sums tell of them seconds later. When whole zones
@@ -272,26 +291,35 @@
 }
 
 // redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones,
-// with guests from other zones where its own could not carry its proxies. Zones are dealt to the tables in
-// turn; a table of whose own nobody serves gives its proxies to the table that has most.
+// with guests where its own could not carry its proxies: of its zones first, and no more of each than what
+// its own table can spare. Zones are dealt to the tables in turn; a table of whose own nobody serves gives
+// its proxies to the table that has most.
 func (p *planner) redraw() {
-	ids, tables := sorted(p.offers), min(max(1, p.Zones), max(1, (p.Proxies/max(1, p.Governors)-1)/proxiesTable))
+	if p.same {
+		return
+	}
+	p.same = true
+	ids := sorted(p.offers)
 	slices.SortStableFunc(ids, func(a, b uint32) int {
 		return cmp.Compare(p.offers[b].ticket, p.offers[a].ticket)
 	})
+	if p.deal(ids); p.tables == 0 {
+		return
+	}
+	tables, row := p.tables, min(max(1, p.Zones), p.tables)
 	t := target{map[line]float64{}, p.shutOut(ids)}
 	need, home, serves := make([]float64, tables), make([]float64, tables), make([]float64, tables)
 	total, all, fullAll := 1e-9, 1e-9, 1e-9
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
-			home[o.Zone%tables] += o.size
+			home[p.own[id]] += o.size
 			if !o.sick && !o.trial {
-				serves[o.Zone%tables] += o.size
+				serves[p.own[id]] += o.size
 			}
 		}
 	}
-	for _, proxy := range sorted(p.crowd) {
-		need[p.crowd[proxy].Zone%tables] += p.crowd[proxy].Rate
+	for _, proxy := range sorted(p.seat) {
+		need[p.seat[proxy]] += p.crowd[proxy].Rate
 		total += p.crowd[proxy].Rate
 	}
 	for table := range home { // a few of the sick are its own zones' trouble; when most are, guests must come
@@ -301,36 +329,83 @@
 		p.full[table] = math.Max(home[table], p.full[table])
 		all, fullAll = all+home[table], fullAll+p.full[table]
 	}
-	seats := []int{}                                                   // the table of each zone, counted round
-	size := max(3, p.ChannelLimit/2/max(1, p.Proxies)-p.MessageHead-2) // all are bound in half the limit
+	spare := map[uint32]float64{}
+	for _, id := range ids {
+		table := p.own[id]
+		spare[id] = math.Max(0, 1-need[table]/total*all/math.Max(1e-9, home[table])) // of its weight
+	}
+	size := max(3, p.ChannelLimit/2*max(1, p.Governors)/max(1, p.Proxies)-p.MessageHead-2) // binds fit in half
+	seats, drawn := make([]int, tables), make([]int, tables)                               // the table for each table's proxies; its lines
+	lay := func(table int, id uint32, part float64) {
+		if w := part * p.offers[id].weight; p.offers[id].State == control.Ready && w > 0 {
+			if drawn[table]++; t.out[id] {
+				w = -1
+			}
+			t.lines[line{table, id}] = w
+		}
+	}
+	for _, id := range ids {
+		lay(p.own[id], id, 1)
+	}
 	for table := range tables {
-		guests, drawn := 0.0, 0
-		seats = append(seats, table)
 		want := math.Max(need[table]/total*all/spares[p.Pick], p.full[table]/fullAll*all/spareGuest)
-		if lacks := want - home[table]; home[table] == 0 { // nobody is left bare
-			guests, seats[table] = 1, slices.Index(home, slices.Max(home))
-		} else if lacks > 0 {
-			guests = math.Ceil(math.Min(1, lacks/(all-home[table]+1e-9))*guestSteps) / guestSteps
+		lacks, bare := want-home[table], home[table] == 0
+		if seats[table] = table; bare { // nobody is left bare
+			lacks, seats[table] = math.Inf(1), slices.Index(home, slices.Max(home))
+		}
+		if lacks <= 0 {
+			continue
 		}
+		turn := map[uint32]float64{} // guests of its zones come first, each table's in an order of its own
 		for _, id := range ids {
-			o := p.offers[id]
-			w := o.weight
-			if o.Zone%tables != table {
-				w *= guests
+			if turn[id] = math.Mod(p.offers[id].ticket*float64(turns+table), 1); p.own[id]%row != table%row {
+				turn[id]++
 			}
-			if o.State != control.Ready || w <= 0 || drawn == size {
-				continue
+		}
+		order := slices.DeleteFunc(sorted(turn), func(id uint32) bool {
+			return p.own[id] == table || p.offers[id].State != control.Ready || spare[id] == 0 && !bare
+		})
+		slices.SortStableFunc(order, func(a, b uint32) int { return cmp.Compare(turn[a], turn[b]) })
+		for _, id := range order {
+			if lacks <= 0 || drawn[table] >= size {
+				break
 			}
-			if drawn++; t.out[id] {
-				w = -1
+			part := 1.0
+			if !bare {
+				part = math.Min(spare[id], lacks/math.Max(1e-9, p.offers[id].size))
+				part = math.Ceil(part*guestSteps) / guestSteps
 			}
-			t.lines[line{table, id}] = w
+			lacks, spare[id] = lacks-part*p.offers[id].size, math.Max(0, spare[id]-part)
+			lay(table, id, part)
 		}
 	}
 	p.post(theRoll, seats)
 	p.post(theSequence, t)
 }
 
+// deal gives each new replica to one table of its zone for good, the one whose own are fewest by listed
+// weight. A zone is split over several tables while each has lines enough.
+func (p *planner) deal(ids []uint32) {
+	most := max(1, (p.Proxies/max(1, p.Governors)-1)/proxiesTable)
+	row := min(max(1, p.Zones), most)
+	if p.tables == 0 && len(ids) > 0 {
+		p.tables = row * min(most/row, max(1, (len(ids)/row+linesTable/2)/linesTable))
+	}
+	held := make([]float64, max(row, p.tables))
+	fresh := slices.DeleteFunc(slices.Clone(ids), func(id uint32) bool {
+		table, ok := p.own[id]
+		if ok && p.offers[id].State == control.Ready {
+			held[table] += p.offers[id].Weight
+		}
+		return ok
+	})
+	slices.SortStableFunc(fresh, func(a, b uint32) int { return cmp.Compare(p.offers[a].Kind, p.offers[b].Kind) })
+	for _, id := range fresh {
+		p.own[id] = p.least(p.offers[id].Zone, held)
+		held[p.own[id]] += p.offers[id].Weight
+	}
+}
+
 // shutOut says who is withdrawn: whoever drains or is gone, and the sick while a quarter of the warm is left,
 // so that no proxy is bare, whatever made so many miss. The cold may all go while anybody warm is listed. It
 // could harm when more than three quarters are sick for good: those stay in.
@@ -361,19 +436,33 @@
 func (r *roll) take(n any) {
 	switch n := n.(type) {
 	case []int:
-		for _, proxy := range sorted(r.zone) {
-			if z := r.zone[proxy] % len(n); z < len(r.seat) && n[z] != r.seat[z] {
-				r.post(theSequence, control.Bind{Proxy: proxy, Table: n[z]})
+		load := make([]float64, len(n))
+		for _, proxy := range sorted(r.here) {
+			if at, ok := r.seat[proxy]; ok {
+				load[at] += r.here[proxy].Rate
+				if n[at] != r.sits[at] {
+					r.post(theSequence, control.Bind{Proxy: proxy, Table: n[at]})
+				}
+			}
+		}
+		for _, proxy := range sorted(r.here) {
+			if _, ok := r.seat[proxy]; !ok {
+				at := r.least(r.here[proxy].Zone, load)
+				load[at] += r.here[proxy].Rate
+				r.seat[proxy] = at
+				r.post(thePlanner, control.Bind{Proxy: proxy, Table: at})
+				r.post(thePacer, control.Bind{Proxy: proxy, Table: n[at]})
 			}
 		}
-		r.seat = n
+		r.sits = n
 	case control.Joined:
 		r.strike(n.Proxy, math.MaxUint64)
-		r.zone[n.Proxy] = n.Zone
-		r.post(thePacer, control.Bind{Proxy: n.Proxy, Table: r.seat[n.Zone%len(r.seat)]})
+		r.here[n.Proxy] = n
+		delete(r.seat, n.Proxy)
 	case control.Left:
 		r.strike(n.Proxy, math.MaxUint64)
-		delete(r.zone, n.Proxy)
+		delete(r.here, n.Proxy)
+		delete(r.seat, n.Proxy)
 	case control.Answered:
 		mark := r.last - (r.last-n.Mark)&marksMask // marks go round on the way
 		r.post(thePacer, caught{mark: mark})
--- a/brain/types.go
+++ b/brain/types.go
@@ -74,13 +74,18 @@
 	judged int64
 	out    map[uint32]bool
 	full   map[int]float64 // the most that the own zones of a table could carry lately
+	own    map[uint32]int  // the table of each replica
+	seat   map[int]int     // the table of each proxy
+	same   bool            // nothing has changed since the last draw
+	tables int             // how many, once the first list has come
 	lost   float64         // part of the flows that got no answer
 }
 
 type roll struct {
 	*desk
-	seat []int
-	zone map[int]int
+	here map[int]control.Joined
+	seat map[int]int // the table of each proxy
+	sits []int       // where each table's proxies are bound
 	wait map[uint64]map[int]bool
 	last uint64
 }
