A step ends when its marks are answered, though more of its kind has come meanwhile

Now a step is over once what it sent is answered, additions go at once in any step, removals wait for additions. Also guards against a stalled channel that never lets a sequence end; it harms where answers are lost.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -618,7 +618,7 @@
 				}
 			}
 			if n.mark > 0 {
-				s.open[n.mark] = s.now
+				s.open[n.mark], s.sent = s.now, true
 			}
 		}
 		return
@@ -632,19 +632,20 @@
 	s.proceed()
 }
 
-// proceed hands the pacer what the open step still has to send. A new target folds in: additions start
-// again from the first step, all else goes on from where the sequence stands, and what is no longer wanted
-// is dropped with it, so that a removal queued for a replica that is back never leaves.
+// proceed hands the pacer what the open step still has to send. A new target folds in: additions go at once,
+// all else goes on from where the sequence stands, and what is no longer wanted is dropped with it, so that a
+// removal queued for a replica that is back never leaves. A step whose marks are answered is over, also when
+// more of its kind has come meanwhile: weights that change at each look would keep removals back for ever.
 func (s *sequence) proceed() {
-	if len(s.orders(add)) > 0 {
-		s.at = add
-	}
-	var orders []control.Order
+	first, orders := s.orders(add), []control.Order(nil)
 	for range steps {
-		if orders = s.orders(s.at); len(orders) > 0 || len(s.open) > 0 {
+		if orders = first; s.at != add && (s.at != remove || len(first) == 0) { // removals wait for additions
+			orders = append(slices.Clone(first), s.orders(s.at)...)
+		}
+		if len(s.open) > 0 || len(orders) > 0 && !s.sent {
 			break
 		}
-		s.at = (s.at + 1) % steps
+		s.at, s.sent = (s.at+1)%steps, false
 	}
 	s.post(thePacer, step{s.at, orders})
 }
--- a/brain/tables_test.go
+++ b/brain/tables_test.go
@@ -106,7 +106,8 @@
 }
 
 func TestStepsComeInOrderTheLargestFirst(t *testing.T) {
-	s := steering(at(0), map[line]float64{{0, 1}: 1, {0, 2}: 1, {0, 3}: 1},
+	g := at(0)
+	s := steering(g, map[line]float64{{0, 1}: 1, {0, 2}: 1, {0, 3}: 1},
 		map[line]float64{{0, 1}: 0.5, {0, 2}: 0.1, {0, 4}: 1}, map[uint32]bool{})
 	s.moves[5] = 1
 	want(t, "add", s.orders(add)[0], control.Order(control.SetLine{Replica: 4, Weight: 1}))
@@ -116,7 +117,18 @@
 	s.open[1] = 0
 	s.at = remove
 	s.proceed()
-	want(t, "additions fold in", s.at, add)
+	steps := mail[step](g, thePacer)
+	want(t, "removals wait for additions", len(steps[0].orders), 1)
+	s.at = overwrite
+	s.proceed()
+	want(t, "additions fold in", len(mail[step](g, thePacer)[1].orders), 2)
+}
+
+func TestAnAnsweredStepIsOverThoughMoreHasChanged(t *testing.T) {
+	s := steering(at(0), map[line]float64{{0, 1}: 1, {0, 2}: 1}, map[line]float64{{0, 1}: 0.5}, map[uint32]bool{})
+	s.at, s.sent = overwrite, true
+	s.proceed()
+	want(t, "removals come", s.at, remove)
 }
 
 func TestARemovalOfWhoIsBackNeverLeaves(t *testing.T) {
--- a/brain/types.go
+++ b/brain/types.go
@@ -114,6 +114,7 @@
 	out   map[uint32]bool // withdrawn, not lifted yet
 	moves map[int]int     // proxies to rebind
 	at    int
+	sent  bool             // the open step has sent something
 	open  map[uint64]int64 // marks of the open step and when they were set
 }
 
