--- a/brain/brain.go
+++ b/brain/brain.go
@@ -320,8 +320,10 @@
 		}
 	}
 	for _, proxy := range sorted(p.seat) {
-		need[p.seat[proxy]] += p.crowd[proxy].Rate
-		total += p.crowd[proxy].Rate
+		if 2*len(p.seat)*p.Governors >= p.Proxies { // the first to join do not tell of all
+			need[p.seat[proxy]] += p.crowd[proxy].Rate
+			total += p.crowd[proxy].Rate
+		}
 	}
 	for table := range home { // a few of the sick are its own zones' trouble; when most are, guests must come
 		if serves[table]*spares[p.Pick] < deadPart*home[table] {
