Needs follow the flows that came to each proxy in the last 8 s

Also catches proxies whose usual rate is told wrong, and waves; it could harm where sums stay away for long: then a usual rate weighs less than it should.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -46,6 +46,7 @@
 	slowPace, forgetSpan      = 8, 600 * second   // slowest pace of a channel; the gone are forgotten
 	shareSteps, guestSteps    = 20, 10            // levels and guests move in such parts, to save orders
 	linesSpan, turns          = second, 10007     // all lines of all proxies can be sent in this time
+	demandSpan, priorSpan     = 8 * second, 4.0   // flows of a proxy; seconds that its usual rate counts for
 	connPart                  = 0.25              // of the connections of a small replica
 )
 
@@ -170,7 +171,7 @@
 	case tick:
 		p.norms()
 	case control.Joined:
-		p.zones[n.Proxy], p.crowd[n.Proxy] = n.Zone, n
+		p.zones[n.Proxy], p.crowd[n.Proxy] = n.Zone, crowded{n, p.now}
 		p.links(n.Zone)
 	case control.Left:
 		delete(p.crowd, n.Proxy)
@@ -178,8 +179,8 @@
 		p.links(-1)
 	case offer:
 		p.offers[n.Replica] = n
-	case float64:
-		p.lost = n
+	case demand:
+		p.demand = n
 	case forget:
 		delete(p.offers, n.id)
 		delete(p.own, n.id)
@@ -272,7 +273,7 @@
 		o := p.offers[id]
 		k := kinds[o.Kind]
 		// A collapse takes 2 s and means take 4: the cold go by the worst of all measures, the newest sums too.
-		n := norm{math.Inf(1), k.good / math.Max(1, k.count), 1, bad, max(bad, p.lost, newMissed/newTries)}
+		n := norm{math.Inf(1), k.good / math.Max(1, k.count), 1, bad, max(bad, p.demand.lost, newMissed/newTries)}
 		good, late := o.tries-o.bad, o.answer/math.Max(1e-9, k.answer/math.Max(1, k.good))
 		if len(sizes) > 1 && late > slowAnswer {
 			n.goal = math.Max(slowest, 1/late)
@@ -321,8 +322,11 @@
 	}
 	for _, proxy := range sorted(p.seat) {
 		if 2*len(p.seat)*p.Governors >= p.Proxies { // the first to join do not tell of all
-			need[p.seat[proxy]] += p.crowd[proxy].Rate
-			total += p.crowd[proxy].Rate
+			j := p.crowd[proxy] // flows move from zone to zone: what came lately, more and more
+			span := math.Min(float64(p.now-j.at), float64(demandSpan)) / float64(second)
+			rate := (j.Rate*priorSpan + p.demand.flows[proxy]) / (priorSpan + span)
+			need[p.seat[proxy]] += rate
+			total += rate
 		}
 	}
 	for table := range home { // a few of the sick are its own zones' trouble; when most are, guests must come
@@ -510,16 +514,17 @@
 	switch n := n.(type) {
 	case control.Demand:
 		l.came = append(l.came, sums{n, l.now})
-		l.came = l.came[max(0, len(l.came)-samplesKept*len(l.Groups)*l.Proxies):]
 	case fleet:
-		flows, all, missed := map[int]float64{}, 0, 0
+		l.came = slices.DeleteFunc(l.came, func(d sums) bool { return d.at <= l.now-demandSpan })
+		flows, by, all, missed := map[int]float64{}, map[int]float64{}, 0, 0
 		for _, d := range l.came {
+			by[d.Proxy] += float64(d.Flows)
 			if d.at > l.now-recent {
 				flows[d.Group] += float64(d.Flows) * float64(second) / float64(recent)
 				all, missed = all+d.Flows, missed+d.Missed
 			}
 		}
-		l.post(thePlanner, float64(missed)/math.Max(1, float64(all)))
+		l.post(thePlanner, demand{float64(missed) / math.Max(1, float64(all)), by})
 		l.judge(n, flows)
 	}
 }
--- a/brain/tables_test.go
+++ b/brain/tables_test.go
@@ -36,7 +36,7 @@
 	g := at(0)
 	g.Proxies = 12
 	p := planning(g, offered(1, 0, false, control.Ready), offered(2, 1, false, control.Gone))
-	p.crowd[3] = control.Joined{Proxy: 3, Zone: 1, Rate: 5}
+	p.crowd[3] = crowded{control.Joined{Proxy: 3, Zone: 1, Rate: 5}, 0}
 	p.redraw()
 	lines := mail[target](g, theSequence)[0].lines
 	want(t, "guest", lines[line{1, 1}] > 0, true)
@@ -94,7 +94,7 @@
 	n := mail[norm](g, parts)[0]
 	want(t, "verdicts go by the mean, the cold by the worst", n.bad < 0.11 && n.lost > coldLost, true)
 	p := planning(g)
-	p.take(0.9) // flows that got no answer
+	p.take(demand{lost: 0.9}) // flows that got no answer
 	p.norms()
 	want(t, "lost flows count too", mail[norm](g, parts)[1].lost, 0.9)
 }
--- a/brain/types.go
+++ b/brain/types.go
@@ -25,6 +25,10 @@
 		lines map[line]float64
 		out   map[uint32]bool
 	}
+	demand struct { // levels to planner: part of the flows that got no answer; flows that came, by proxy
+		lost  float64
+		flows map[int]float64
+	}
 	step struct { // sequence to pacer: what the open step still has to send
 		at     int
 		orders []control.Order
@@ -65,10 +69,15 @@
 	changed int64 // when its state in the list last changed
 }
 
+type crowded struct { // a proxy that is here, since when
+	control.Joined
+	at int64
+}
+
 type planner struct {
 	*desk
 	offers map[uint32]offer
-	crowd  map[int]control.Joined
+	crowd  map[int]crowded
 	zones  map[int]int       // of all proxies ever joined
 	calm   map[int][]float64 // the last answer times of each kind
 	judged int64
@@ -78,7 +87,7 @@
 	seat   map[int]int     // the table of each proxy
 	same   bool            // nothing has changed since the last draw
 	tables int             // how many, once the first list has come
-	lost   float64         // part of the flows that got no answer
+	demand demand          // of the last few seconds
 }
 
 type roll struct {
