Overload is judged without the worst quarter of the replicas

Real overload shows at most replicas alike. It could harm where a fleet is so small that a quarter is one replica.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -47,7 +47,8 @@
 	shareSteps, guestSteps    = 20, 10            // levels and guests move in such parts, to save orders
 	linesSpan, turns          = second, 10007     // all lines of all proxies can be sent in this time
 	demandSpan, priorSpan     = 8 * second, 4.0   // flows of a proxy; seconds that its usual rate counts for
-	connPart                  = 0.25              // of the connections of a small replica
+	mostPart                  = 0.75
+	connPart                  = 0.25 // of the connections of a small replica
 )
 
 var coldOut = [...]float64{coldLost, coldShed, coldLost}      // by control.Admission
@@ -227,6 +228,7 @@
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
 	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
+	var most []offer
 	missed, tries, serves, quick, newMissed, newTries := 0.0, 0.0, 0.0, math.Inf(1), 0.0, 1.0
 	for _, calm := range p.calm {
 		quick = min(quick, slices.Min(calm))
@@ -249,6 +251,7 @@
 		if sizes[o.Weight] = true; !o.sick && !o.trial && o.State == control.Ready {
 			missed, tries, serves = missed+o.bad, tries+o.tries, serves+1
 			newMissed, newTries = newMissed+o.newBad, newTries+o.newTries
+			most = append(most, o)
 		}
 		for _, kind := range []int{o.Kind, all} {
 			if k, good := kinds[kind], o.tries-o.bad; well(o) {
@@ -288,8 +291,17 @@
 		}
 		p.post(o.box, n)
 	}
-	p.post(theLevels, fleet{tries * float64(second) / float64(recent), bad,
-		kinds[all].answer / math.Max(1, kinds[all].good), serves})
+	slices.SortStableFunc(most, func(a, b offer) int { // a few that fail are no overload
+		return cmp.Compare(a.bad/math.Max(1, a.tries), b.bad/math.Max(1, b.tries))
+	})
+	f := fleet{tries: tries * float64(second) / float64(recent), bad: bad, serves: serves,
+		answer: kinds[all].answer / math.Max(1, kinds[all].good)}
+	mostTries := 1e-9
+	for _, o := range most[:int(math.Ceil(mostPart*float64(len(most))))] {
+		mostTries, f.most = mostTries+o.tries, f.most+o.bad
+	}
+	f.most /= mostTries
+	p.post(theLevels, f)
 }
 
 // redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones,
@@ -544,7 +556,7 @@
 		l.line = float64(len(l.groups))
 	}
 	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
-	press := math.Max(f.bad/missedMost, f.answer/strained/budget)
+	press := math.Max(f.most/missedMost, f.answer/strained/budget)
 	over := press > 1 && l.Admission == control.AdmitShare
 	// Full queues hold work whose clients have left, and only fewer tries let them drain. It harms a little
 	// where few replicas turn flows away while others have room.
@@ -574,7 +586,7 @@
 	l.judged = l.now
 	if over != l.strain {
 		l.strain = over
-		l.say("overload %v: %.2f missed, answers %.3fs, line at %.2f groups", over, f.bad, f.answer, l.line)
+		l.say("overload %v: %.2f missed, answers %.3fs, line at %.2f groups", over, f.most, f.answer, l.line)
 	}
 	for rank, g := range l.groups { // those over the line get all, those under it what is left
 		share := math.Min(1, math.Max(0, math.Ceil(shareSteps*(l.line-float64(rank)))/shareSteps))
--- a/brain/tables_test.go
+++ b/brain/tables_test.go
@@ -158,3 +158,19 @@
 	r.take(control.Left{Proxy: 2})
 	want(t, "closed", mail[caught](g, theSequence)[0], caught{70000, true})
 }
+
+func TestAFewThatFailAreNoOverload(t *testing.T) {
+	g := at(10 * second)
+	var all []offer
+	for id := uint32(1); id <= 4; id++ {
+		o := offered(id, 0, false, control.Ready)
+		if o.box, o.tries = parts, 10; id == 1 {
+			o.bad = 10
+		}
+		all = append(all, o)
+	}
+	g.boxes = append(g.boxes, &inbox{})
+	planning(g, all...).norms()
+	f := mail[fleet](g, theLevels)[0]
+	want(t, "all miss a quarter, most miss nothing", f.bad == 0.25 && f.most < 0.01, true)
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -20,8 +20,8 @@
 		weight, size, ticket, tries, bad, answer, newTries, newBad float64
 		cold, sick, trial                                          bool
 	}
-	fleet  struct{ tries, bad, answer, serves float64 } // planner to levels: tries a second, part missed
-	target struct {                                     // planner to sequence: weights, below 0: stays as it is
+	fleet  struct{ tries, bad, most, answer, serves float64 } // planner to levels: tries a second, part missed
+	target struct {                                           // planner to sequence: weights, below 0: stays as it is
 		lines map[line]float64
 		out   map[uint32]bool
 	}
