--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,10 +45,9 @@
 	lineFirst, lineDown       = 0.9, 0.9          // of the most it served: let when strained; then less
 	slowPace, forgetSpan      = 8, 600 * second   // slowest pace of a channel; the gone are forgotten
 	shareSteps, guestSteps    = 20, 10            // levels and guests move in such parts, to save orders
-	linesSpan, turns          = second, 10007     // all lines of all proxies can be sent in this time
-	demandSpan, priorSpan     = 8 * second, 4.0   // flows of a proxy; seconds that its usual rate counts for
+	linesTable, turns         = 5.0, 10007
+	demandSpan, priorSpan     = 8 * second, 4.0 // flows of a proxy; seconds that its usual rate counts for
 	mostPart                  = 0.75
-	connPart                  = 0.25 // of the connections of a small replica
 )
 
 var coldOut = [...]float64{coldLost, coldShed, coldLost}      // by control.Admission
@@ -408,9 +407,7 @@
 	most := max(1, (p.Proxies/max(1, p.Governors)-1)/proxiesTable)
 	row := min(max(1, p.Zones), most)
 	if p.tables == 0 && len(ids) > 0 {
-		lines := math.Min(p.ChannelRate*float64(linesSpan)/float64(second)*float64(p.Governors)/float64(p.Proxies)-
-			float64(p.MessageHead+1), connPart*float64(p.Connections*len(ids))/float64(p.Proxies))
-		p.tables = row * max(1, min(most/row, int(math.Round(float64(len(ids)/row)/math.Max(3, lines)))))
+		p.tables = row * max(1, min(most/row, int(math.Round(float64(len(ids)/row)/linesTable))))
 	}
 	held := make([]float64, max(row, p.tables))
 	fresh := slices.DeleteFunc(slices.Clone(ids), func(id uint32) bool {
--- a/control/control.go
+++ b/control/control.go
@@ -64,7 +64,6 @@
 	MessagesMost int // messages to one proxy within MessagesSpan; 0 is no limit
 	MessagesSpan int64
 	ReportEvery  int64
-	Connections  int // the smallest replicas accept no more
 
 	ColdShare    float64 // least part of its capacity a replica starts with
 	WarmAfter    int64
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -109,7 +109,6 @@
 domain.try_factor=1.0
 domain.usual_how=1
 domain.worst_transit_ms=257.5
-domain.sockets_min=219.0
 invariants.cold_from=0.18
 invariants.drain_grace_ms=2500.0
 invariants.fall_ms=3000.0
--- a/wire/provision.go
+++ b/wire/provision.go
@@ -89,7 +89,6 @@
 		MessagesMost: s.count("domain.pushes_allowed"),
 		MessagesSpan: s.ms("domain.reload_span_ms"),
 		ReportEvery:  s.ms("domain.cycle_ms"),
-		Connections:  s.count("domain.sockets_min"),
 
 		ColdShare:    s.number("invariants.cold_from"),
 		WarmAfter:    s.ms("invariants.warm_after_ms"),
