--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,31 +20,31 @@
 // Tuned values. Whatever a deployment states or shows is preferred to a figure here.
 const (
 	second                    = int64(1e9)
-	beat                      = second / 4        // the governor looks up at each beat
-	proxiesTable, stepTimeout = 5, 2 * second     // less than one table for so many proxies; a step ends then
-	entryShare, entrySpan     = 0.5, 5 * second   // weight of a new replica, for how long
-	ordinaryPart, urgentPart  = 0.4, 0.85         // of the channel's limit, for lines and for all
-	ordinaryMsgs, addMsgs     = 0.5, 0.75         // of a proxy's message cap, for changed lines and new ones
-	urgentMsgs, changeWorth   = 0.95, 0.15        // and for all; relative change of a weight worth a line
-	recent, samplesKept       = 4 * second, 32    // older samples are not judged, more are not kept
-	settleSpan, firstSteps    = 4 * second, 8     // a weight follows answers in this; first in a part of its age
-	kindSpread, shrink        = 2, 8.0            // a calm kind's most against the quickest; a kind's prior
-	idleFirst, idleLast       = 0.85, 0.6         // idle part of a calm replica, at first and later
-	firstSamples, fewProxies  = 15.0, 2           // seconds of first answers; so few tell nothing of links
-	slowest, coldSpare        = 1.0 / 16, 0.4     // least weight in its kind; of the multiple of a fall
-	sickTries, trialTries     = 5, 3              // tries needed for a verdict, and on trial
-	sickPart, lostBad         = 0.5, 0.4          // sick: misses more, above the fleet's own, unless lost
-	fewGood, sickMost         = 0.2, 0.75         // gives less of its kind's good answers; so many may be out
-	restSpan, mostRelapses    = 3 * second, 2     // the first rest of the sick, how often it doubles
-	trialPart, slowAnswer     = 0.3, 2.0          // weight on trial; slow: so much later than its kind
-	deadPart, fullSpan        = 0.65, 60 * second // guests for the sick if less serves; a loss is got used to
-	spareGuest, spareIdler    = 1.1, 1.35         // a table that needs this much more than its own takes guests
-	coldLost, coldShed        = 0.3, 0.7          // flows lost: the cold stay out; with levels
-	strained, missedMost      = 0.75, 0.15        // an overloaded fleet: answer to budget, missed part
-	missedOnce, lineUp        = 0.08, 0.01        // missed part: further tries stop; the line's rise a second
-	lineFirst, lineDown       = 0.9, 0.9          // of the most it served: let when strained; then less
-	slowPace, forgetSpan      = 8, 600 * second   // slowest pace of a channel; the gone are forgotten
-	shareSteps, guestSteps    = 20, 10            // levels and guests move in such parts, to save orders
+	beat                      = second / 4      // the governor looks up at each beat
+	proxiesTable, stepTimeout = 5, 2 * second   // less than one table for so many proxies; a step ends then
+	entryShare, entrySpan     = 0.5, 5 * second // weight of a new replica, for how long
+	ordinaryPart, urgentPart  = 0.4, 0.85       // of the channel's limit, for lines and for all
+	ordinaryMsgs, addMsgs     = 0.5, 0.75       // of a proxy's message cap, for changed lines and new ones
+	urgentMsgs, changeWorth   = 0.95, 0.15      // and for all; relative change of a weight worth a line
+	recent, samplesKept       = 4 * second, 32  // older samples are not judged, more are not kept
+	settleSpan, firstSteps    = 4 * second, 8   // a weight follows answers in this; first in a part of its age
+	kindSpread, shrink        = 2, 8.0          // a calm kind's most against the quickest; a kind's prior
+	idleFirst, idleLast       = 0.85, 0.6       // idle part of a calm replica, at first and later
+	firstSamples, fewProxies  = 15.0, 2         // seconds of first answers; so few tell nothing of links
+	slowest, coldSpare        = 1.0 / 16, 0.4   // least weight in its kind; of the multiple of a fall
+	sickTries, trialTries     = 5, 3            // tries needed for a verdict, and on trial
+	sickPart, lostBad         = 0.5, 0.4        // sick: misses more, above the fleet's own, unless lost
+	fewGood, sickMost         = 0.2, 0.75       // gives less of its kind's good answers; so many may be out
+	restSpan, mostRelapses    = 3 * second, 2   // the first rest of the sick, how often it doubles
+	trialPart, slowAnswer     = 0.3, 2.0        // weight on trial; slow: so much later than its kind
+	deadPart                  = 0.65            // guests for the sick if less serves
+	spareGuest, spareIdler    = 1.1, 1.35       // a table that needs this much more than its own takes guests
+	coldLost, coldShed        = 0.3, 0.7        // flows lost: the cold stay out; with levels
+	strained, missedMost      = 0.75, 0.15      // an overloaded fleet: answer to budget, missed part
+	missedOnce, lineUp        = 0.08, 0.01      // missed part: further tries stop; the line's rise a second
+	lineFirst, lineDown       = 0.9, 0.9        // of the most it served: let when strained; then less
+	slowPace, forgetSpan      = 8, 600 * second // slowest pace of a channel; the gone are forgotten
+	shareSteps, guestSteps    = 20, 10          // levels and guests move in such parts, to save orders
 	linesTable, turns         = 5.0, 10007
 	demandSpan, priorSpan     = 8 * second, 4.0 // flows of a proxy; seconds that its usual rate counts for
 	mostPart                  = 0.75
@@ -260,9 +260,6 @@
 	}
 	if p.now-p.judged >= second {
 		p.judged = p.now
-		for table := range p.full { // a lasting loss is got used to
-			p.full[table] *= 1 - float64(second)/float64(fullSpan)
-		}
 		for kind, k := range kinds {
 			if k.good >= sickTries {
 				p.calm[kind] = append(p.calm[kind], k.answer/k.good)
@@ -322,7 +319,7 @@
 	tables, row := p.tables, min(max(1, p.Zones), p.tables)
 	t := target{map[line]float64{}, p.shutOut(ids)}
 	need, home, serves := make([]float64, tables), make([]float64, tables), make([]float64, tables)
-	total, all, fullAll := 1e-9, 1e-9, 1e-9
+	total, all := 1e-9, 1e-9
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
 			home[p.own[id]] += o.size
@@ -344,8 +341,7 @@
 		if serves[table]*spares[p.Pick] < deadPart*home[table] {
 			home[table] = serves[table]
 		}
-		p.full[table] = math.Max(home[table], p.full[table])
-		all, fullAll = all+home[table], fullAll+p.full[table]
+		all += home[table]
 	}
 	spare := map[uint32]float64{}
 	for _, id := range ids {
@@ -366,7 +362,7 @@
 		lay(p.own[id], id, 1)
 	}
 	for table := range tables {
-		want := math.Max(need[table]/total*all/spares[p.Pick], p.full[table]/fullAll*all/spareGuest)
+		want := need[table] / total * all / spares[p.Pick]
 		lacks, bare := want-home[table], home[table] == 0
 		if seats[table] = table; bare { // nobody is left bare
 			lacks, seats[table] = math.Inf(1), slices.Index(home, slices.Max(home))
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -80,7 +80,7 @@
 	d := &g.desk
 	d.boxes = []*inbox{
 		theRoll: {part: &roll{desk: d, here: map[int]control.Joined{}, seat: map[int]int{}, wait: map[uint64]map[int]bool{}}},
-		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{}, full: map[int]float64{},
+		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{},
 			own: map[uint32]int{}, seat: map[int]int{}, offers: map[uint32]offer{}, crowd: map[int]crowded{}, zones: map[int]int{}}},
 		theLevels: {part: &levels{desk: d, set: map[int]control.Level{}}},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
--- a/brain/types.go
+++ b/brain/types.go
@@ -82,12 +82,11 @@
 	calm   map[int][]float64 // the last answer times of each kind
 	judged int64
 	out    map[uint32]bool
-	full   map[int]float64 // the most that the own zones of a table could carry lately
-	own    map[uint32]int  // the table of each replica
-	seat   map[int]int     // the table of each proxy
-	same   bool            // nothing has changed since the last draw
-	tables int             // how many, once the first list has come
-	demand demand          // of the last few seconds
+	own    map[uint32]int // the table of each replica
+	seat   map[int]int    // the table of each proxy
+	same   bool           // nothing has changed since the last draw
+	tables int            // how many, once the first list has come
+	demand demand         // of the last few seconds
 }
 
 type roll struct {
