--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,18 +39,16 @@
 	trialPart, slowAnswer     = 0.3, 2.0        // weight on trial; slow: so much later than its kind
 	deadPart                  = 0.65            // guests for the sick if less serves
 	spareGuest, spareIdler    = 1.1, 1.35       // a table that needs this much more than its own takes guests
-	coldLost, coldShed        = 0.3, 0.7        // flows lost: the cold stay out; with levels
+	coldLost, mostPart        = 0.3, 0.75       // flows lost: the cold stay out; replicas that tell overload
 	strained, missedMost      = 0.75, 0.15      // an overloaded fleet: answer to budget, missed part
 	missedOnce, lineUp        = 0.08, 0.01      // missed part: further tries stop; the line's rise a second
 	lineFirst, lineDown       = 0.9, 0.9        // of the most it served: let when strained; then less
 	slowPace, forgetSpan      = 8, 600 * second // slowest pace of a channel; the gone are forgotten
 	shareSteps, guestSteps    = 20, 10          // levels and guests move in such parts, to save orders
-	linesTable, turns         = 5.0, 10007
+	linesTable, turns         = 5.0, 10007      // a zone is split while tables keep so many; mixes the guests
 	demandSpan, priorSpan     = 8 * second, 4.0 // flows of a proxy; seconds that its usual rate counts for
-	mostPart                  = 0.75
 )
 
-var coldOut = [...]float64{coldLost, coldShed, coldLost}      // by control.Admission
 var spares = [...]float64{spareGuest, spareGuest, spareIdler} // by control.Pick
 
 // draw gives a replica its ticket in the draw of tables, by listed weight: the highest are drawn first.
@@ -96,8 +94,7 @@
 	tries, bad, answer := r.lately(recent)
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
-	// Where levels stop the flood they come in sooner, as they are what ends the strain.
-	w, sick := size*r.speed, r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldOut[r.Admission])
+	w, sick := size*r.speed, r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
 	if r.trial > 0 {
 		w *= trialPart
 	}
@@ -310,8 +307,9 @@
 	}
 	p.same = true
 	ids := sorted(p.offers)
-	slices.SortStableFunc(ids, func(a, b uint32) int {
-		return cmp.Compare(p.offers[b].ticket, p.offers[a].ticket)
+	slices.SortStableFunc(ids, func(a, b uint32) int { // each kind is dealt round the tables
+		x, y := p.offers[a], p.offers[b]
+		return cmp.Or(cmp.Compare(x.Kind, y.Kind), cmp.Compare(y.ticket, x.ticket))
 	})
 	if p.deal(ids); p.tables == 0 {
 		return
@@ -343,13 +341,12 @@
 		}
 		all += home[table]
 	}
-	spare := map[uint32]float64{}
+	spare := map[uint32]float64{} // what its own table does not need of each
 	for _, id := range ids {
-		table := p.own[id]
-		spare[id] = math.Max(0, 1-need[table]/total*all/math.Max(1e-9, home[table])) // of its weight
+		spare[id] = math.Max(0, 1-need[p.own[id]]/total*all/math.Max(1e-9, home[p.own[id]]))
 	}
 	size := max(3, p.ChannelLimit/2*max(1, p.Governors)/max(1, p.Proxies)-p.MessageHead-2) // binds fit in half
-	seats, drawn := make([]int, tables), make([]int, tables)                               // the table for each table's proxies; its lines
+	seats, drawn := make([]int, tables), make([]int, tables)                               // who serves each table's proxies; its lines
 	lay := func(table int, id uint32, part float64) {
 		if w := part * p.offers[id].weight; p.offers[id].State == control.Ready && w > 0 {
 			if drawn[table]++; t.out[id] {
@@ -370,16 +367,14 @@
 		if lacks <= 0 {
 			continue
 		}
-		turn := map[uint32]float64{} // guests of its zones come first, each table's in an order of its own
-		for _, id := range ids {
-			if turn[id] = math.Mod(p.offers[id].ticket*float64(turns+table), 1); p.own[id]%row != table%row {
-				turn[id]++
-			}
+		turn := func(id uint32) float64 { // guests of its zones come first, each table's in an order of its own
+			far := min(1, math.Abs(float64(p.own[id]%row-table%row)))
+			return far + math.Mod(p.offers[id].ticket*float64(turns+table), 1)
 		}
-		order := slices.DeleteFunc(sorted(turn), func(id uint32) bool {
+		order := slices.DeleteFunc(slices.Clone(ids), func(id uint32) bool {
 			return p.own[id] == table || p.offers[id].State != control.Ready || spare[id] == 0 && !bare
 		})
-		slices.SortStableFunc(order, func(a, b uint32) int { return cmp.Compare(turn[a], turn[b]) })
+		slices.SortFunc(order, func(a, b uint32) int { return cmp.Compare(turn(a), turn(b)) })
 		for _, id := range order {
 			if lacks <= 0 || drawn[table] >= size {
 				break
@@ -398,25 +393,23 @@
 }
 
 // deal gives each new replica to one table of its zone for good, the one whose own are fewest by listed
-// weight. A zone is split over several tables while each has lines enough.
+// weight. A zone is split over several tables while each keeps lines enough.
 func (p *planner) deal(ids []uint32) {
 	most := max(1, (p.Proxies/max(1, p.Governors)-1)/proxiesTable)
-	row := min(max(1, p.Zones), most)
-	if p.tables == 0 && len(ids) > 0 {
+	if row := min(max(1, p.Zones), most); p.tables == 0 && len(ids) > 0 {
 		p.tables = row * max(1, min(most/row, int(math.Round(float64(len(ids)/row)/linesTable))))
 	}
-	held := make([]float64, max(row, p.tables))
-	fresh := slices.DeleteFunc(slices.Clone(ids), func(id uint32) bool {
-		table, ok := p.own[id]
-		if ok && p.offers[id].State == control.Ready {
+	held := make([]float64, p.tables)
+	for _, id := range ids {
+		if table, ok := p.own[id]; ok && p.offers[id].State == control.Ready {
 			held[table] += p.offers[id].Weight
 		}
-		return ok
-	})
-	slices.SortStableFunc(fresh, func(a, b uint32) int { return cmp.Compare(p.offers[a].Kind, p.offers[b].Kind) })
-	for _, id := range fresh {
-		p.own[id] = p.least(p.offers[id].Zone, held)
-		held[p.own[id]] += p.offers[id].Weight
+	}
+	for _, id := range ids {
+		if _, ok := p.own[id]; !ok {
+			p.own[id] = p.least(p.offers[id].Zone, held)
+			held[p.own[id]] += p.offers[id].Weight
+		}
 	}
 }
 
@@ -489,20 +482,6 @@
 	}
 }
 
-// strike: no mark up to this one waits for the proxy any more. An answer speaks for the proxy's earlier
-// marks, and nothing waits for a proxy that has left.
-func (r *roll) strike(proxy int, upto uint64) {
-	for _, mark := range sorted(r.wait) {
-		if w := r.wait[mark]; mark <= upto && w[proxy] {
-			if delete(w, proxy); len(w) == 0 {
-				delete(r.wait, mark)
-				r.post(thePacer, caught{mark, true})
-				r.post(theSequence, caught{mark, true})
-			}
-		}
-	}
-}
-
 // ---- levels: admission, further tries
 
 // usual is what proxies do by themselves after a failure, or less where a try that may have run could then be
@@ -618,21 +597,7 @@
 	case control.Left:
 		delete(s.moves, n.Proxy)
 	case marked:
-		for _, o := range n.orders {
-			switch o := o.(type) {
-			case control.Withdraw:
-				delete(s.out, o.Replica)
-			case control.Bind:
-				delete(s.moves, o.Proxy)
-			case control.SetLine:
-				if s.laid[line{o.Table, o.Replica}] = o.Weight; o.Weight == 0 {
-					delete(s.laid, line{o.Table, o.Replica})
-				}
-			}
-			if n.mark > 0 {
-				s.open[n.mark], s.sent = s.now, true
-			}
-		}
+		s.note(n)
 		return
 	case caught:
 		delete(s.open, n.mark)
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -79,9 +79,11 @@
 	g := &Governor{desk: desk{Provision: p}, replicas: map[uint32]*replica{}}
 	d := &g.desk
 	d.boxes = []*inbox{
-		theRoll: {part: &roll{desk: d, here: map[int]control.Joined{}, seat: map[int]int{}, wait: map[uint64]map[int]bool{}}},
+		theRoll: {part: &roll{desk: d, here: map[int]control.Joined{}, seat: map[int]int{},
+			wait: map[uint64]map[int]bool{}}},
 		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{},
-			own: map[uint32]int{}, seat: map[int]int{}, offers: map[uint32]offer{}, crowd: map[int]crowded{}, zones: map[int]int{}}},
+			own: map[uint32]int{}, seat: map[int]int{}, offers: map[uint32]offer{}, crowd: map[int]crowded{},
+			zones: map[int]int{}}},
 		theLevels: {part: &levels{desk: d, set: map[int]control.Level{}}},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
@@ -160,3 +162,36 @@
 		g.post(r.box, e)
 	}
 }
+
+// strike: no mark up to this one waits for the proxy any more. An answer speaks for the proxy's earlier
+// marks, and nothing waits for a proxy that has left.
+func (r *roll) strike(proxy int, upto uint64) {
+	for _, mark := range sorted(r.wait) {
+		if w := r.wait[mark]; mark <= upto && w[proxy] {
+			if delete(w, proxy); len(w) == 0 {
+				delete(r.wait, mark)
+				r.post(thePacer, caught{mark, true})
+				r.post(theSequence, caught{mark, true})
+			}
+		}
+	}
+}
+
+// note keeps what has gone out of the step: lines laid, lifts and moves done, marks to wait for.
+func (s *sequence) note(m marked) {
+	for _, o := range m.orders {
+		switch o := o.(type) {
+		case control.Withdraw:
+			delete(s.out, o.Replica)
+		case control.Bind:
+			delete(s.moves, o.Proxy)
+		case control.SetLine:
+			if s.laid[line{o.Table, o.Replica}] = o.Weight; o.Weight == 0 {
+				delete(s.laid, line{o.Table, o.Replica})
+			}
+		}
+		if m.mark > 0 {
+			s.open[m.mark], s.sent = s.now, true
+		}
+	}
+}
