--- a/brain/brain.go
+++ b/brain/brain.go
@@ -186,6 +186,8 @@
 	case redraw:
 		p.redraw()
 		return
+	default:
+		return
 	}
 	p.same = false
 }
@@ -367,14 +369,14 @@
 		if lacks <= 0 {
 			continue
 		}
-		turn := func(id uint32) float64 { // guests of its zones come first, each table's in an order of its own
-			far := min(1, math.Abs(float64(p.own[id]%row-table%row)))
-			return far + math.Mod(p.offers[id].ticket*float64(turns+table), 1)
+		order, turn := []uint32{}, map[uint32]float64{} // of its zones first, each table's in an order of its own
+		for _, id := range ids {
+			if p.own[id] != table && p.offers[id].State == control.Ready && (spare[id] > 0 || bare) {
+				far := min(1, math.Abs(float64(p.own[id]%row-table%row)))
+				order, turn[id] = append(order, id), far+math.Mod(p.offers[id].ticket*float64(turns+table), 1)
+			}
 		}
-		order := slices.DeleteFunc(slices.Clone(ids), func(id uint32) bool {
-			return p.own[id] == table || p.offers[id].State != control.Ready || spare[id] == 0 && !bare
-		})
-		slices.SortFunc(order, func(a, b uint32) int { return cmp.Compare(turn(a), turn(b)) })
+		slices.SortFunc(order, func(a, b uint32) int { return cmp.Compare(turn[a], turn[b]) })
 		for _, id := range order {
 			if lacks <= 0 || drawn[table] >= size {
 				break
