--- a/brain/brain.go
+++ b/brain/brain.go
@@ -632,6 +632,7 @@
 // orders are what a step has to do, the largest change first; a withdrawal is lifted behind its lines.
 func (s *sequence) orders(at int) []control.Order {
 	var ls []line
+	sums := map[int]float64{} // whole tables, as a message's head costs more than a line
 	size := func(l line) float64 {
 		return math.Abs(s.want.lines[l]-s.laid[l]) / math.Max(s.laid[l], s.want.lines[l])
 	}
@@ -647,10 +648,12 @@
 		}
 		if kind == at && want >= 0 && want != has && (kind == add || size(l) >= changeWorth) {
 			ls = append(ls, l)
+			sums[l.table] = math.Max(sums[l.table], size(l))
 		}
 	}
 	slices.SortFunc(ls, func(a, b line) int {
-		return cmp.Or(cmp.Compare(size(b), size(a)), cmp.Compare(a.table, b.table), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(sums[b.table], sums[a.table]), cmp.Compare(a.table, b.table),
+			cmp.Compare(size(b), size(a)), cmp.Compare(a.id, b.id))
 	})
 	var orders []control.Order
 	for _, l := range ls {
