A replica whose answers are far over its calm ones gets a little less than it answers

Told from a slow channel by figures of its use, from sickness by misses under a fifth; cause: a drowned replica's worth is what it answers, all it can do, so its queue never drains and the shares creep. Now a full queue takes 0.05 of the weight for each calm answer time it is over, five at most. It could harm where answers are late for the way and not for a queue.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,6 +45,7 @@
 	lineFirst, lineDown       = 0.9, 0.9        // of the most it served: let when strained; then less
 	slowPace, forgetSpan      = 8, 600 * second // slowest pace of a channel; the gone are forgotten
 	shareSteps, guestSteps    = 20, 10          // levels and guests move in such parts, to save orders
+	drain, drainMost          = 0.05, 5.0       // a full queue takes from a weight, for each calm answer time over it
 	linesTable, turns         = 5.0, 10007      // a zone is split while tables keep so many; mixes the guests
 	demandSpan, priorSpan     = 8 * second, 4.0 // flows of a proxy; seconds that its usual rate counts for
 )
@@ -241,8 +242,8 @@
 		if calm := p.calm[o.Kind]; len(calm) > 0 {
 			base = math.Min(base, slices.Min(calm))
 		}
-		busy := 1 - idle*base/o.answer // what timed out at a busy one was work too
-		return (o.tries - o.bad + busy*busy*math.Min(o.bad, o.tries-o.bad)) / busy
+		busy := 1 - idle*base/o.answer + drain*math.Min(drainMost, o.answer/base-1)        // a queue has to drain
+		return (o.tries - o.bad + min(1, busy*busy)*math.Min(o.bad, o.tries-o.bad)) / busy // timed out: work too
 	}
 	for _, id := range ids {
 		o := p.offers[id]
--- a/brain/tables_test.go
+++ b/brain/tables_test.go
@@ -174,3 +174,18 @@
 	f := mail[fleet](g, theLevels)[0]
 	want(t, "all miss a quarter, most miss nothing", f.bad == 0.25 && f.most < 0.01, true)
 }
+
+func TestAFullQueueGetsTimeToDrain(t *testing.T) {
+	g := at(10 * second)
+	var all []offer
+	for id, answer := range []float64{0.1, 1.2} {
+		o := offered(uint32(id+1), 0, false, control.Ready)
+		o.box, o.tries, o.answer, o.Kind = parts+id, 300, answer, id
+		all, g.boxes = append(all, o), append(g.boxes, &inbox{})
+	}
+	p := planning(g, all...)
+	p.Kinds, p.calm = 2, map[int][]float64{0: {0.1}, 1: {0.2}, 2: {0.1}}
+	p.norms()
+	idle, full := mail[norm](g, parts)[0].goal, mail[norm](g, parts+1)[0].goal
+	want(t, "more than by what both answer", idle > 3*full, true)
+}
