A slow channel is told by late answers; withdrawals are awaited only from who holds a line

Causes: lines written to a channel at a 24th of its pace were forgotten as answered at an eighth; then, with that gone, answers awaited from proxies that a withdrawal never reached held the room for ever. Also guards against any trouble that delays orders; it harms where one proxy stalls.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,11 +1,8 @@
-// Package brain decides where forwarders (proxies) send flows: it is a governor that sees no flow and steers
-// by tables. To use it call New with the control.Provision of the deployment, then Turn with each batch of
-// events; Turn returns the orders to carry out, in order. Package control is the whole interface. A governor
-// asks for its own Wake and keeps no clock, no goroutine, nothing outside itself: same events, same orders.
-//
-// The ordinary path is a reverse-order update (docs/design.md): few shared tables, a proxy bound once its
-// table is laid, each change a sequence of add, overwrite, rebind, remove, every step closed by its answers.
-// Replicas are actors; parts talk only through inboxes that Turn's one loop empties.
+// Package brain decides where forwarders (proxies) send flows: a governor that sees no flow and steers by
+// tables. Call New with the control.Provision of the deployment, then Turn with each batch of events; Turn
+// returns the orders to carry out, in order. Package control is the whole interface. A governor asks for its
+// own Wake and keeps no clock, nothing outside itself: same events, same orders. The ordinary path is a
+// reverse-order update (docs/design.md). Parts talk only through inboxes that Turn's one loop empties.
 package brain
 
 import (
@@ -19,35 +16,34 @@
 
 // Tuned values. Whatever a deployment states or shows is preferred to a figure here.
 const (
-	second                    = int64(1e9)
-	beat                      = second / 4      // the governor looks up at each beat
-	proxiesTable, stepTimeout = 5, 2 * second   // less than one table for so many proxies; a step ends then
-	entryShare, entrySpan     = 0.5, 5 * second // weight of a new replica, for how long
-	ordinaryPart, urgentPart  = 0.4, 0.85       // of the channel's limit, for lines and for all
-	ordinaryMsgs, addMsgs     = 0.5, 0.75       // of a proxy's message cap, for changed lines and new ones
-	urgentMsgs, changeWorth   = 0.95, 0.15      // and for all; relative change of a weight worth a line
-	recent, samplesKept       = 4 * second, 32  // older samples are not judged, more are not kept
-	settleSpan, firstSteps    = 4 * second, 8   // a weight follows answers in this; first in a part of its age
-	kindSpread, shrink        = 2, 8.0          // a calm kind's most against the quickest; a kind's prior
-	idleFirst, idleLast       = 0.85, 0.6       // idle part of a calm replica, at first and later
-	firstSamples, fewProxies  = 15.0, 2         // seconds of first answers; so few tell nothing of links
-	slowest, coldSpare        = 1.0 / 16, 0.4   // least weight in its kind; of the multiple of a fall
-	sickTries, trialTries     = 5, 3            // tries needed for a verdict, and on trial
-	sickPart, lostBad         = 0.5, 0.4        // sick: misses more, above the fleet's own, unless lost
-	fewGood, sickMost         = 0.2, 0.75       // gives less of its kind's good answers; so many may be out
-	restSpan, mostRelapses    = 3 * second, 2   // the first rest of the sick, how often it doubles
-	trialPart, slowAnswer     = 0.3, 2.0        // weight on trial; slow: so much later than its kind
-	deadPart                  = 0.65            // guests for the sick if less serves
-	spareGuest, spareIdler    = 1.1, 1.35       // a table that needs this much more than its own takes guests
-	coldLost, mostPart        = 0.3, 0.75       // flows lost: the cold stay out; replicas that tell overload
-	strained, missedMost      = 0.75, 0.15      // an overloaded fleet: answer to budget, missed part
-	missedOnce, lineUp        = 0.08, 0.01      // missed part: further tries stop; the line's rise a second
-	lineFirst, lineDown       = 0.9, 0.9        // of the most it served: let when strained; then less
-	slowPace, forgetSpan      = 8, 600 * second // slowest pace of a channel; the gone are forgotten
-	shareSteps, guestSteps    = 20, 10          // levels and guests move in such parts, to save orders
-	drain, drainMost          = 0.05, 5.0       // a full queue takes from a weight, for each calm answer time over it
-	linesTable, turns         = 5.0, 10007      // a zone is split while tables keep so many; mixes the guests
-	demandSpan, priorSpan     = 8 * second, 4.0 // flows of a proxy; seconds that its usual rate counts for
+	second, beat              = int64(1e9), int64(1e9) / 4 // the governor looks up at each beat
+	proxiesTable, stepTimeout = 5, 2 * second              // less than one table for so many; a step ends then
+	linesTable, turns         = 5.0, 10007                 // a zone is split while tables keep so many lines
+	entryShare, entrySpan     = 0.5, 5 * second            // weight of a new replica, for how long
+	ordinaryPart, urgentPart  = 0.4, 0.85                  // of the channel's limit, for lines and for all
+	ordinaryMsgs, addMsgs     = 0.5, 0.75                  // of a proxy's message cap, changed lines and new
+	urgentMsgs, changeWorth   = 0.95, 0.15                 // and for all; change of a weight worth a line
+	recent, samplesKept       = 4 * second, 32             // older samples are not judged, more not kept
+	settleSpan, firstSteps    = 4 * second, 8              // a weight follows answers in this, sooner if new
+	kindSpread, shrink        = 2, 8.0                     // a calm kind's most to the quickest; its prior
+	idleFirst, idleLast       = 0.85, 0.6                  // idle part of a calm replica, at first and later
+	firstSamples, fewProxies  = 15.0, 2                    // first answers; so few tell nothing of links
+	drain, drainMost          = 0.05, 5.0                  // a full queue takes from a weight, in calm answers
+	slowest, coldSpare        = 1.0 / 16, 0.4              // least weight in its kind; of a fall's multiple
+	sickTries, trialTries     = 5, 3                       // tries needed for a verdict, and on trial
+	sickPart, lostBad         = 0.5, 0.4                   // sick: misses more, over the fleet's, unless lost
+	fewGood, sickMost         = 0.2, 0.75                  // gives less of its kind's good; so many may be out
+	restSpan, mostRelapses    = 3 * second, 2              // first rest of the sick, how often it doubles
+	trialPart, slowAnswer     = 0.3, 2.0                   // weight on trial; slow: so much later than its kind
+	deadPart                  = 0.65                       // guests for the sick if less serves
+	spareGuest, spareIdler    = 1.1, 1.35                  // who needs this much over its own takes guests
+	coldLost, mostPart        = 0.3, 0.75                  // flows lost: no cold; who tells of overload
+	strained, missedMost      = 0.75, 0.15                 // overload: answer to budget, missed part
+	missedOnce, lineUp        = 0.08, 0.01                 // missed: one try only; the line's rise a second
+	lineFirst, lineDown       = 0.9, 0.9                   // of the most served: let when strained; less
+	shareSteps, guestSteps    = 20, 10                     // levels and guests move in such parts
+	demandSpan, priorSpan     = 8 * second, 4.0            // flows of a proxy; seconds its usual rate counts
+	forgetSpan, lostSpan      = 600 * second, 30 * second  // the gone are forgotten, and marks nobody answers
 )
 
 var spares = [...]float64{spareGuest, spareGuest, spareIdler} // by control.Pick
@@ -227,7 +223,7 @@
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
 	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
-	var most []offer
+	var shares []float64 // of the tries of each, missed
 	missed, tries, serves, quick, newMissed, newTries := 0.0, 0.0, 0.0, math.Inf(1), 0.0, 1.0
 	for _, calm := range p.calm {
 		quick = min(quick, slices.Min(calm))
@@ -250,7 +246,7 @@
 		if sizes[o.Weight] = true; !o.sick && !o.trial && o.State == control.Ready {
 			missed, tries, serves = missed+o.bad, tries+o.tries, serves+1
 			newMissed, newTries = newMissed+o.newBad, newTries+o.newTries
-			most = append(most, o)
+			shares = append(shares, o.bad/math.Max(1, o.tries))
 		}
 		for _, kind := range []int{o.Kind, all} {
 			if k, good := kinds[kind], o.tries-o.bad; well(o) {
@@ -287,16 +283,13 @@
 		}
 		p.post(o.box, n)
 	}
-	slices.SortStableFunc(most, func(a, b offer) int { // a few that fail are no overload
-		return cmp.Compare(a.bad/math.Max(1, a.tries), b.bad/math.Max(1, b.tries))
-	})
 	f := fleet{tries: tries * float64(second) / float64(recent), bad: bad, serves: serves,
 		answer: kinds[all].answer / math.Max(1, kinds[all].good)}
-	mostTries := 1e-9
-	for _, o := range most[:int(math.Ceil(mostPart*float64(len(most))))] {
-		mostTries, f.most = mostTries+o.tries, f.most+o.bad
+	slices.Sort(shares) // a few that fail are no overload
+	shares = shares[:int(math.Ceil(mostPart*float64(len(shares))))]
+	for _, share := range shares {
+		f.most += share / float64(len(shares))
 	}
-	f.most /= mostTries
 	p.post(theLevels, f)
 }
 
@@ -420,18 +413,20 @@
 // so that no proxy is bare, whatever made so many miss. The cold may all go while anybody warm is listed. It
 // could harm when more than three quarters are sick for good: those stay in.
 func (p *planner) shutOut(ids []uint32) map[uint32]bool {
-	out, stays := map[uint32]bool{}, 0.0
+	out, warm := map[uint32]bool{}, 0.0
 	for _, id := range ids {
-		if out[id] = p.offers[id].State != control.Ready; !out[id] && !p.offers[id].cold {
-			stays += sickMost
+		if o := p.offers[id]; o.State == control.Ready && !o.cold {
+			warm++
 		}
 	}
-	warm := stays > 0
+	may := warm * sickMost
 	for _, id := range ids {
-		if o := p.offers[id]; o.sick && !out[id] && (o.cold && warm || !o.cold && stays >= 1) {
-			if out[id] = true; !o.cold {
-				stays--
-			}
+		switch o := p.offers[id]; {
+		case o.State != control.Ready || o.sick && o.cold && warm > 0:
+			out[id] = true
+		case o.sick && !o.cold && may >= 1:
+			out[id] = true
+			may--
 		}
 		if out[id] && !p.out[id] {
 			p.post(thePacer, control.Withdraw{Replica: id, Out: true})
@@ -690,7 +685,11 @@
 	case caught:
 		// Messages leave in order: an answer clears all that was written before its own.
 		p.under = slices.DeleteFunc(p.under, func(b batch) bool {
-			return b.mark < n.mark || n.all && b.mark == n.mark
+			gone := b.mark < n.mark || n.all && b.mark == n.mark
+			if gone {
+				p.late = math.Max(1, float64(p.now-b.at)/float64(b.due-b.at))
+			}
+			return gone
 		})
 	case closing:
 		p.send()
@@ -698,30 +697,25 @@
 }
 
 // queue is what may still wait in the channel: all that no answer has cleared, so that a slow channel holds
-// ordinary lines back. Dead proxies would hold it for ever, so what one at slowPace had sent is forgotten.
-func (p *pacer) queue() float64 {
-	sum := 0.0
+// ordinary lines back. Who has left clears what only he had not answered; what nobody answers is forgotten.
+func (p *pacer) queue() (sum float64) {
+	p.under = slices.DeleteFunc(p.under, func(b batch) bool { return p.now-b.at > lostSpan })
 	for _, b := range p.under {
 		sum += b.lines
 	}
-	for len(p.under) > 0 {
-		waited := float64(p.now - p.under[0].at - 2*p.WorstTransit)
-		if waited*p.ChannelRate <= sum*slowPace*float64(second) {
-			break
-		}
-		sum -= p.under[0].lines
-		p.under = p.under[1:]
-	}
 	return sum
 }
 
-// reach says whom an order reaches and how many lines it costs at each.
+// reach says whom an order reaches and how many lines it costs at each. A withdrawal reaches who holds a line
+// of the replica: an answer awaited from others would never come, and hold the channel's room for ever.
 func (p *pacer) reach(o control.Order) (to []int, lines int) {
 	switch o := o.(type) {
 	case control.Bind:
-		return []int{o.Proxy}, len(p.boxes) + len(p.Groups) // no more than that many lines and withdrawals
+		return []int{o.Proxy}, 2*len(p.laid[o.Table]) + len(p.Groups) + 1 // all of its lines may be withdrawn
 	case control.SetLine:
 		return slices.DeleteFunc(sorted(p.bound), func(proxy int) bool { return p.bound[proxy] != o.Table }), 1
+	case control.Withdraw:
+		return slices.DeleteFunc(sorted(p.bound), func(proxy int) bool { return !p.laid[p.bound[proxy]][o.Replica] }), 1
 	}
 	return sorted(p.bound), 1
 }
@@ -744,12 +738,17 @@
 	}
 	switch o := o.(type) {
 	case control.Bind:
-		if _, joined := p.bound[o.Proxy]; !p.laid[o.Table] || !joined { // not before its table is laid
+		if _, joined := p.bound[o.Proxy]; len(p.laid[o.Table]) == 0 || !joined { // not before its table is laid
 			return !joined
 		}
 		p.bound[o.Proxy] = o.Table
 	case control.SetLine:
-		p.laid[o.Table] = true
+		if p.laid[o.Table] == nil {
+			p.laid[o.Table] = map[uint32]bool{}
+		}
+		if p.laid[o.Table][o.Replica] = true; o.Weight == 0 {
+			delete(p.laid[o.Table], o.Replica)
+		}
 	case control.Withdraw:
 		if late := (control.Withdraw{Replica: o.Replica, Out: true}); !o.Out { // must not undo this lift
 			p.urgent = slices.DeleteFunc(p.urgent, func(u control.Order) bool { return u == control.Order(late) })
@@ -765,11 +764,15 @@
 // send writes the turn's messages: the step's lines, then all that is urgent in the room kept for it.
 func (p *pacer) send() {
 	p.waits, p.cost, p.reached = p.queue(), 0, map[int]bool{}
-	done, messages := 0, ordinaryMsgs
+	// A slow channel is told by answers that are late: less is written then, and only lines of who lacks them
+	// while the oldest is overdue, so that withdrawals do not wait behind weights. It harms where proxies stall.
+	done, messages, room := 0, ordinaryMsgs, ordinaryPart/math.Max(1, p.late)
 	if p.step.at == add { // who lacks lines comes before who has stale ones
 		messages = addMsgs
+	} else if len(p.under) > 0 && p.now > p.under[0].due {
+		room = 0
 	}
-	for done < len(p.step.orders) && p.write(p.step.orders[done], ordinaryPart, messages) {
+	for done < len(p.step.orders) && p.write(p.step.orders[done], room, messages) {
 		done++
 	}
 	m := marked{orders: p.step.orders[:done]}
@@ -781,7 +784,8 @@
 		p.mark++
 		m.mark = p.mark
 		p.out = append(p.out, control.Mark{Number: m.mark & marksMask})
-		p.under = append(p.under, batch{m.mark, p.cost, p.now})
+		due := p.now + beat + p.WorstTransit + int64((p.waits+p.cost)/p.ChannelRate*float64(second))
+		p.under = append(p.under, batch{m.mark, p.cost, p.now, due})
 		for _, proxy := range m.proxies {
 			p.wrote[proxy] = append(p.wrote[proxy], p.now)
 		}
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -87,7 +87,7 @@
 		theLevels: {part: &levels{desk: d, set: map[int]control.Level{}}},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
-		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]bool{},
+		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]map[uint32]bool{},
 			wrote: map[int][]int64{}}},
 	}
 	return g
--- a/brain/types.go
+++ b/brain/types.go
@@ -130,17 +130,19 @@
 	mark  uint64
 	lines float64
 	at    int64
+	due   int64 // answered by then if the channel keeps its pace
 }
 
 type pacer struct {
 	*desk
 	urgent []control.Order // withdrawals, binds and levels wait here
 	step   step
-	bound  map[int]int // joined proxies; -1 holds its standing table
-	laid   map[int]bool
+	bound  map[int]int             // joined proxies; -1 holds its standing table
+	laid   map[int]map[uint32]bool // the lines of each table
 	wrote  map[int][]int64
 	under  []batch // sent, and no answer tells that it has left the channel
 	mark   uint64
+	late   float64 // how many times its time the last one took
 
 	waits   float64 // in the channel as this turn's messages are written
 	cost    float64 // of this turn's messages
