--- a/brain/brain.go
+++ b/brain/brain.go
@@ -28,7 +28,7 @@
 	kindSpread, shrink        = 2, 8.0                     // a calm kind's most to the quickest; its prior
 	idleFirst, idleLast       = 0.85, 0.6                  // idle part of a calm replica, at first and later
 	firstSamples, fewProxies  = 15.0, 2                    // first answers; so few tell nothing of links
-	drain, drainMost          = 0.05, 5.0                  // a full queue takes from a weight, in calm answers
+	drain, drainMost          = 0.1, 5.0                  // a full queue takes from a weight, in calm answers
 	slowest, coldSpare        = 1.0 / 16, 0.4              // least weight in its kind; of a fall's multiple
 	sickTries, trialTries     = 5, 3                       // tries needed for a verdict, and on trial
 	sickPart, lostBad         = 0.5, 0.4                   // sick: misses more, over the fleet's, unless lost
