--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,17 +27,15 @@
 	settleSpan, firstSteps    = 4 * second, 8              // a weight follows answers in this, sooner if new
 	kindSpread, shrink        = 2, 8.0                     // a calm kind's most to the quickest; its prior
 	idleFirst, idleLast       = 0.85, 0.6                  // idle part of a calm replica, at first and later
-	firstSamples, fewProxies  = 15.0, 2                    // first answers; so few tell nothing of links
-	drain, drainMost          = 0.1, 5.0                  // a full queue takes from a weight, in calm answers
+	firstSamples, mostPart    = 15.0, 0.75                 // first answers; who tells of overload
+	drain, drainMost          = 0.1, 5.0                   // a full queue takes from a weight, in calm answers
 	slowest, coldSpare        = 1.0 / 16, 0.4              // least weight in its kind; of a fall's multiple
 	sickTries, trialTries     = 5, 3                       // tries needed for a verdict, and on trial
 	sickPart, lostBad         = 0.5, 0.4                   // sick: misses more, over the fleet's, unless lost
 	fewGood, sickMost         = 0.2, 0.75                  // gives less of its kind's good; so many may be out
 	restSpan, mostRelapses    = 3 * second, 2              // first rest of the sick, how often it doubles
-	trialPart, slowAnswer     = 0.3, 2.0                   // weight on trial; slow: so much later than its kind
-	deadPart                  = 0.65                       // guests for the sick if less serves
 	spareGuest, spareIdler    = 1.1, 1.35                  // who needs this much over its own takes guests
-	coldLost, mostPart        = 0.3, 0.75                  // flows lost: no cold; who tells of overload
+	coldLost, slowAnswer      = 0.3, 2.0                   // flows lost: no cold; slow: so late for its kind
 	strained, missedMost      = 0.75, 0.15                 // overload: answer to budget, missed part
 	missedOnce, lineUp        = 0.08, 0.01                 // missed: one try only; the line's rise a second
 	lineFirst, lineDown       = 0.9, 0.9                   // of the most served: let when strained; less
@@ -80,10 +78,6 @@
 		r.met = append(r.met, sample{r.now, float64(n.Tries), float64(n.Missed), answer})
 		r.met = r.met[max(0, len(r.met)-samplesKept):]
 		return
-	case links:
-		if r.resting, r.trial, r.relapse, r.met = 0, 0, 0, nil; n.cut {
-			r.resting = r.now + restSpan
-		}
 	case norm:
 		r.fleet = n
 		r.judge()
@@ -91,12 +85,9 @@
 	tries, bad, answer := r.lately(recent)
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
-	w, sick := size*r.speed, r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
-	if r.trial > 0 {
-		w *= trialPart
-	}
+	sick := r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
 	news, missed, _ := r.lately(r.ReportEvery + beat)
-	r.post(thePlanner, offer{r.entry, r.box, w, size * r.fleet.goal, r.ticket, tries, bad, answer, news, missed,
+	r.post(thePlanner, offer{r.entry, r.box, size * r.speed, size * r.fleet.goal, r.ticket, tries, bad, answer, news, missed,
 		r.cold(), sick, r.trial > 0})
 }
 
@@ -115,9 +106,8 @@
 }
 
 // judge moves the replica between well, resting and on trial, and its speed to what its answers show. Silent,
-// failing and cut-off replicas miss most tries while others do not, and give few good answers: one that still
-// gives its share is busy, and where weights follow answers a late one gets less without a verdict. A trouble
-// of the whole fleet or the reports condemns nobody. It could harm where tries miss by chance: sickTries.
+// failing and cut-off replicas miss most tries while others do not, and give few good answers: who still gives
+// its share is busy. A trouble of the whole fleet condemns nobody. It harms where tries miss by chance.
 func (r *replica) judge() {
 	tries, bad, answer := r.lately(recent)
 	span := min(settleSpan, max(second, (r.now-r.heard)/firstSteps)) // what is new is learned faster
@@ -164,13 +154,8 @@
 	switch n := n.(type) {
 	case tick:
 		p.norms()
-	case control.Joined:
-		p.zones[n.Proxy], p.crowd[n.Proxy] = n.Zone, crowded{n, p.now}
-		p.links(n.Zone)
 	case control.Left:
 		delete(p.crowd, n.Proxy)
-		delete(p.seat, n.Proxy)
-		p.links(-1)
 	case offer:
 		p.offers[n.Replica] = n
 	case demand:
@@ -178,8 +163,8 @@
 	case forget:
 		delete(p.offers, n.id)
 		delete(p.own, n.id)
-	case control.Bind:
-		p.seat[n.Proxy] = n.Table
+	case *chair:
+		p.crowd[n.Proxy] = n
 	case redraw:
 		p.redraw()
 		return
@@ -189,37 +174,9 @@
 	p.same = false
 }
 
-// links reads the links between zones from who is here, as sums tell of them seconds later. When whole zones
-// have left and all others are whole, their replicas are cut off too and rest. When the first proxy of a zone
-// joins (-1: none did), what was cut is whole, and verdicts of a part of the proxies mean nothing. It harms
-// where only the proxies of a zone died, and where some are truly sick, until the next verdict.
-func (p *planner) links(joined int) {
-	known, here, split, told := map[int]int{}, map[int]int{-1: 0}, joined < 0, 0
-	for proxy, zone := range p.zones {
-		known[zone]++
-		if _, ok := p.crowd[proxy]; ok {
-			here[zone]++
-		}
-	}
-	for zone, n := range known {
-		split = split && n >= fewProxies && (here[zone] == 0 || here[zone] == n)
-	}
-	for _, id := range sorted(p.offers) {
-		o := p.offers[id]
-		if cut := split && known[o.Zone] > 0 && here[o.Zone] == 0; cut || here[joined] == 1 && (o.sick || o.trial) {
-			p.post(o.box, links{cut})
-			told++
-		}
-	}
-	if told > 0 {
-		p.say("links cut %v: %d proxies here of %d, %d replicas told", split, len(p.crowd), len(p.zones), told)
-	}
-}
-
-// norms tells each replica how its kind answers, how much all miss, and what its answers make it worth. Where
-// the list gives sizes, those hold but for the slow; else a replica is worth the flows it could answer: what
-// it answers now, by how busy its answer time shows it. Late sums still tell the truth then, as both are of
-// the same moment; answer times alone would make the weights swing.
+// norms tells each replica how its kind answers, how much all miss, and what it is worth. Where the list gives
+// sizes, those hold but for the slow; else it is worth the flows it could answer: what it answers now, by how
+// busy its answer time shows it. Both are of one moment, so late sums tell the truth.
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
 	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
@@ -293,10 +250,9 @@
 	p.post(theLevels, f)
 }
 
-// redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones,
-// with guests where its own could not carry its proxies: of its zones first, and no more of each than what
-// its own table can spare. Zones are dealt to the tables in turn; a table of whose own nobody serves gives
-// its proxies to the table that has most.
+// redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones, with
+// guests where its own could not carry its proxies, no more of each than its own table can spare. A table of
+// whose own nobody serves gives its proxies to the table that has most.
 func (p *planner) redraw() {
 	if p.same {
 		return
@@ -312,35 +268,21 @@
 	}
 	tables, row := p.tables, min(max(1, p.Zones), p.tables)
 	t := target{map[line]float64{}, p.shutOut(ids)}
-	need, home, serves := make([]float64, tables), make([]float64, tables), make([]float64, tables)
-	total, all := 1e-9, 1e-9
-	for _, id := range ids {
+	need, home, total, all := make([]float64, tables), make([]float64, tables), 1e-9, 1e-9
+	for _, id := range ids { // the sick count: they are their zones' trouble, and guests carry it to all
 		if o := p.offers[id]; o.State == control.Ready {
-			home[p.own[id]] += o.size
-			if !o.sick && !o.trial {
-				serves[p.own[id]] += o.size
-			}
-		}
-	}
-	for _, proxy := range sorted(p.seat) {
-		if 2*len(p.seat)*p.Governors >= p.Proxies { // the first to join do not tell of all
-			j := p.crowd[proxy] // flows move from zone to zone: what came lately, more and more
-			span := math.Min(float64(p.now-j.at), float64(demandSpan)) / float64(second)
-			rate := (j.Rate*priorSpan + p.demand.flows[proxy]) / (priorSpan + span)
-			need[p.seat[proxy]] += rate
-			total += rate
+			home[p.own[id]], all = home[p.own[id]]+o.size, all+o.size
 		}
 	}
-	for table := range home { // a few of the sick are its own zones' trouble; when most are, guests must come
-		if serves[table]*spares[p.Pick] < deadPart*home[table] {
-			home[table] = serves[table]
+	for _, proxy := range sorted(p.crowd) {
+		if 2*len(p.crowd)*p.Governors >= p.Proxies { // the first to join do not tell of all
+			c := p.crowd[proxy] // flows move from zone to zone: what came lately counts, more and more
+			span := math.Min(float64(p.now-c.since), float64(demandSpan)) / float64(second)
+			rate := (c.Rate*priorSpan + p.demand.flows[proxy]) / (priorSpan + span)
+			need[c.table], total = need[c.table]+rate, total+rate
 		}
-		all += home[table]
-	}
-	spare := map[uint32]float64{} // what its own table does not need of each
-	for _, id := range ids {
-		spare[id] = math.Max(0, 1-need[p.own[id]]/total*all/math.Max(1e-9, home[p.own[id]]))
 	}
+	spare := map[uint32]float64{}                                                          // what its own table does not need of each
 	size := max(3, p.ChannelLimit/2*max(1, p.Governors)/max(1, p.Proxies)-p.MessageHead-2) // binds fit in half
 	seats, drawn := make([]int, tables), make([]int, tables)                               // who serves each table's proxies; its lines
 	lay := func(table int, id uint32, part float64) {
@@ -353,6 +295,7 @@
 	}
 	for _, id := range ids {
 		lay(p.own[id], id, 1)
+		spare[id] = math.Max(0, 1-need[p.own[id]]/total*all/math.Max(1e-9, home[p.own[id]]))
 	}
 	for table := range tables {
 		want := need[table] / total * all / spares[p.Pick]
@@ -443,31 +386,27 @@
 	case []int:
 		load := make([]float64, len(n))
 		for _, proxy := range sorted(r.here) {
-			if at, ok := r.seat[proxy]; ok {
-				load[at] += r.here[proxy].Rate
-				if n[at] != r.sits[at] {
-					r.post(theSequence, control.Bind{Proxy: proxy, Table: n[at]})
+			if c := r.here[proxy]; c.table >= 0 {
+				if load[c.table] += c.Rate; n[c.table] != r.sits[c.table] {
+					r.post(theSequence, control.Bind{Proxy: proxy, Table: n[c.table]})
 				}
 			}
 		}
 		for _, proxy := range sorted(r.here) {
-			if _, ok := r.seat[proxy]; !ok {
-				at := r.least(r.here[proxy].Zone, load)
-				load[at] += r.here[proxy].Rate
-				r.seat[proxy] = at
-				r.post(thePlanner, control.Bind{Proxy: proxy, Table: at})
-				r.post(thePacer, control.Bind{Proxy: proxy, Table: n[at]})
+			if c := r.here[proxy]; c.table < 0 {
+				c.table = r.least(c.Zone, load)
+				load[c.table] += c.Rate
+				r.post(thePlanner, c)
+				r.post(thePacer, control.Bind{Proxy: proxy, Table: n[c.table]})
 			}
 		}
 		r.sits = n
 	case control.Joined:
 		r.strike(n.Proxy, math.MaxUint64)
-		r.here[n.Proxy] = n
-		delete(r.seat, n.Proxy)
+		r.here[n.Proxy] = &chair{n, r.now, -1}
 	case control.Left:
 		r.strike(n.Proxy, math.MaxUint64)
 		delete(r.here, n.Proxy)
-		delete(r.seat, n.Proxy)
 	case control.Answered:
 		mark := r.last - (r.last-n.Mark)&marksMask // marks go round on the way
 		r.post(thePacer, caught{mark: mark})
@@ -528,8 +467,7 @@
 	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
 	press := math.Max(f.most/missedMost, f.answer/strained/budget)
 	over := press > 1 && l.Admission == control.AdmitShare
-	// Full queues hold work whose clients have left, and only fewer tries let them drain. It harms a little
-	// where few replicas turn flows away while others have room.
+	// Full queues hold work whose clients have left, and only fewer tries let them drain.
 	if once := f.bad > missedOnce || l.once && f.bad > missedOnce/2; once != l.once && l.now-l.turned > recent {
 		l.once, l.turned = once, l.now
 		l.say("one try only %v: %.2f missed", once, f.bad)
@@ -608,9 +546,8 @@
 }
 
 // proceed hands the pacer what the open step still has to send. A new target folds in: additions go at once,
-// all else goes on from where the sequence stands, and what is no longer wanted is dropped with it, so that a
-// removal queued for a replica that is back never leaves. A step whose marks are answered is over, also when
-// more of its kind has come meanwhile: weights that change at each look would keep removals back for ever.
+// all else goes on, and what is no longer wanted is dropped. A step whose marks are answered is over though
+// more of its kind has come: weights that change at each look would keep removals back for ever.
 func (s *sequence) proceed() {
 	first, orders := s.orders(add), []control.Order(nil)
 	for range steps {
@@ -764,8 +701,8 @@
 // send writes the turn's messages: the step's lines, then all that is urgent in the room kept for it.
 func (p *pacer) send() {
 	p.waits, p.cost, p.reached = p.queue(), 0, map[int]bool{}
-	// A slow channel is told by answers that are late: less is written then, and only lines of who lacks them
-	// while the oldest is overdue, so that withdrawals do not wait behind weights. It harms where proxies stall.
+	// A slow channel is told by late answers: less is written, and nothing while the oldest is overdue, so that
+	// withdrawals do not wait behind weights. It harms where proxies stall.
 	done, messages, room := 0, ordinaryMsgs, ordinaryPart/math.Max(1, p.late)
 	if p.step.at == add { // who lacks lines comes before who has stale ones
 		messages = addMsgs
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -79,11 +79,10 @@
 	g := &Governor{desk: desk{Provision: p}, replicas: map[uint32]*replica{}}
 	d := &g.desk
 	d.boxes = []*inbox{
-		theRoll: {part: &roll{desk: d, here: map[int]control.Joined{}, seat: map[int]int{},
+		theRoll: {part: &roll{desk: d, here: map[int]*chair{},
 			wait: map[uint64]map[int]bool{}}},
 		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{},
-			own: map[uint32]int{}, seat: map[int]int{}, offers: map[uint32]offer{}, crowd: map[int]crowded{},
-			zones: map[int]int{}}},
+			own: map[uint32]int{}, offers: map[uint32]offer{}, crowd: map[int]*chair{}}},
 		theLevels: {part: &levels{desk: d, set: map[int]control.Level{}}},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
--- a/brain/tables_test.go
+++ b/brain/tables_test.go
@@ -36,7 +36,7 @@
 	g := at(0)
 	g.Proxies = 12
 	p := planning(g, offered(1, 0, false, control.Ready), offered(2, 1, false, control.Gone))
-	p.crowd[3] = crowded{control.Joined{Proxy: 3, Zone: 1, Rate: 5}, 0}
+	p.crowd[3] = &chair{control.Joined{Proxy: 3, Zone: 1, Rate: 5}, 0, 1}
 	p.redraw()
 	lines := mail[target](g, theSequence)[0].lines
 	want(t, "guest", lines[line{1, 1}] > 0, true)
@@ -44,32 +44,6 @@
 	want(t, "zone 1 sits at the table that has most", mail[[]int](g, theRoll)[0][1], 0)
 }
 
-func TestZonesThatLeaveWholeAreCutOffAndVerdictsFallWhenTheyAreBack(t *testing.T) {
-	g := at(0)
-	a, b := offered(1, 0, false, control.Ready), offered(2, 1, false, control.Ready)
-	a.box, b.box = parts, parts+1
-	g.boxes = append(g.boxes, &inbox{}, &inbox{})
-	p := planning(g, a, b)
-	for proxy := range 4 {
-		p.take(control.Joined{Proxy: proxy, Zone: proxy % 2, Rate: 1})
-	}
-	p.take(control.Left{Proxy: 1})
-	want(t, "one left", len(g.boxes[parts+1].mail), 0)
-	p.take(control.Left{Proxy: 3})
-	want(t, "its zone is cut", mail[links](g, parts+1)[0], links{true})
-	want(t, "the others are not", len(g.boxes[parts].mail), 0)
-	a.sick = true
-	p.offers[1] = a
-	p.take(control.Joined{Proxy: 3, Zone: 1, Rate: 1})
-	want(t, "the sick are let go", mail[links](g, parts)[0], links{false})
-	r := met(at(100*second), 10, 10, 0)
-	r.judge()
-	r.take(links{false})
-	want(t, "rests", r.resting, int64(0))
-	r.take(links{true})
-	want(t, "rests", r.resting, r.now+restSpan)
-}
-
 func TestWeightsFollowWhatIsAnsweredNotTheAnswerTimeAlone(t *testing.T) {
 	g := at(10 * second)
 	busy, calm := offered(1, 0, false, control.Ready), offered(2, 0, false, control.Ready)
--- a/brain/types.go
+++ b/brain/types.go
@@ -7,7 +7,6 @@
 // Notes between the parts; events and orders go from part to part as they are.
 type (
 	tick    struct{}
-	links   struct{ cut bool }  // planner to replicas: cut off, or whole again
 	forget  struct{ id uint32 } // a replica is long gone
 	redraw  struct{}            // the planner has heard from all replicas
 	closing struct{}            // the turn ends: the pacer sends
@@ -69,21 +68,21 @@
 	changed int64 // when its state in the list last changed
 }
 
-type crowded struct { // a proxy that is here, since when
+// chair is a proxy that is here, since when, and its table; below 0: none yet.
+type chair struct {
 	control.Joined
-	at int64
+	since int64
+	table int
 }
 
 type planner struct {
 	*desk
 	offers map[uint32]offer
-	crowd  map[int]crowded
-	zones  map[int]int       // of all proxies ever joined
+	crowd  map[int]*chair
 	calm   map[int][]float64 // the last answer times of each kind
 	judged int64
 	out    map[uint32]bool
 	own    map[uint32]int // the table of each replica
-	seat   map[int]int    // the table of each proxy
 	same   bool           // nothing has changed since the last draw
 	tables int            // how many, once the first list has come
 	demand demand         // of the last few seconds
@@ -91,9 +90,8 @@
 
 type roll struct {
 	*desk
-	here map[int]control.Joined
-	seat map[int]int // the table of each proxy
-	sits []int       // where each table's proxies are bound
+	here map[int]*chair
+	sits []int // where each table's proxies are bound
 	wait map[uint64]map[int]bool
 	last uint64
 }
