--- a/brain/brain.go
+++ b/brain/brain.go
@@ -14,34 +14,27 @@
 	"lilacbend/control"
 )
 
-// Tuned values. Whatever a deployment states or shows is preferred to a figure here.
-const (
-	second, beat              = int64(1e9), int64(1e9) / 4 // the governor looks up at each beat
-	proxiesTable, stepTimeout = 5, 2 * second              // less than one table for so many; a step ends then
-	linesTable, turns         = 5.0, 10007                 // a zone is split while tables keep so many lines
-	entryShare, entrySpan     = 0.5, 5 * second            // weight of a new replica, for how long
-	ordinaryPart, urgentPart  = 0.4, 0.85                  // of the channel's limit, for lines and for all
-	ordinaryMsgs, addMsgs     = 0.5, 0.75                  // of a proxy's message cap, changed lines and new
-	urgentMsgs, changeWorth   = 0.95, 0.15                 // and for all; change of a weight worth a line
-	recent, samplesKept       = 4 * second, 32             // older samples are not judged, more not kept
-	settleSpan, firstSteps    = 4 * second, 8              // a weight follows answers in this, sooner if new
-	kindSpread, shrink        = 2, 8.0                     // a calm kind's most to the quickest; its prior
-	idleFirst, idleLast       = 0.85, 0.6                  // idle part of a calm replica, at first and later
-	firstSamples, mostPart    = 15.0, 0.75                 // first answers; who tells of overload
-	drain, drainMost          = 0.1, 5.0                   // a full queue takes from a weight, in calm answers
-	slowest, coldSpare        = 1.0 / 16, 0.4              // least weight in its kind; of a fall's multiple
-	sickTries, trialTries     = 5, 3                       // tries needed for a verdict, and on trial
-	sickPart, lostBad         = 0.5, 0.4                   // sick: misses more, over the fleet's, unless lost
-	fewGood, sickMost         = 0.2, 0.75                  // gives less of its kind's good; so many may be out
-	restSpan, mostRelapses    = 3 * second, 2              // first rest of the sick, how often it doubles
-	spareGuest, spareIdler    = 1.1, 1.35                  // who needs this much over its own takes guests
-	coldLost, slowAnswer      = 0.3, 2.0                   // flows lost: no cold; slow: so late for its kind
-	strained, missedMost      = 0.75, 0.15                 // overload: answer to budget, missed part
-	missedOnce, lineUp        = 0.08, 0.01                 // missed: one try only; the line's rise a second
-	lineFirst, lineDown       = 0.9, 0.9                   // of the most served: let when strained; less
-	shareSteps, guestSteps    = 20, 10                     // levels and guests move in such parts
-	demandSpan, priorSpan     = 8 * second, 4.0            // flows of a proxy; seconds its usual rate counts
-	forgetSpan, lostSpan      = 600 * second, 30 * second  // the gone are forgotten, and marks nobody answers
+const ( // tuned values: whatever a deployment states or shows is preferred to a figure here
+	second, beat                          = int64(1e9), int64(1e9) / 4 // the governor looks up at each beat
+	proxiesTable, linesTable, turns       = 5, 5.0, 10007              // least of a table; mixes the guests
+	entryShare, entrySpan                 = 0.5, 5 * second            // of a new replica's weight, how long
+	ordinaryPart, urgentPart, changeWorth = 0.4, 0.85, 0.15            // of the channel's limit; a change sent
+	ordinaryMsgs, addMsgs, urgentMsgs     = 0.5, 0.75, 0.95            // of a proxy's message cap
+	stepTimeout, lostSpan, forgetSpan     = 2 * second, 30 * second, 600 * second
+	recent, samplesKept                   = 4 * second, 32     // older samples are not judged, more not kept
+	settleSpan, firstSteps                = 4 * second, 8      // a weight follows in this, sooner if new
+	kindSpread, shrink, slowest           = 2, 8.0, 1.0 / 16   // calm kinds; prior and least of a weight
+	idleFirst, idleLast, firstSamples     = 0.85, 0.6, 15.0    // idle part of the calm, at first and later
+	drain, drainMost                      = 0.1, 5.0           // a full queue takes from a weight
+	coldSpare, coldLost                   = 0.4, 0.3           // of a fall's multiple; flows lost: no cold
+	sickTries, trialTries, sickPart       = 5, 3, 0.5          // for a verdict: tries, part missed more
+	lostBad, fewGood, sickMost            = 0.4, 0.2, 0.75     // no verdicts; good left; so many are out
+	restSpan, mostRelapses, slowAnswer    = 3 * second, 2, 2.0 // rests of the sick; so much later is slow
+	spareGuest, spareIdler                = 1.1, 1.35          // over its own: guests come
+	strained, missedMost, mostPart        = 0.75, 0.15, 0.75   // overload: answers, misses, of most replicas
+	missedOnce, shareSteps, guestSteps    = 0.08, 20, 10       // one try only; steps of levels and guests
+	lineFirst, lineDown, lineUp           = 0.9, 0.9, 0.01     // the line: first of the served, later, up
+	demandSpan, priorSpan                 = 8 * second, 4.0    // flows of a proxy; its usual rate counts so
 )
 
 var spares = [...]float64{spareGuest, spareGuest, spareIdler} // by control.Pick
@@ -87,8 +80,8 @@
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
 	sick := r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
 	news, missed, _ := r.lately(r.ReportEvery + beat)
-	r.post(thePlanner, offer{r.entry, r.box, size * r.speed, size * r.fleet.goal, r.ticket, tries, bad, answer, news, missed,
-		r.cold(), sick, r.trial > 0})
+	r.post(thePlanner, offer{r.entry, r.box, size * r.speed, size * r.fleet.goal, r.ticket, tries, bad, answer,
+		news, missed, r.cold(), sick, r.trial > 0})
 }
 
 // lately sums the samples still worth judging; answer is a mean in seconds.
@@ -106,8 +99,8 @@
 }
 
 // judge moves the replica between well, resting and on trial, and its speed to what its answers show. Silent,
-// failing and cut-off replicas miss most tries while others do not, and give few good answers: who still gives
-// its share is busy. A trouble of the whole fleet condemns nobody. It harms where tries miss by chance.
+// failing and cut-off replicas miss most tries while others do not, and give few good answers: who gives its
+// share is busy. A trouble of the whole fleet condemns nobody. It harms where tries miss by chance.
 func (r *replica) judge() {
 	tries, bad, answer := r.lately(recent)
 	span := min(settleSpan, max(second, (r.now-r.heard)/firstSteps)) // what is new is learned faster
@@ -133,9 +126,8 @@
 
 func (r *replica) cold() bool { return r.entry.Start > 0 && r.now-r.entry.Start < r.WarmAfter }
 
-// warmth is the part of its usual work a replica that started not long ago is given. It stays under what it
-// can bear at the slowest warming, less the more of all tries miss (then repeats push too), so that all
-// proxies together never push it over. It harms a little where a replica warms faster than it must.
+// warmth is the part of its usual work a replica that started not long ago is given: under what it can bear
+// at the slowest warming, less the more of all tries miss, as repeats push too. It harms who warms faster.
 func (r *replica) warmth() float64 {
 	if !r.cold() {
 		return 1
@@ -174,9 +166,9 @@
 	p.same = false
 }
 
-// norms tells each replica how its kind answers, how much all miss, and what it is worth. Where the list gives
-// sizes, those hold but for the slow; else it is worth the flows it could answer: what it answers now, by how
-// busy its answer time shows it. Both are of one moment, so late sums tell the truth.
+// norms tells each replica how its kind answers, how much all miss, and what it is worth. Listed sizes hold
+// but for the slow; else it is worth the flows it could answer: what it answers now, by how busy its answer
+// time shows it. Both are of one moment, so late sums tell the truth.
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
 	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
@@ -195,8 +187,8 @@
 		if calm := p.calm[o.Kind]; len(calm) > 0 {
 			base = math.Min(base, slices.Min(calm))
 		}
-		busy := 1 - idle*base/o.answer + drain*math.Min(drainMost, o.answer/base-1)        // a queue has to drain
-		return (o.tries - o.bad + min(1, busy*busy)*math.Min(o.bad, o.tries-o.bad)) / busy // timed out: work too
+		busy := 1 - idle*base/o.answer + drain*math.Min(drainMost, o.answer/base-1) // a full queue has to drain
+		return (o.tries - o.bad + min(1, busy*busy)*math.Min(o.bad, o.tries-o.bad)) / busy
 	}
 	for _, id := range ids {
 		o := p.offers[id]
@@ -250,9 +242,9 @@
 	p.post(theLevels, f)
 }
 
-// redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones, with
-// guests where its own could not carry its proxies, no more of each than its own table can spare. A table of
-// whose own nobody serves gives its proxies to the table that has most.
+// redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones,
+// none longer than lets all be bound in half the channel's limit, with guests where its own could not carry
+// its proxies, no more of each than its own table can spare. Who has none of its own sits at the largest.
 func (p *planner) redraw() {
 	if p.same {
 		return
@@ -282,9 +274,9 @@
 			need[c.table], total = need[c.table]+rate, total+rate
 		}
 	}
-	spare := map[uint32]float64{}                                                          // what its own table does not need of each
-	size := max(3, p.ChannelLimit/2*max(1, p.Governors)/max(1, p.Proxies)-p.MessageHead-2) // binds fit in half
-	seats, drawn := make([]int, tables), make([]int, tables)                               // who serves each table's proxies; its lines
+	spare := map[uint32]float64{} // what its own table does not need of each
+	size := max(3, p.ChannelLimit/2*max(1, p.Governors)/max(1, p.Proxies)-p.MessageHead-2)
+	seats, drawn := make([]int, tables), make([]int, tables) // who serves its proxies; its lines
 	lay := func(table int, id uint32, part float64) {
 		if w := part * p.offers[id].weight; p.offers[id].State == control.Ready && w > 0 {
 			if drawn[table]++; t.out[id] {
@@ -306,7 +298,7 @@
 		if lacks <= 0 {
 			continue
 		}
-		order, turn := []uint32{}, map[uint32]float64{} // of its zones first, each table's in an order of its own
+		order, turn := []uint32{}, map[uint32]float64{} // its zones' first
 		for _, id := range ids {
 			if p.own[id] != table && p.offers[id].State == control.Ready && (spare[id] > 0 || bare) {
 				far := min(1, math.Abs(float64(p.own[id]%row-table%row)))
@@ -318,10 +310,9 @@
 			if lacks <= 0 || drawn[table] >= size {
 				break
 			}
-			part := 1.0
-			if !bare {
-				part = math.Min(spare[id], lacks/math.Max(1e-9, p.offers[id].size))
-				part = math.Ceil(part*guestSteps) / guestSteps
+			part := math.Min(spare[id], lacks/math.Max(1e-9, p.offers[id].size))
+			if part = math.Ceil(part*guestSteps) / guestSteps; bare {
+				part = 1
 			}
 			lacks, spare[id] = lacks-part*p.offers[id].size, math.Max(0, spare[id]-part)
 			lay(table, id, part)
@@ -353,8 +344,7 @@
 }
 
 // shutOut says who is withdrawn: whoever drains or is gone, and the sick while a quarter of the warm is left,
-// so that no proxy is bare, whatever made so many miss. The cold may all go while anybody warm is listed. It
-// could harm when more than three quarters are sick for good: those stay in.
+// so that no proxy is bare; the cold may all go while anybody warm is listed. It harms when more are sick.
 func (p *planner) shutOut(ids []uint32) map[uint32]bool {
 	out, warm := map[uint32]bool{}, 0.0
 	for _, id := range ids {
@@ -523,15 +513,11 @@
 	switch n := n.(type) {
 	case target:
 		s.want = n
-		for id, out := range n.out {
-			s.out[id] = s.out[id] || out
-		}
+		maps.Copy(s.out, n.out)
 	case forget: // stays withdrawn: no lift is ordered for who is forgotten
 		delete(s.out, n.id)
 	case control.Bind:
 		s.moves[n.Proxy] = n.Table
-	case control.Left:
-		delete(s.moves, n.Proxy)
 	case marked:
 		s.note(n)
 		return
@@ -621,13 +607,10 @@
 		p.step = n
 	case caught:
 		// Messages leave in order: an answer clears all that was written before its own.
-		p.under = slices.DeleteFunc(p.under, func(b batch) bool {
-			gone := b.mark < n.mark || n.all && b.mark == n.mark
-			if gone {
-				p.late = math.Max(1, float64(p.now-b.at)/float64(b.due-b.at))
-			}
-			return gone
-		})
+		for len(p.under) > 0 && (p.under[0].mark < n.mark || n.all && p.under[0].mark == n.mark) {
+			p.late = math.Max(1, float64(p.now-p.under[0].at)/float64(p.under[0].due-p.under[0].at))
+			p.under = p.under[1:]
+		}
 	case closing:
 		p.send()
 	}
@@ -652,7 +635,7 @@
 	case control.SetLine:
 		return slices.DeleteFunc(sorted(p.bound), func(proxy int) bool { return p.bound[proxy] != o.Table }), 1
 	case control.Withdraw:
-		return slices.DeleteFunc(sorted(p.bound), func(proxy int) bool { return !p.laid[p.bound[proxy]][o.Replica] }), 1
+		return slices.DeleteFunc(sorted(p.bound), func(q int) bool { return !p.laid[p.bound[q]][o.Replica] }), 1
 	}
 	return sorted(p.bound), 1
 }
