--- a/brain/brain.go
+++ b/brain/brain.go
@@ -15,7 +15,7 @@
 )
 
 const ( // tuned values: whatever a deployment states or shows is preferred to a figure here
-	second, beat                          = int64(1e9), int64(1e9) / 4 // the governor looks up at each beat
+	second, beat                          = int64(1e9), int64(1e9) / 4 // the longest pause between two looks
 	proxiesTable, linesTable, turns       = 5, 5.0, 10007              // least of a table; mixes the guests
 	entryShare, entrySpan                 = 0.5, 5 * second            // of a new replica's weight, how long
 	ordinaryPart, urgentPart, changeWorth = 0.4, 0.85, 0.15            // of the channel's limit; a change sent
@@ -26,7 +26,7 @@
 	kindSpread, shrink, slowest           = 2, 8.0, 1.0 / 16   // calm kinds; prior and least of a weight
 	idleFirst, idleLast, firstSamples     = 0.85, 0.6, 15.0    // idle part of the calm, at first and later
 	drain, drainMost                      = 0.1, 5.0           // a full queue takes from a weight
-	coldSpare, coldLost                   = 0.25, 0.3           // of a fall's multiple; flows lost: no cold
+	coldSpare, coldLost                   = 0.25, 0.3          // of a fall's multiple; flows lost: no cold
 	sickTries, trialTries, sickPart       = 5, 3, 0.5          // for a verdict: tries, part missed more
 	lostBad, fewGood, sickMost            = 0.4, 0.2, 0.75     // no verdicts; good left; so many are out
 	restSpan, mostRelapses, slowAnswer    = 3 * second, 2, 2.0 // rests of the sick; so much later is slow
@@ -42,6 +42,8 @@
 // draw gives a replica its ticket in the draw of tables, by listed weight: the highest are drawn first.
 func (d *desk) draw(weight float64) float64 { return math.Pow(d.chance(), 1/math.Max(weight, 1e-6)) }
 
+func (d *desk) pause() int64 { return max(1, min(d.ReportEvery/2, beat)) }
+
 // least is the table that holds least, of those that serve a zone.
 func (d *desk) least(zone int, held []float64) int {
 	row := min(max(1, d.Zones), len(held))
@@ -605,8 +607,7 @@
 		delete(p.bound, n.Proxy)
 	case step:
 		p.step = n
-	case caught:
-		// Messages leave in order: an answer clears all that was written before its own.
+	case caught: // messages leave in order: an answer clears all that was written before its own
 		for len(p.under) > 0 && (p.under[0].mark < n.mark || n.all && p.under[0].mark == n.mark) {
 			p.late = math.Max(1, float64(p.now-p.under[0].at)/float64(p.under[0].due-p.under[0].at))
 			p.under = p.under[1:]
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -37,9 +37,13 @@
 	draws uint64
 	out   []control.Order
 	boxes []*inbox
+	due   []int // the inbox of each note that waits, in turn
 }
 
-func (d *desk) post(to int, note any) { d.boxes[to].mail = append(d.boxes[to].mail, note) }
+func (d *desk) post(to int, note any) {
+	d.boxes[to].mail = append(d.boxes[to].mail, note)
+	d.due = append(d.due, to)
+}
 
 func (d *desk) say(f string, args ...any) {
 	d.out = append(d.out, control.Log{Text: fmt.Sprintf(f, args...)})
@@ -54,17 +58,13 @@
 
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
-// settle empties the inboxes until nobody has a note left.
+// settle empties the inboxes until nobody has a note left, in the order in which the notes came.
 func (d *desk) settle() {
-	for busy := true; busy; {
-		busy = false
-		for _, box := range d.boxes {
-			for busy = busy || len(box.mail) > 0; len(box.mail) > 0; {
-				n := box.mail[0]
-				box.mail = box.mail[1:]
-				box.part.take(n)
-			}
-		}
+	for ; len(d.due) > 0; d.due = d.due[1:] {
+		box := d.boxes[d.due[0]]
+		n := box.mail[0]
+		box.mail = box.mail[1:]
+		box.part.take(n)
 	}
 }
 
@@ -113,7 +113,7 @@
 	}
 	if woken {
 		g.started = true
-		g.out = append(g.out, control.Wake{After: max(1, min(g.ReportEvery/2, beat))})
+		g.out = append(g.out, control.Wake{After: g.pause()})
 		g.toAll(tick{})
 		g.settle()
 		g.tidy()
