Tables of the sick take guests who serve; a zone that lost all is no longer crushed into one table

A table of which nobody is left takes guests by need, or gives its proxies to a sister of its zone, not all to the largest table.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,7 +30,7 @@
 	sickTries, trialTries, sickPart       = 5, 3, 0.5          // for a verdict: tries, part missed more
 	lostBad, fewGood, sickMost            = 0.4, 0.2, 0.75     // no verdicts; good left; so many are out
 	restSpan, mostRelapses, slowAnswer    = 3 * second, 2, 2.0 // rests of the sick; so much later is slow
-	spareGuest, spareIdler                = 1.1, 1.35          // over its own: guests come
+	spareGuest, spareIdler, deadPart      = 1.1, 1.35, 0.65    // over its own, or so few serve: guests come
 	strained, missedMost, mostPart        = 0.75, 0.15, 0.75   // overload: answers, misses, of most replicas
 	missedOnce, shareSteps, guestSteps    = 0.08, 20, 10       // one try only; steps of levels and guests
 	lineFirst, lineDown, lineUp           = 0.9, 0.9, 0.01     // the line: first of the served, later, up
@@ -160,7 +160,10 @@
 	case *chair:
 		p.crowd[n.Proxy] = n
 	case redraw:
-		p.redraw()
+		if !p.same {
+			p.redraw()
+		}
+		p.same = true
 		return
 	default:
 		return
@@ -182,7 +185,6 @@
 	well := func(o offer) bool {
 		return !o.sick && !o.trial && o.State == control.Ready && !o.cold && o.answer > 0
 	}
-	// Sizes are far off at first and need large steps; later such steps would swing.
 	idle := idleLast + (idleFirst-idleLast)*math.Max(0, 1-float64(len(p.calm[all]))/firstSamples)
 	able := func(o offer) float64 {
 		base := math.Min(o.answer, quick*kindSpread)
@@ -218,7 +220,7 @@
 	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
-		// A collapse takes 2 s and means take 4: the cold go by the worst of all measures, the newest sums too.
+		// A collapse takes 2 s, means take 4: the cold go by the worst of all measures, the newest sums too.
 		n := norm{math.Inf(1), k.good / math.Max(1, k.count), 1, bad, max(bad, p.demand.lost, newMissed/newTries)}
 		good, late := o.tries-o.bad, o.answer/math.Max(1e-9, k.answer/math.Max(1, k.good))
 		if len(sizes) > 1 && late > slowAnswer {
@@ -246,12 +248,8 @@
 
 // redraw works out the target tables: each a fixed draw by listed weight among the replicas of its zones,
 // none longer than lets all be bound in half the channel's limit, with guests where its own could not carry
-// its proxies, no more of each than its own table can spare. Who has none of its own sits at the largest.
+// its proxies, no more of each than its own table can spare. One that lost all gives its proxies to a sister.
 func (p *planner) redraw() {
-	if p.same {
-		return
-	}
-	p.same = true
 	ids := sorted(p.offers)
 	slices.SortStableFunc(ids, func(a, b uint32) int { // each kind is dealt round the tables
 		x, y := p.offers[a], p.offers[b]
@@ -260,14 +258,22 @@
 	if p.deal(ids); p.tables == 0 {
 		return
 	}
-	tables, row := p.tables, min(max(1, p.Zones), p.tables)
+	tables, row, total, all := p.tables, min(max(1, p.Zones), p.tables), 1e-9, 1e-9
 	t := target{map[line]float64{}, p.shutOut(ids)}
-	need, home, total, all := make([]float64, tables), make([]float64, tables), 1e-9, 1e-9
-	for _, id := range ids { // the sick count: they are their zones' trouble, and guests carry it to all
+	need, home, serves := make([]float64, tables), make([]float64, tables), make([]float64, tables)
+	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
-			home[p.own[id]], all = home[p.own[id]]+o.size, all+o.size
+			if home[p.own[id]] += o.size; !t.out[id] {
+				serves[p.own[id]] += o.size
+			}
 		}
 	}
+	for table := range home { // a few sick are their zones' trouble; when most are, guests must come
+		if serves[table]*spares[p.Pick] < deadPart*home[table] {
+			home[table] = serves[table]
+		}
+		all += home[table]
+	}
 	for _, proxy := range sorted(p.crowd) {
 		if 2*len(p.crowd)*p.Governors >= p.Proxies { // the first to join do not tell of all
 			c := p.crowd[proxy] // flows move from zone to zone: what came lately counts, more and more
@@ -292,31 +298,25 @@
 		spare[id] = math.Max(0, 1-need[p.own[id]]/total*all/math.Max(1e-9, home[p.own[id]]))
 	}
 	for table := range tables {
-		want := need[table] / total * all / spares[p.Pick]
-		lacks, bare := want-home[table], home[table] == 0
-		if seats[table] = table; bare { // nobody is left bare
-			lacks, seats[table] = math.Inf(1), slices.Index(home, slices.Max(home))
-		}
-		if lacks <= 0 {
-			continue
+		seats[table] = table
+		for sister := table % row; sister < tables && home[table] == 0; sister += row {
+			if home[sister] > home[seats[table]] {
+				seats[table] = sister
+			}
 		}
-		order, turn := []uint32{}, map[uint32]float64{} // its zones' first
+		lacks := math.Max(1e-6, need[table]/total*all/spares[p.Pick]) - home[table] // never bare
+		order, turn := []uint32{}, map[uint32]float64{}                             // its zones' first
 		for _, id := range ids {
-			if p.own[id] != table && p.offers[id].State == control.Ready && (spare[id] > 0 || bare) {
+			if lacks > 0 && p.own[id] != table && !t.out[id] && spare[id] > 0 {
 				far := min(1, math.Abs(float64(p.own[id]%row-table%row)))
 				order, turn[id] = append(order, id), far+math.Mod(p.offers[id].ticket*float64(turns+table), 1)
 			}
 		}
 		slices.SortFunc(order, func(a, b uint32) int { return cmp.Compare(turn[a], turn[b]) })
-		for _, id := range order {
-			if lacks <= 0 || drawn[table] >= size {
-				break
-			}
-			part := math.Min(spare[id], lacks/math.Max(1e-9, p.offers[id].size))
-			if part = math.Ceil(part*guestSteps) / guestSteps; bare {
-				part = 1
-			}
-			lacks, spare[id] = lacks-part*p.offers[id].size, math.Max(0, spare[id]-part)
+		for ; lacks > 0 && len(order) > 0 && drawn[table] < size; order = order[1:] {
+			id, weighs := order[0], math.Max(1e-9, p.offers[order[0]].size)
+			part := math.Ceil(math.Min(spare[id], lacks/weighs)*guestSteps) / guestSteps
+			lacks, spare[id] = lacks-part*weighs, math.Max(0, spare[id]-part)
 			lay(table, id, part)
 		}
 	}
