--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,7 +26,7 @@
 	kindSpread, shrink, slowest           = 2, 8.0, 1.0 / 16   // calm kinds; prior and least of a weight
 	idleFirst, idleLast, firstSamples     = 0.85, 0.6, 15.0    // idle part of the calm, at first and later
 	drain, drainMost                      = 0.1, 5.0           // a full queue takes from a weight
-	coldSpare, coldLost                   = 0.25, 0.3          // of a fall's multiple; flows lost: no cold
+	coldSpare, coldLost                   = 1.0 / 3, 0.3       // of a fall's multiple; flows lost: no cold
 	sickTries, trialTries, sickPart       = 5, 3, 0.5          // for a verdict: tries, part missed more
 	lostBad, fewGood, sickMost            = 0.4, 0.2, 0.75     // no verdicts; good left; so many are out
 	restSpan, mostRelapses, slowAnswer    = 3 * second, 2, 2.0 // rests of the sick; so much later is slow
@@ -135,7 +135,7 @@
 		return 1
 	}
 	able := r.ColdShare + (1-r.ColdShare)*float64(max(0, r.now-r.entry.Start))/float64(r.WarmAfter)
-	w := math.Min(1, coldSpare*r.FallMultiple*able*math.Pow(1-r.fleet.lost, 2))
+	w := able * math.Min(1, coldSpare*r.FallMultiple) * math.Pow(1-r.fleet.lost, 2)
 	if r.now-r.heard < entrySpan {
 		w = math.Min(w, entryShare)
 	}
