--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,7 +25,7 @@
 	settleSpan, firstSteps                = 4 * second, 8      // a weight follows in this, sooner if new
 	kindSpread, shrink, slowest           = 2, 8.0, 1.0 / 16   // calm kinds; prior and least of a weight
 	idleFirst, idleLast, firstSamples     = 0.85, 0.6, 15.0    // idle part of the calm, at first and later
-	drain, drainMost                      = 0.1, 5.0           // a full queue takes from a weight
+	drain, drainMost, lateMost            = 0.1, 5.0, 2.5      // full queues cost weight; overload is late
 	coldSpare, coldLost                   = 1.0 / 3, 0.3       // of a fall's multiple; flows lost: no cold
 	sickTries, trialTries, sickPart       = 5, 3, 0.5          // for a verdict: tries, part missed more
 	lostBad, fewGood, sickMost            = 0.4, 0.2, 0.75     // no verdicts; good left; so many are out
@@ -64,9 +64,6 @@
 		if n.Start != r.entry.Start && n.State == control.Ready {
 			r.met, r.resting, r.trial, r.relapse, r.heard = nil, 0, 0, 0, r.now
 		}
-		if n.State != r.entry.State {
-			r.changed = r.now
-		}
 		r.entry = n
 	case control.Met:
 		answer := float64(n.Answer) / float64(second)
@@ -237,7 +234,7 @@
 		p.post(o.box, n)
 	}
 	f := fleet{tries: tries * float64(second) / float64(recent), bad: bad, serves: serves,
-		answer: kinds[all].answer / math.Max(1, kinds[all].good)}
+		answer: kinds[all].answer / math.Max(1, kinds[all].good), calm: quick}
 	slices.Sort(shares) // a few that fail are no overload
 	shares = shares[:int(math.Ceil(mostPart*float64(len(shares))))]
 	for _, share := range shares {
@@ -457,7 +454,10 @@
 		l.line = float64(len(l.groups))
 	}
 	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
-	press := math.Max(f.most/missedMost, f.answer/strained/budget)
+	press := f.answer / strained / budget
+	if f.answer > lateMost*f.calm { // else misses are connections refused, silence, errors: no overload
+		press = math.Max(press, f.most/missedMost)
+	}
 	over := press > 1 && l.Admission == control.AdmitShare
 	// Full queues hold work whose clients have left, and only fewer tries let them drain.
 	if once := f.bad > missedOnce || l.once && f.bad > missedOnce/2; once != l.once && l.now-l.turned > recent {
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -128,7 +128,9 @@
 // tidy forgets replicas that are long gone, so that a governor that runs for weeks does not grow.
 func (g *Governor) tidy() {
 	for _, id := range sorted(g.replicas) {
-		if r := g.replicas[id]; r.entry.State == control.Gone && g.now-r.changed > forgetSpan {
+		if r := g.replicas[id]; r.entry.State != control.Gone {
+			r.changed = g.now
+		} else if g.now-r.changed > forgetSpan {
 			delete(g.replicas, id)
 			g.free = append(g.free, r.box)
 			g.toAll(forget{id})
--- a/brain/orders_test.go
+++ b/brain/orders_test.go
@@ -102,6 +102,12 @@
 	want(t, "further tries again", mail[control.Level](g, thePacer)[2].Tries, control.TryIfNeverRan)
 }
 
+func TestMissesWhileAnswersComeAsEverBlockNothing(t *testing.T) {
+	l := levelling(at(100 * second))
+	l.take(fleet{tries: 100, bad: 0.4, most: 0.4, answer: 0.2, serves: 1, calm: 0.15})
+	want(t, "all groups are let in", l.line, 2.0)
+}
+
 func TestTheLineHoldsWhileSumsAreOldOrTheOverloadEases(t *testing.T) {
 	l := levelling(at(100 * second))
 	l.take(fleet{tries: 100, bad: 0.5, most: 0.5, answer: 1, serves: 1})
--- a/brain/types.go
+++ b/brain/types.go
@@ -19,8 +19,8 @@
 		weight, size, ticket, tries, bad, answer, newTries, newBad float64
 		cold, sick, trial                                          bool
 	}
-	fleet  struct{ tries, bad, most, answer, serves float64 } // planner to levels: tries a second, part missed
-	target struct {                                           // planner to sequence: weights, below 0: stays as it is
+	fleet  struct{ tries, bad, most, answer, serves, calm float64 } // planner to levels: tries a second, part missed
+	target struct {                                                 // planner to sequence: weights, below 0: stays as it is
 		lines map[line]float64
 		out   map[uint32]bool
 	}
@@ -65,7 +65,7 @@
 	trial   int64 // on trial since
 	relapse int
 	judged  int64
-	changed int64 // when its state in the list last changed
+	changed int64 // when it was last seen not to be gone
 }
 
 // chair is a proxy that is here, since when, and its table; below 0: none yet.
