--- a/brain/brain.go
+++ b/brain/brain.go
@@ -44,7 +44,6 @@
 
 func (d *desk) pause() int64 { return max(1, min(d.ReportEvery/2, beat)) }
 
-// least is the table that holds least, of those that serve a zone.
 func (d *desk) least(zone int, held []float64) int {
 	row := min(max(1, d.Zones), len(held))
 	best := zone % row
@@ -304,7 +303,7 @@
 		lacks := math.Max(1e-6, need[table]/total*all/spares[p.Pick]) - home[table] // never bare
 		order, turn := []uint32{}, map[uint32]float64{}                             // its zones' first
 		for _, id := range ids {
-			if lacks > 0 && p.own[id] != table && !t.out[id] && spare[id] > 0 {
+			if lacks > 0 && p.own[id] != table && !t.out[id] && (spare[id] > 0 || home[table] == 0) {
 				far := min(1, math.Abs(float64(p.own[id]%row-table%row)))
 				order, turn[id] = append(order, id), far+math.Mod(p.offers[id].ticket*float64(turns+table), 1)
 			}
@@ -312,7 +311,7 @@
 		slices.SortFunc(order, func(a, b uint32) int { return cmp.Compare(turn[a], turn[b]) })
 		for ; lacks > 0 && len(order) > 0 && drawn[table] < size; order = order[1:] {
 			id, weighs := order[0], math.Max(1e-9, p.offers[order[0]].size)
-			part := math.Ceil(math.Min(spare[id], lacks/weighs)*guestSteps) / guestSteps
+			part := math.Ceil(math.Max(1e-6, math.Min(spare[id], lacks/weighs))*guestSteps) / guestSteps
 			lacks, spare[id] = lacks-part*weighs, math.Max(0, spare[id]-part)
 			lay(table, id, part)
 		}
@@ -547,10 +546,9 @@
 		}
 		s.at, s.sent = (s.at+1)%steps, false
 	}
-	s.post(thePacer, step{s.at, orders})
+	s.post(thePacer, step{len(first), orders})
 }
 
-// orders are what a step has to do, the largest change first; a withdrawal is lifted behind its lines.
 func (s *sequence) orders(at int) []control.Order {
 	var ls []line
 	sums := map[int]float64{} // whole tables, as a message's head costs more than a line
@@ -685,15 +683,17 @@
 // send writes the turn's messages: the step's lines, then all that is urgent in the room kept for it.
 func (p *pacer) send() {
 	p.waits, p.cost, p.reached = p.queue(), 0, map[int]bool{}
-	// A slow channel is told by late answers: less is written, and nothing while the oldest is overdue, so that
-	// withdrawals do not wait behind weights. It harms where proxies stall.
-	done, messages, room := 0, ordinaryMsgs, ordinaryPart/math.Max(1, p.late)
-	if p.step.at == add { // who lacks lines comes before who has stale ones
-		messages = addMsgs
-	} else if len(p.under) > 0 && p.now > p.under[0].due {
-		room = 0
-	}
-	for done < len(p.step.orders) && p.write(p.step.orders[done], room, messages) {
+	// Late answers tell of a slow channel: withdrawals must not wait behind weights. It harms if proxies stall.
+	done, messages, room := 0, addMsgs, ordinaryPart // who lacks lines comes before who has stale ones
+	for done < len(p.step.orders) {
+		if done == p.step.adds {
+			if messages, room = ordinaryMsgs, room/math.Max(1, p.late); len(p.under) > 0 && p.now > p.under[0].due {
+				break
+			}
+		}
+		if !p.write(p.step.orders[done], room, messages) {
+			break
+		}
 		done++
 	}
 	m := marked{orders: p.step.orders[:done]}
--- a/brain/orders_test.go
+++ b/brain/orders_test.go
@@ -39,12 +39,23 @@
 	want(t, "goes on once answered", len(g.out) > sent, true)
 }
 
+func TestAdditionsGoThoughAnswersAreOverdue(t *testing.T) {
+	g := at(100 * second)
+	p := pacing(g, 2)
+	p.under = []batch{{1, 10, 0, second}}
+	p.now = 20 * second
+	lines := []control.Order{control.SetLine{Replica: 1, Weight: 1}, control.SetLine{Replica: 2, Weight: 0.5}}
+	p.take(step{1, lines})
+	p.send()
+	want(t, "the addition only", len(orders[control.SetLine](g.out)), 1)
+}
+
 func TestMessageCapOfAProxy(t *testing.T) {
 	g := at(0)
 	g.MessagesMost, g.ChannelLimit = 10, 1<<20
 	p := pacing(g, 1)
 	for k := range 20 {
-		p.step = step{overwrite, []control.Order{control.SetLine{Replica: 1, Weight: float64(k + 1)}}}
+		p.step = step{0, []control.Order{control.SetLine{Replica: 1, Weight: float64(k + 1)}}}
 		p.send()
 	}
 	want(t, "changed lines", len(orders[control.SetLine](g.out)), int(ordinaryMsgs*10))
@@ -181,7 +192,7 @@
 	g := at(0)
 	p := pacing(g, 1)
 	p.take(control.Withdraw{Replica: 5, Out: true})
-	p.take(step{add, []control.Order{control.Withdraw{Replica: 5}}})
+	p.take(step{1, []control.Order{control.Withdraw{Replica: 5}}})
 	p.send()
 	want(t, "orders", reflect.DeepEqual(orders[control.Withdraw](g.out), []control.Withdraw{{Replica: 5}}), true)
 }
--- a/brain/types.go
+++ b/brain/types.go
@@ -29,7 +29,7 @@
 		flows map[int]float64
 	}
 	step struct { // sequence to pacer: what the open step still has to send
-		at     int
+		adds   int // the first so many are additions
 		orders []control.Order
 	}
 	marked struct { // pacer to roll and sequence: what went out, to whom, under which mark
