--- a/brain/brain.go
+++ b/brain/brain.go
@@ -21,20 +21,20 @@
 	ordinaryPart, urgentPart, changeWorth = 0.4, 0.85, 0.15            // of the channel's limit; a change sent
 	ordinaryMsgs, addMsgs, urgentMsgs     = 0.5, 0.75, 0.95            // of a proxy's message cap
 	stepTimeout, lostSpan, forgetSpan     = 2 * second, 30 * second, 600 * second
-	recent, samplesKept                   = 4 * second, 32     // older samples are not judged, more not kept
-	settleSpan, firstSteps                = 4 * second, 8      // a weight follows in this, sooner if new
-	kindSpread, shrink, slowest           = 2, 8.0, 1.0 / 16   // calm kinds; prior and least of a weight
-	idleFirst, idleLast, firstSamples     = 0.85, 0.6, 15.0    // idle part of the calm, at first and later
-	drain, drainMost, lateMost            = 0.1, 5.0, 2.5      // full queues cost weight; overload is late
-	coldSpare, coldLost                   = 1.0 / 3, 0.3       // of a fall's multiple; flows lost: no cold
-	sickTries, trialTries, sickPart       = 5, 3, 0.5          // for a verdict: tries, part missed more
-	lostBad, fewGood, sickMost            = 0.4, 0.2, 0.75     // no verdicts; good left; so many are out
-	restSpan, mostRelapses, slowAnswer    = 3 * second, 2, 2.0 // rests of the sick; so much later is slow
-	spareGuest, spareIdler, deadPart      = 1.1, 1.35, 0.65    // over its own, or so few serve: guests come
-	strained, missedMost, mostPart        = 0.75, 0.15, 0.75   // overload: answers, misses, of most replicas
-	missedOnce, shareSteps, guestSteps    = 0.08, 20, 10       // one try only; steps of levels and guests
-	lineFirst, lineDown, lineUp           = 0.9, 0.9, 0.01     // the line: first of the served, later, up
-	demandSpan, priorSpan                 = 8 * second, 4.0    // flows of a proxy; its usual rate counts so
+	recent, samplesKept                   = 4 * second, 32       // older samples are not judged, more not kept
+	settleSpan, firstSteps                = 4 * second, 8        // a weight follows in this, sooner if new
+	kindSpread, shrink, slowest           = 2, 8.0, 1.0 / 16     // calm kinds; prior and least of a weight
+	idleFirst, idleLast, firstSamples     = 0.85, 0.6, 15.0      // idle part of the calm, at first and later
+	drain, drainMost, lateMost            = 0.1, 5.0, 2.5        // full queues cost weight; overload is late
+	coldSpare, coldLost                   = 1.0 / 3, 0.3         // of a fall's multiple; flows lost: no cold
+	sickTries, trialTries, sickPart       = 5, 3, 0.5            // for a verdict: tries, part missed more
+	lostBad, fewGood, sickMost            = 0.4, 0.2, 0.75       // no verdicts; good left; so many are out
+	restSpan, mostRelapses, slowAnswer    = 3 * second, 2, 2.0   // rests of the sick; so much later is slow
+	spareGuest, spareIdler, deadPart      = 1.1, 1.35, 0.65      // over its own, or so few serve: guests come
+	strained, missedMost, mostPart        = 0.75, 0.15, 0.75     // overload: answers, misses, of most replicas
+	missedOnce, shareSteps, guestSteps    = 0.08, 20, 10         // one try only; steps of levels and guests
+	lineFirst, lineDown, lineUp           = 0.9, 0.9, 0.01       // the line: first of the served, later, up
+	demandSpan, priorSpan, surge          = 8 * second, 4.0, 1.5 // flows of a proxy; a sudden rise
 )
 
 var spares = [...]float64{spareGuest, spareGuest, spareIdler} // by control.Pick
@@ -73,20 +73,19 @@
 		r.fleet = n
 		r.judge()
 	}
-	tries, bad, answer := r.lately(recent)
+	tries, bad, answer := r.lately()
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
 	sick := r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
-	news, missed, _ := r.lately(r.ReportEvery + beat)
 	r.post(thePlanner, offer{r.entry, r.box, size * r.speed, size * r.fleet.goal, r.ticket, tries, bad, answer,
-		news, missed, r.cold(), sick, r.trial > 0})
+		r.cold(), sick, r.trial > 0})
 }
 
 // lately sums the samples still worth judging; answer is a mean in seconds.
-func (r *replica) lately(span int64) (tries, bad, answer float64) {
+func (r *replica) lately() (tries, bad, answer float64) {
 	good := 0.0
 	for _, s := range r.met {
-		if s.at > max(r.now-span, r.trial) {
+		if s.at > max(r.now-recent, r.trial) {
 			tries, bad = tries+s.tries, bad+s.bad
 			if s.answer > 0 {
 				answer, good = answer+s.answer*(s.tries-s.bad), good+s.tries-s.bad
@@ -96,11 +95,10 @@
 	return tries, bad, answer / math.Max(1, good)
 }
 
-// judge moves the replica between well, resting and on trial, and its speed to what its answers show. Silent,
-// failing and cut-off replicas miss most tries while others do not, and give few good answers: who gives its
-// share is busy. A trouble of the whole fleet condemns nobody. It harms where tries miss by chance.
+// judge moves the replica between well, resting and on trial. Silent, failing, cut-off ones miss most tries
+// and give few good answers; who gives its share is busy. It harms where tries miss by chance.
 func (r *replica) judge() {
-	tries, bad, answer := r.lately(recent)
+	tries, bad, answer := r.lately()
 	span := min(settleSpan, max(second, (r.now-r.heard)/firstSteps)) // what is new is learned faster
 	r.speed *= math.Pow(r.fleet.goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(span)))
 	r.judged = r.now
@@ -167,14 +165,13 @@
 	p.same = false
 }
 
-// norms tells each replica how its kind answers, how much all miss, and what it is worth. Listed sizes hold
-// but for the slow; else it is worth the flows it could answer: what it answers now, by how busy its answer
-// time shows it. Both are of one moment, so late sums tell the truth.
+// norms tells each replica how its kind answers, how much all miss, and its worth: the listed size unless
+// slow, else the flows it could answer: what it answers, by how busy its answer time of that moment shows it.
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
 	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
 	var shares []float64 // of the tries of each, missed
-	missed, tries, serves, quick, newMissed, newTries := 0.0, 0.0, 0.0, math.Inf(1), 0.0, 1.0
+	missed, tries, serves, quick := 0.0, 0.0, 0.0, math.Inf(1)
 	for _, calm := range p.calm {
 		quick = min(quick, slices.Min(calm))
 	}
@@ -194,7 +191,6 @@
 		o := p.offers[id]
 		if sizes[o.Weight] = true; !o.sick && !o.trial && o.State == control.Ready {
 			missed, tries, serves = missed+o.bad, tries+o.tries, serves+1
-			newMissed, newTries = newMissed+o.newBad, newTries+o.newTries
 			shares = append(shares, o.bad/math.Max(1, o.tries))
 		}
 		for _, kind := range []int{o.Kind, all} {
@@ -216,8 +212,7 @@
 	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
-		// A collapse takes 2 s, means take 4: the cold go by the worst of all measures, the newest sums too.
-		n := norm{math.Inf(1), k.good / math.Max(1, k.count), 1, bad, max(bad, p.demand.lost, newMissed/newTries)}
+		n := norm{math.Inf(1), k.good / math.Max(1, k.count), 1, bad, max(bad, p.demand.lost)}
 		good, late := o.tries-o.bad, o.answer/math.Max(1e-9, k.answer/math.Max(1, k.good))
 		if len(sizes) > 1 && late > slowAnswer {
 			n.goal = math.Max(slowest, 1/late)
@@ -255,7 +250,7 @@
 		return
 	}
 	tables, row, total, all := p.tables, min(max(1, p.Zones), p.tables), 1e-9, 1e-9
-	t := target{map[line]float64{}, p.shutOut(ids)}
+	t := target{map[line]float64{}, p.shutOut(ids, row)}
 	need, home, serves := make([]float64, tables), make([]float64, tables), make([]float64, tables)
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
@@ -342,18 +337,24 @@
 }
 
 // shutOut says who is withdrawn: whoever drains or is gone, and the sick while a quarter of the warm is left,
-// so that no proxy is bare; the cold may all go while anybody warm is listed. It harms when more are sick.
-func (p *planner) shutOut(ids []uint32) map[uint32]bool {
-	out, warm := map[uint32]bool{}, 0.0
+// so that no proxy is bare. The cold go while the flows of their zones surge: proxies soon avoid all others,
+// and who has just come gets everything, whatever its weight. It harms where flows rise for good and quickly.
+func (p *planner) shutOut(ids []uint32, row int) map[uint32]bool {
+	out, warm, usual, newest := map[uint32]bool{}, 0.0, make([]float64, row), make([]float64, row)
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready && !o.cold {
 			warm++
 		}
 	}
+	for _, proxy := range sorted(p.crowd) {
+		zone := p.crowd[proxy].table % row
+		usual[zone], newest[zone] = usual[zone]+p.demand.flows[proxy], newest[zone]+p.demand.fresh[proxy]
+	}
 	may := warm * sickMost
 	for _, id := range ids {
 		switch o := p.offers[id]; {
-		case o.State != control.Ready || o.sick && o.cold && warm > 0:
+		case o.State != control.Ready,
+			o.cold && warm > 0 && (o.sick || newest[p.own[id]%row] > surge*math.Max(1, usual[p.own[id]%row])):
 			out[id] = true
 		case o.sick && !o.cold && may >= 1:
 			out[id] = true
@@ -425,22 +426,23 @@
 		l.came = append(l.came, sums{n, l.now})
 	case fleet:
 		l.came = slices.DeleteFunc(l.came, func(d sums) bool { return d.at <= l.now-demandSpan })
-		flows, by, all, missed := map[int]float64{}, map[int]float64{}, 0, 0
+		flows, by, fresh, all, missed := map[int]float64{}, map[int]float64{}, map[int]float64{}, 0, 0
 		for _, d := range l.came {
-			by[d.Proxy] += float64(d.Flows)
+			if by[d.Proxy] += float64(d.Flows); d.at > l.now-l.ReportEvery { // as of so long a time
+				fresh[d.Proxy] += float64(d.Flows) * float64(demandSpan) / float64(max(d.Span, l.ReportEvery, 1))
+			}
 			if d.at > l.now-recent {
 				flows[d.Group] += float64(d.Flows) * float64(second) / float64(recent)
 				all, missed = all+d.Flows, missed+d.Missed
 			}
 		}
-		l.post(thePlanner, demand{float64(missed) / math.Max(1, float64(all)), by})
+		l.post(thePlanner, demand{float64(missed) / math.Max(1, float64(all)), by, fresh})
 		l.judge(n, flows)
 	}
 }
 
 // judge moves the line of utility. An overloaded fleet is first let less than the most it served lately, then
-// a part less at each look, unless the overload eases; a calm one a bit more each second. It stands against
-// every overload, by flows, lost replicas or repeats; it harms where answers are late for another cause.
+// a part less at each look, unless it eases; a calm one a bit more. It harms if answers are late for the way.
 func (l *levels) judge(f fleet, flows map[int]float64) {
 	if l.groups == nil {
 		for g := range l.Groups {
@@ -532,9 +534,8 @@
 	s.proceed()
 }
 
-// proceed hands the pacer what the open step still has to send. A new target folds in: additions go at once,
-// all else goes on, and what is no longer wanted is dropped. A step whose marks are answered is over though
-// more of its kind has come: weights that change at each look would keep removals back for ever.
+// proceed hands the pacer what the open step has to send. A new target folds in: additions go at once. A step
+// whose marks are answered is over though more of its kind has come, or removals would be kept back for ever.
 func (s *sequence) proceed() {
 	first, orders := s.orders(add), []control.Order(nil)
 	for range steps {
@@ -615,8 +616,7 @@
 	}
 }
 
-// queue is what may still wait in the channel: all that no answer has cleared, so that a slow channel holds
-// ordinary lines back. Who has left clears what only he had not answered; what nobody answers is forgotten.
+// queue is what may still wait in the channel: all that no answer has cleared, so a slow one holds us back.
 func (p *pacer) queue() (sum float64) {
 	p.under = slices.DeleteFunc(p.under, func(b batch) bool { return p.now-b.at > lostSpan })
 	for _, b := range p.under {
--- a/brain/tables_test.go
+++ b/brain/tables_test.go
@@ -25,9 +25,9 @@
 	for id := uint32(1); id <= 4; id++ {
 		all = append(all, offered(id, int(id%2), true, control.Ready))
 	}
-	out := planning(g, all...).shutOut([]uint32{1, 2, 3, 4})
+	out := planning(g, all...).shutOut([]uint32{1, 2, 3, 4}, 1)
 	want(t, "three of four go", out[1] && out[2] && out[3] && !out[4], true)
-	out = planning(g, offered(4, 0, false, control.Draining)).shutOut([]uint32{1, 2, 3, 4})
+	out = planning(g, offered(4, 0, false, control.Draining)).shutOut([]uint32{1, 2, 3, 4}, 1)
 	want(t, "draining goes", out[4], true)
 	want(t, "withdrawn at once", mail[control.Withdraw](g, thePacer)[3], control.Withdraw{Replica: 4, Out: true})
 }
@@ -79,18 +79,28 @@
 	}
 }
 
-func TestTheNewestSumsTellTheColdOfACollapse(t *testing.T) {
+func TestLostFlowsTellTheColdOfACollapse(t *testing.T) {
 	g := at(10 * second)
 	o := offered(1, 0, false, control.Ready)
-	o.box, o.tries, o.bad, o.newTries, o.newBad = parts, 100, 10, 12, 9
+	o.box, o.tries, o.bad = parts, 100, 10
 	g.boxes = append(g.boxes, &inbox{})
-	planning(g, o).norms()
-	n := mail[norm](g, parts)[0]
-	want(t, "verdicts go by the mean, the cold by the worst", n.bad < 0.11 && n.lost > coldLost, true)
-	p := planning(g)
+	p := planning(g, o)
 	p.take(demand{lost: 0.9}) // flows that got no answer
 	p.norms()
-	want(t, "lost flows count too", mail[norm](g, parts)[1].lost, 0.9)
+	n := mail[norm](g, parts)[0]
+	want(t, "verdicts go by the mean, the cold by the worst", n.bad < 0.11 && n.lost == 0.9, true)
+}
+
+func TestTheColdGoWhileFlowsSurge(t *testing.T) {
+	cold := offered(1, 0, false, control.Ready)
+	cold.cold = true
+	p := planning(at(0), cold, offered(2, 0, false, control.Ready))
+	p.crowd[7] = &chair{control.Joined{Proxy: 7}, 0, 0}
+	p.demand = demand{flows: map[int]float64{7: 100}, fresh: map[int]float64{7: 120}}
+	want(t, "as ever", len(p.shutOut([]uint32{1, 2}, 1)), 0)
+	p.demand.fresh[7] = 200
+	out := p.shutOut([]uint32{1, 2}, 1)
+	want(t, "the cold only", out[1] && !out[2], true)
 }
 
 func steering(g *Governor, laid, wanted map[line]float64, out map[uint32]bool) *sequence {
--- a/brain/types.go
+++ b/brain/types.go
@@ -15,9 +15,9 @@
 	}
 	offer struct { // replica to planner: what it can bear and what it was met with lately
 		control.Entry
-		box                                                        int
-		weight, size, ticket, tries, bad, answer, newTries, newBad float64
-		cold, sick, trial                                          bool
+		box                                      int
+		weight, size, ticket, tries, bad, answer float64
+		cold, sick, trial                        bool
 	}
 	fleet  struct{ tries, bad, most, answer, serves, calm float64 } // planner to levels: tries a second, part missed
 	target struct {                                                 // planner to sequence: weights, below 0: stays as it is
@@ -25,8 +25,8 @@
 		out   map[uint32]bool
 	}
 	demand struct { // levels to planner: part of the flows that got no answer; flows that came, by proxy
-		lost  float64
-		flows map[int]float64
+		lost         float64
+		flows, fresh map[int]float64 // in the last few seconds; the newest, as of so long
 	}
 	step struct { // sequence to pacer: what the open step still has to send
 		adds   int // the first so many are additions
