--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,561 @@
+package brain
+
+import (
+	"reflect"
+	"testing"
+
+	"lilacbend/control"
+)
+
+func provision() control.Provision {
+	return control.Provision{Seed: 7, Governors: 1, Zones: 2, Kinds: 1, Proxies: 6, ChannelRate: 1000,
+		ChannelLimit: 400, MessageHead: 4, WorstTransit: second / 2, MessagesSpan: 10 * second, ReportEvery: second,
+		WarmAfter: 10 * second, ColdShare: 0.2, FallMultiple: 4, Admission: control.AdmitShare,
+		UsualTries: control.TryIfNeverRan,
+		Groups: []control.TrafficGroup{
+			{Utility: 1, LatencyBudget: second, Effect: control.Retriable},
+			{Utility: 3, LatencyBudget: second, Effect: control.NonRetriable}}}
+}
+
+// at gives a governor whose clock stands there; its parts are the boxes' parts.
+func at(now int64) *Governor {
+	g := New(provision())
+	g.now = now
+	return g
+}
+
+func entries(n int) []control.Entry {
+	var es []control.Entry
+	for id := 1; id <= n; id++ {
+		es = append(es, control.Entry{Replica: uint32(id), Zone: id % 2, Weight: 1})
+	}
+	return es
+}
+
+// mail takes what was put into an inbox.
+func mail[T any](g *Governor, box int) (notes []T) {
+	for _, n := range g.boxes[box].mail {
+		if t, ok := n.(T); ok {
+			notes = append(notes, t)
+		}
+	}
+	return notes
+}
+
+func orders[T any](all []control.Order) (some []T) {
+	for _, o := range all {
+		if t, ok := o.(T); ok {
+			some = append(some, t)
+		}
+	}
+	return some
+}
+
+func want(t *testing.T, what string, got, wanted any) {
+	t.Helper()
+	if got != wanted {
+		t.Errorf("%s: got %v, want %v", what, got, wanted)
+	}
+}
+
+func met(g *Governor, tries, bad, answer float64) *replica {
+	r := &replica{desk: &g.desk, box: parts, entry: control.Entry{Replica: 9, Weight: 1}, speed: 1}
+	r.fleet = norm{late: 0.4, good: 20, goal: 1}
+	r.met = []sample{{g.now, tries, bad, answer}}
+	return r
+}
+
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		name                      string
+		tries, bad, answer, fleet float64
+		rests                     bool
+	}{
+		{"silent", 10, 10, 0, 0, true},
+		{"quick failer", 20, 17, 0.1, 0, true},
+		{"slow: answers late", 20, 17, 0.9, 0, false},
+		{"half failing: worth more than nothing", 20, 12, 0.1, 0, false},
+		{"busy: misses, but gives its share", 60, 40, 0.3, 0, false},
+		{"trouble of the whole fleet", 9, 6, 0.2, 0.35, false},
+		{"a fleet that is lost", 500, 500, 0, 0.9, false},
+		{"too few tries", 4, 4, 0, 0, false},
+	} {
+		r := met(at(100*second), c.tries, c.bad, c.answer)
+		r.fleet.bad = c.fleet
+		r.judge()
+		want(t, c.name, r.resting > r.now, c.rests)
+	}
+}
+
+func TestTrialEndsOrRelapses(t *testing.T) {
+	r := met(at(100*second), 10, 10, 0)
+	r.judge()
+	first := r.resting - r.now
+	r.now = r.resting
+	r.judge()
+	want(t, "on trial", r.trial, r.now)
+	r.now += second
+	r.met = []sample{{r.now, trialTries, trialTries, 0}}
+	r.judge()
+	want(t, "longer rest at a relapse", r.resting-r.now, 2*first)
+	r.now = r.resting
+	r.judge()
+	r.now += second
+	r.met = []sample{{r.now, trialTries, 0, 0.2}}
+	r.judge()
+	want(t, "well again", r.trial == 0 && r.resting == 0, true)
+}
+
+func TestOldSamplesAreNotJudged(t *testing.T) {
+	r := met(at(100*second), 10, 10, 0)
+	r.now += recent
+	r.judge()
+	want(t, "rests", r.resting > 0, false)
+}
+
+func TestWarmthStaysInTheColdBudget(t *testing.T) {
+	r := met(at(100*second), 0, 0, 0)
+	r.entry.Start, r.heard = r.now-second, r.now
+	for ; r.now < r.entry.Start+r.WarmAfter; r.now += second {
+		able := r.ColdShare + (1-r.ColdShare)*float64(r.now-r.entry.Start)/float64(r.WarmAfter)
+		if w := r.warmth(); w > coldSpare*r.FallMultiple*able || r.now-r.heard < entrySpan && w > entryShare {
+			t.Errorf("at age %d: weight %v with %v able", r.now-r.entry.Start, w, able)
+		}
+	}
+	want(t, "warm", r.warmth(), 1.0)
+	r.now = r.entry.Start + r.WarmAfter/2 // a zone's flows may double at any moment
+	want(t, "half warm, no more than it surely can", r.warmth() <= 0.61, true)
+}
+
+func TestColdIsKeptOutOfACollapse(t *testing.T) {
+	g := at(100 * second)
+	r := met(g, 0, 0, 0)
+	r.entry.Start = r.now - second
+	calm := r.warmth()
+	n := r.fleet
+	n.lost = 0.8
+	r.take(n)
+	want(t, "out", mail[offer](g, thePlanner)[0].sick, true)
+	if w := r.warmth(); w > calm/2 {
+		t.Errorf("weight %v while the fleet misses, %v in calm", w, calm)
+	}
+}
+
+func TestColdWaitsForTheFirstWordOfTheFleet(t *testing.T) {
+	g := at(100 * second)
+	r := &replica{desk: &g.desk, box: parts, speed: 1}
+	r.take(control.Entry{Replica: 9, Weight: 1, Start: 99 * second})
+	want(t, "out", mail[offer](g, thePlanner)[0].sick, true)
+	r.take(norm{goal: 1})
+	want(t, "in", mail[offer](g, thePlanner)[1].sick, false)
+}
+
+func TestRestartIsANewReplica(t *testing.T) {
+	r := met(at(100*second), 10, 10, 0)
+	r.judge()
+	e := r.entry
+	e.Start = r.now - second
+	r.take(e)
+	want(t, "rests", r.resting, int64(0))
+	want(t, "cold", r.cold(), true)
+}
+
+func TestWhatATableCanCarryGoesByOwnWorth(t *testing.T) {
+	g := at(100 * second)
+	met(g, 0, 0, 0).take(norm{goal: 0.5})
+	want(t, "size", mail[offer](g, thePlanner)[0].size, 0.5)
+}
+
+func planning(g *Governor, offers ...offer) *planner {
+	p := g.boxes[thePlanner].part.(*planner)
+	for _, o := range offers {
+		o.box = len(g.boxes)
+		p.offers[o.Replica], g.boxes = o, append(g.boxes, &inbox{})
+	}
+	return p
+}
+
+func offered(id uint32, zone int, sick bool, state control.State) offer {
+	return offer{Entry: control.Entry{Replica: id, Zone: zone, State: state, Weight: 1}, weight: 1, size: 1,
+		ticket: 1 / float64(id), sick: sick}
+}
+
+func TestTheSickLeaveAQuarterIn(t *testing.T) {
+	g := at(0)
+	var all []offer
+	for id := uint32(1); id <= 4; id++ {
+		all = append(all, offered(id, int(id%2), true, control.Ready))
+	}
+	out := planning(g, all...).shutOut([]uint32{1, 2, 3, 4}, 1)
+	want(t, "three of four go", out[1] && out[2] && out[3] && !out[4], true)
+	out = planning(g, offered(4, 0, false, control.Draining)).shutOut([]uint32{1, 2, 3, 4}, 1)
+	want(t, "draining goes", out[4], true)
+	want(t, "withdrawn at once", mail[control.Withdraw](g, thePacer)[3], control.Withdraw{Replica: 4, Out: true})
+}
+
+func TestATableWithoutItsOwnTakesGuestsOrGivesItsProxiesToASister(t *testing.T) {
+	g := at(0)
+	g.Proxies = 12
+	p := planning(g, offered(1, 0, false, control.Ready), offered(2, 1, false, control.Gone))
+	p.crowd[3] = &chair{control.Joined{Proxy: 3, Zone: 1, Rate: 5}, 0, 1}
+	p.redraw()
+	lines := mail[target](g, theSequence)[0].lines
+	want(t, "guest", lines[line{1, 1}] > 0, true)
+	want(t, "gone", lines[line{1, 2}], 0.0)
+	want(t, "a zone that lost all stays at its table", mail[[]int](g, theRoll)[0][1], 1)
+	p = planning(at(0), offered(1, 0, false, control.Ready), offered(2, 0, false, control.Gone))
+	p.tables, p.own = 4, map[uint32]int{1: 0, 2: 2}
+	p.redraw()
+	want(t, "to a sister", mail[[]int](&Governor{desk: *p.desk}, theRoll)[0][2], 0)
+}
+
+func TestATableOfTheSickTakesGuestsWhoServe(t *testing.T) {
+	g := at(0)
+	g.Proxies = 12
+	p := planning(g, offered(1, 0, false, control.Ready), offered(2, 1, true, control.Ready),
+		offered(4, 0, false, control.Ready), offered(5, 0, false, control.Ready))
+	p.crowd[3] = &chair{control.Joined{Proxy: 3, Zone: 1, Rate: 5}, 0, 1}
+	p.redraw()
+	lines := mail[target](g, theSequence)[0].lines
+	want(t, "some serve", lines[line{1, 1}]+lines[line{1, 4}]+lines[line{1, 5}] > 0, true)
+}
+
+func TestWeightsFollowWhatIsAnsweredNotTheAnswerTimeAlone(t *testing.T) {
+	g := at(10 * second)
+	busy, calm := offered(1, 0, false, control.Ready), offered(2, 0, false, control.Ready)
+	busy.tries, busy.answer, calm.tries, calm.answer = 90, 0.3, 30, 0.1
+	p := planning(g, busy, calm)
+	p.calm[0] = []float64{0.1}
+	p.norms()
+	a, b := mail[norm](g, parts)[0].goal, mail[norm](g, parts+1)[0].goal
+	if a > b || b > 2*a {
+		t.Errorf("near equal worth wanted: the busy %v, the calm %v", a, b)
+	}
+}
+
+func TestLostFlowsTellTheColdOfACollapse(t *testing.T) {
+	g := at(10 * second)
+	o := offered(1, 0, false, control.Ready)
+	o.tries, o.bad = 100, 10
+	p := planning(g, o)
+	p.take(demand{lost: 0.9}) // flows that got no answer
+	p.norms()
+	n := mail[norm](g, parts)[0]
+	want(t, "verdicts go by the mean, the cold by the worst", n.bad < 0.11 && n.lost == 0.9, true)
+}
+
+func TestTheColdGoWhileFlowsSurge(t *testing.T) {
+	cold := offered(1, 0, false, control.Ready)
+	cold.cold = true
+	p := planning(at(0), cold, offered(2, 0, false, control.Ready))
+	p.crowd[7] = &chair{control.Joined{Proxy: 7}, 0, 0}
+	p.demand = demand{flows: map[int]float64{7: 100}, fresh: map[int]float64{7: 120}}
+	want(t, "as ever", len(p.shutOut([]uint32{1, 2}, 1)), 0)
+	p.demand.fresh[7] = 200
+	out := p.shutOut([]uint32{1, 2}, 1)
+	want(t, "the cold only", out[1] && !out[2], true)
+}
+
+func steering(g *Governor, laid, wanted map[line]float64, out map[uint32]bool) *sequence {
+	s := g.boxes[theSequence].part.(*sequence)
+	s.laid, s.want, s.out = laid, target{wanted, map[uint32]bool{}}, out
+	return s
+}
+
+func TestStepsComeInOrderTheLargestFirst(t *testing.T) {
+	g := at(0)
+	s := steering(g, map[line]float64{{0, 1}: 1, {0, 2}: 1, {0, 3}: 1},
+		map[line]float64{{0, 1}: 0.5, {0, 2}: 0.1, {0, 4}: 1}, map[uint32]bool{})
+	s.moves[5] = 1
+	want(t, "add", s.orders(add)[0], control.Order(control.SetLine{Replica: 4, Weight: 1}))
+	want(t, "overwrite", s.orders(overwrite)[0], control.Order(control.SetLine{Replica: 2, Weight: 0.1}))
+	want(t, "rebind", s.orders(rebind)[0], control.Order(control.Bind{Proxy: 5, Table: 1}))
+	want(t, "remove", s.orders(remove)[0], control.Order(control.SetLine{Replica: 3}))
+	s.open[1] = 0
+	s.at = remove
+	s.proceed()
+	steps := mail[step](g, thePacer)
+	want(t, "removals wait for additions", len(steps[0].orders), 1)
+	s.at = overwrite
+	s.proceed()
+	want(t, "additions fold in", len(mail[step](g, thePacer)[1].orders), 3)
+}
+
+func TestAnAnsweredStepIsOverThoughMoreHasChanged(t *testing.T) {
+	s := steering(at(0), map[line]float64{{0, 1}: 1, {0, 2}: 1}, map[line]float64{{0, 1}: 0.5}, map[uint32]bool{})
+	s.at, s.sent = overwrite, true
+	s.proceed()
+	want(t, "removals come", s.at, remove)
+}
+
+func TestARemovalOfWhoIsBackNeverLeaves(t *testing.T) {
+	s := steering(at(0), map[line]float64{{0, 1}: 1}, map[line]float64{}, map[uint32]bool{1: true})
+	want(t, "queued", len(s.orders(remove)), 1)
+	s.take(target{map[line]float64{{0, 1}: 1}, map[uint32]bool{}})
+	want(t, "dropped", len(s.orders(remove)), 0)
+	want(t, "lifted", s.orders(add)[0], control.Order(control.Withdraw{Replica: 1}))
+}
+
+func TestALateAnswerEndsAStepAtItsTimeout(t *testing.T) {
+	s := steering(at(0), map[line]float64{{0, 1}: 1}, map[line]float64{}, map[uint32]bool{})
+	s.open[1], s.at = 0, overwrite
+	s.take(tick{})
+	want(t, "waits", s.at, overwrite)
+	s.now = stepTimeout + 1
+	s.take(tick{})
+	want(t, "goes on", s.at, remove)
+}
+
+func TestNothingWaitsForAProxyThatLeft(t *testing.T) {
+	g := at(0)
+	r := g.boxes[theRoll].part.(*roll)
+	r.take(marked{mark: 70000, proxies: []int{1, 2}})
+	r.take(control.Answered{Proxy: 1, Mark: 70000 & marksMask})
+	want(t, "still open", len(mail[caught](g, theSequence)), 0)
+	r.take(control.Left{Proxy: 2})
+	want(t, "closed", mail[caught](g, theSequence)[0], caught{70000, true})
+}
+
+func TestAFewThatFailAreNoOverload(t *testing.T) {
+	g := at(10 * second)
+	for id := uint32(1); id <= 4; id++ {
+		o := offered(id, 0, false, control.Ready)
+		if o.tries = 10; id == 1 {
+			o.bad = 10
+		}
+		planning(g, o)
+	}
+	planning(g).norms()
+	f := mail[fleet](g, theLevels)[0]
+	want(t, "all miss a quarter, most miss nothing", f.bad == 0.25 && f.most < 0.01, true)
+}
+
+func TestAFullQueueGetsTimeToDrain(t *testing.T) {
+	g := at(10 * second)
+	calm, full := offered(1, 0, false, control.Ready), offered(2, 0, false, control.Ready)
+	calm.tries, calm.answer, full.tries, full.answer, full.Kind = 300, 0.1, 300, 1.2, 1
+	p := planning(g, calm, full)
+	p.Kinds, p.calm = 2, map[int][]float64{0: {0.1}, 1: {0.2}, 2: {0.1}}
+	p.norms()
+	a, b := mail[norm](g, parts)[0].goal, mail[norm](g, parts+1)[0].goal
+	want(t, "more than by what both answer", a > 6.5*b, true)
+}
+
+func pacing(g *Governor, proxies int) *pacer {
+	p := g.boxes[thePacer].part.(*pacer)
+	for proxy := range proxies {
+		p.bound[proxy] = 0
+	}
+	p.laid[0] = map[uint32]bool{}
+	for id := range uint32(20) {
+		p.laid[0][id] = true
+	}
+	return p
+}
+
+func TestOrdinaryLinesLeaveRoomForWithdrawals(t *testing.T) {
+	g := at(0)
+	p := pacing(g, 10)
+	for id := range 200 {
+		p.step.orders = append(p.step.orders, control.SetLine{Replica: uint32(id), Weight: 1})
+	}
+	p.take(control.Withdraw{Replica: 5, Out: true})
+	p.send()
+	want(t, "withdrawn", len(orders[control.Withdraw](g.out)), 1)
+	if q := p.queue(); q > urgentPart*400 || len(orders[control.SetLine](g.out)) == 0 {
+		t.Errorf("queue %v", q)
+	}
+	sent := len(g.out)
+	p.send()
+	want(t, "more while nobody answers", len(g.out), sent)
+	p.take(caught{p.mark, true})
+	p.send()
+	want(t, "goes on once answered", len(g.out) > sent, true)
+}
+
+func TestAdditionsGoThoughAnswersAreOverdue(t *testing.T) {
+	g := at(100 * second)
+	p := pacing(g, 2)
+	p.under = []batch{{1, 10, 0, second}}
+	p.now = 20 * second
+	lines := []control.Order{control.SetLine{Replica: 1, Weight: 1}, control.SetLine{Replica: 2, Weight: 0.5}}
+	p.take(step{1, lines})
+	p.send()
+	want(t, "the addition only", len(orders[control.SetLine](g.out)), 1)
+}
+
+func TestMessageCapOfAProxy(t *testing.T) {
+	g := at(0)
+	g.MessagesMost, g.ChannelLimit = 10, 1<<20
+	p := pacing(g, 1)
+	for k := range 20 {
+		p.step = step{0, []control.Order{control.SetLine{Replica: 1, Weight: float64(k + 1)}}}
+		p.send()
+	}
+	want(t, "changed lines", len(orders[control.SetLine](g.out)), int(ordinaryMsgs*10))
+	for k := range 20 {
+		p.take(control.Withdraw{Replica: uint32(k), Out: true})
+		p.send()
+	}
+	want(t, "messages", len(p.wrote[0]) <= 10, true)
+	want(t, "room for withdrawals", float64(len(p.wrote[0])) > addMsgs*10, true)
+}
+
+func TestAWithdrawalWaitsOnlyForThoseWhoHoldALine(t *testing.T) {
+	g := at(0)
+	p := pacing(g, 2)
+	p.bound[1], p.laid[1] = 1, map[uint32]bool{99: true}
+	p.take(control.Withdraw{Replica: 99, Out: true})
+	p.send()
+	m := mail[marked](g, theRoll)[0]
+	want(t, "only the proxy that holds it", len(m.proxies) == 1 && m.proxies[0] == 1, true)
+	p.now = lostSpan + 1
+	want(t, "what nobody answers is forgotten", p.queue(), 0.0)
+}
+
+func TestNoProxyIsBoundBeforeItsTableIsLaid(t *testing.T) {
+	g := at(0)
+	p := pacing(g, 1)
+	held := p.laid[0]
+	p.laid[0] = nil
+	p.take(control.Bind{Proxy: 0, Table: 0})
+	p.take(control.Bind{Proxy: 99, Table: 0}) // never joined
+	p.send()
+	want(t, "binds", len(orders[control.Bind](g.out)), 0)
+	p.laid[0] = held
+	p.send()
+	want(t, "binds", len(orders[control.Bind](g.out)), 1)
+}
+
+func levelling(g *Governor) *levels {
+	l := g.boxes[theLevels].part.(*levels)
+	l.take(control.Demand{Group: 0, Flows: 200})
+	l.take(control.Demand{Group: 1, Flows: 200})
+	return l
+}
+
+func TestTheLineBlocksTheLeastUtilityFirst(t *testing.T) {
+	g := at(100 * second)
+	l := levelling(g)
+	l.take(fleet{tries: 100, bad: 0.2, most: 0.2, answer: 0.2, serves: 1})
+	want(t, "line", l.line < 2 && l.line > 1, true)
+	o := mail[control.Level](g, thePacer)
+	want(t, "only the lesser group", len(o) == 2 && o[0].Share == 1 && o[1].Group == 0 && o[1].Share < 1, true)
+	want(t, "one try only", o[1].Tries, control.TryOnce)
+	l.now += 2 * recent
+	l.take(fleet{tries: 100, answer: 0.2, serves: 1})
+	want(t, "further tries again", mail[control.Level](g, thePacer)[2].Tries, control.TryIfNeverRan)
+}
+
+func TestMissesWhileAnswersComeAsEverBlockNothing(t *testing.T) {
+	l := levelling(at(100 * second))
+	l.take(fleet{tries: 100, bad: 0.4, most: 0.4, answer: 0.2, serves: 1, calm: 0.15})
+	want(t, "all groups are let in", l.line, 2.0)
+}
+
+func TestTheLineHoldsWhileSumsAreOldOrTheOverloadEases(t *testing.T) {
+	l := levelling(at(100 * second))
+	l.take(fleet{tries: 100, bad: 0.5, most: 0.5, answer: 1, serves: 1})
+	first := l.line
+	l.now += second
+	l.take(fleet{tries: 100, bad: 0.6, most: 0.6, answer: 1})
+	want(t, "old sums", l.line, first)
+	l.now += recent
+	l.take(fleet{tries: 100, bad: 0.3, most: 0.3, answer: 0.7})
+	want(t, "eases", l.line, first)
+	l.now += recent
+	l.take(fleet{tries: 100, bad: 0.4, most: 0.4, answer: 0.7})
+	want(t, "worse", l.line < first, true)
+	l.now += 2 * recent
+	l.take(fleet{tries: 100, answer: 0.2})
+	l.now += 100 * second
+	l.take(fleet{tries: 100, answer: 0.2})
+	want(t, "back", l.line, 2.0)
+}
+
+func TestWhereLevelsAreNotFollowedOnlyTriesStop(t *testing.T) {
+	g := at(100 * second)
+	g.Admission = control.AdmitAll
+	levelling(g).take(fleet{tries: 100, bad: 0.9, most: 0.9, answer: 3})
+	for _, o := range mail[control.Level](g, thePacer) {
+		want(t, "level", o, control.Level{Table: control.AllTables, Group: o.Group, Share: 1})
+	}
+}
+
+func day(events ...control.Event) (all []control.Order) {
+	g := New(provision())
+	all = g.Turn(0, []control.Event{control.Listed{Full: true, Entries: entries(6)}})
+	for proxy := range 6 {
+		events = append([]control.Event{control.Joined{Proxy: proxy, Zone: proxy % 2, Rate: 10}}, events...)
+	}
+	for k, ev := range events {
+		all = append(all, g.Turn(int64(k+1)*second, []control.Event{ev, control.Woken{}})...)
+	}
+	return all
+}
+
+func TestOddEventsNameNothingUnknown(t *testing.T) {
+	odd := []control.Event{control.Met{Replica: 77, Tries: 9, Missed: 9}, control.Met{Replica: 1},
+		control.Left{Proxy: 88}, control.Demand{Group: 9, Proxy: 99}, control.Answered{Proxy: 99, Mark: 4},
+		control.Answered{Proxy: 1, Mark: 60000}, control.Probed{Replica: 77}, control.Listed{Failed: true},
+		control.Listed{Full: true}, control.Listed{}, control.Joined{Proxy: 50, Zone: 200},
+		control.Listed{Entries: []control.Entry{{Replica: 3, Zone: 99, Kind: 9}}}}
+	all := day(odd...)
+	for _, o := range orders[control.SetLine](all) {
+		want(t, "known replica", o.Replica >= 1 && o.Replica <= 6, true)
+	}
+	want(t, "all bound", len(orders[control.Bind](all)), 7)
+	want(t, "the same again", reflect.DeepEqual(all, day(odd...)), true)
+}
+
+func TestWhoIsLongGoneIsForgottenAndStaysWithdrawn(t *testing.T) {
+	g := New(provision())
+	g.Turn(0, []control.Event{control.Listed{Full: true, Entries: entries(3)}, control.Joined{Proxy: 1}})
+	g.Turn(second, []control.Event{control.Listed{Entries: []control.Entry{{Replica: 2, State: control.Gone}}}})
+	all := g.Turn(2*second+forgetSpan, []control.Event{control.Woken{}})
+	all = append(all, g.Turn(3*second+forgetSpan, []control.Event{control.Woken{}})...)
+	for _, o := range orders[control.Withdraw](all) {
+		want(t, "lifted", o.Out, true)
+	}
+	want(t, "known", len(g.replicas), 2)
+	g.Turn(4*second+forgetSpan, []control.Event{control.Listed{Entries: []control.Entry{{Replica: 9}}}})
+	want(t, "its inbox serves another", len(g.boxes), parts+3)
+}
+
+func TestALateWithdrawalDoesNotUndoALift(t *testing.T) {
+	g := at(0)
+	p := pacing(g, 1)
+	p.take(control.Withdraw{Replica: 5, Out: true})
+	p.take(step{1, []control.Order{control.Withdraw{Replica: 5}}})
+	p.send()
+	want(t, "orders", reflect.DeepEqual(orders[control.Withdraw](g.out), []control.Withdraw{{Replica: 5}}), true)
+}
+
+func TestNoFurtherTryThatCouldActTwice(t *testing.T) {
+	l := at(0).boxes[theLevels].part.(*levels)
+	l.UsualTries, l.TryFactor = control.TryTwiceMore, 1
+	for _, c := range []struct {
+		group control.TrafficGroup
+		tries control.Tries
+	}{
+		{control.TrafficGroup{Effect: control.Retriable}, control.TryTwiceMore},
+		{control.TrafficGroup{Effect: control.NonRetriable}, control.TryIfNeverRan},
+		{control.TrafficGroup{Effect: control.Deduped, Window: 1e12}, control.TryIfNeverRan},
+		{control.TrafficGroup{Effect: control.Deduped, Scope: control.ScopeAll, Window: 5e9}, control.TryTwiceMore},
+		{control.TrafficGroup{Effect: control.Deduped, Scope: control.ScopeAll}, control.TryIfNeverRan},
+	} {
+		c.group.LatencyBudget = second
+		want(t, "tries", l.usual(c.group), c.tries)
+	}
+}
+
+func TestTheFirstFallGoesByTheReplicasLeft(t *testing.T) {
+	var lines []float64
+	for _, left := range []float64{10, 5} {
+		l := levelling(at(100 * second))
+		l.take(fleet{tries: 60, answer: 0.2, serves: 10})
+		l.take(fleet{tries: 10, bad: 0.5, most: 0.5, answer: 2, serves: left})
+		lines = append(lines, l.line)
+	}
+	want(t, "half are lost, half is let in", lines[1], lines[0]/2)
+}
