--- a/brain/brain.go
+++ b/brain/brain.go
@@ -105,7 +105,7 @@
 	switch {
 	case r.resting > r.now:
 	case r.resting > 0:
-		r.resting, r.trial = 0, r.now
+		r.resting, r.trial = 0, r.now+r.ReportEvery // sums of before the trial come late
 		r.say("replica %d on trial after rest %d", r.entry.Replica, r.relapse)
 	case r.fleet.bad > lostBad || r.trial > 0 && tries < trialTries || tries < sickTries && r.trial == 0:
 	case bad/math.Max(1, tries) > r.fleet.bad+sickPart*(1-r.fleet.bad) &&
@@ -278,8 +278,8 @@
 	seats, drawn := make([]int, tables), make([]int, tables) // who serves its proxies; its lines
 	lay := func(table int, id uint32, part float64) {
 		if w := part * p.offers[id].weight; p.offers[id].State == control.Ready && w > 0 {
-			if drawn[table]++; t.out[id] {
-				w = -1
+			if drawn[table]++; t.out[id] { // who is withdrawn takes no guest's room
+				w, drawn[table] = -1, drawn[table]-1
 			}
 			t.lines[line{table, id}] = w
 		}
