--- a/brain/brain.go
+++ b/brain/brain.go
@@ -684,20 +684,19 @@
 func (p *pacer) send() {
 	p.waits, p.cost, p.reached = p.queue(), 0, map[int]bool{}
 	// Late answers tell of a slow channel: withdrawals must not wait behind weights. It harms if proxies stall.
-	done, messages, room := 0, addMsgs, ordinaryPart // who lacks lines comes before who has stale ones
-	for done < len(p.step.orders) {
-		if done == p.step.adds {
-			if messages, room = ordinaryMsgs, room/math.Max(1, p.late); len(p.under) > 0 && p.now > p.under[0].due {
-				break
-			}
+	m, overdue, adds := marked{}, len(p.under) > 0 && p.now > p.under[0].due, p.step.adds
+	p.step.orders = slices.DeleteFunc(p.step.orders, func(o control.Order) bool { // one held up holds up no other
+		messages, room := addMsgs, ordinaryPart // who lacks lines comes before who has stale ones
+		if adds--; adds < 0 {
+			messages, room = ordinaryMsgs, ordinaryPart/math.Max(1, p.late)
 		}
-		if !p.write(p.step.orders[done], room, messages) {
-			break
+		sent := (adds >= 0 || !overdue) && p.write(o, room, messages)
+		if sent {
+			m.orders = append(m.orders, o)
 		}
-		done++
-	}
-	m := marked{orders: p.step.orders[:done]}
-	p.step.orders = p.step.orders[done:]
+		return sent
+	})
+	p.step.adds = 0
 	p.urgent = slices.DeleteFunc(p.urgent, func(o control.Order) bool {
 		return p.write(o, urgentPart, urgentMsgs)
 	})
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -390,6 +390,18 @@
 	want(t, "goes on once answered", len(g.out) > sent, true)
 }
 
+func TestALineHeldUpHoldsUpNoOther(t *testing.T) {
+	g := at(0)
+	g.MessagesMost = 4
+	p := pacing(g, 2)
+	p.bound[1], p.laid[1], p.wrote[0] = 1, map[uint32]bool{}, []int64{0, 0, 0}
+	p.take(step{2, []control.Order{control.SetLine{Replica: 1, Weight: 1},
+		control.SetLine{Table: 1, Replica: 1, Weight: 1}}})
+	p.send()
+	want(t, "the other table's line", len(orders[control.SetLine](g.out)), 1)
+	want(t, "the first waits", len(p.step.orders), 1)
+}
+
 func TestAdditionsGoThoughAnswersAreOverdue(t *testing.T) {
 	g := at(100 * second)
 	p := pacing(g, 2)
