--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -151,4 +151,3 @@
 		}
 	}
 }
-
