--- a/brain/brain.go
+++ b/brain/brain.go
@@ -44,8 +44,10 @@
 
 func (d *desk) pause() int64 { return max(1, min(d.ReportEvery/2, beat)) }
 
+func (d *desk) rows(tables int) int { return min(max(1, d.Zones), tables) }
+
 func (d *desk) least(zone int, held []float64) int {
-	row := min(max(1, d.Zones), len(held))
+	row := d.rows(len(held))
 	best := zone % row
 	for table := best; table < len(held); table += row {
 		if held[table] < held[best] {
@@ -151,7 +153,7 @@
 	case forget:
 		delete(p.offers, n.id)
 		delete(p.own, n.id)
-	case *chair:
+	case chair:
 		p.crowd[n.Proxy] = n
 	case redraw:
 		if !p.same {
@@ -249,7 +251,7 @@
 	if p.deal(ids); p.tables == 0 {
 		return
 	}
-	tables, row, total, all := p.tables, min(max(1, p.Zones), p.tables), 1e-9, 1e-9
+	tables, row, total, all := p.tables, p.rows(p.tables), 1e-9, 1e-9
 	t := target{map[line]float64{}, p.shutOut(ids, row)}
 	need, home, serves := make([]float64, tables), make([]float64, tables), make([]float64, tables)
 	for _, id := range ids {
@@ -319,7 +321,7 @@
 // weight. A zone is split over several tables while each keeps lines enough.
 func (p *planner) deal(ids []uint32) {
 	most := max(1, (p.Proxies/max(1, p.Governors)-1)/proxiesTable)
-	if row := min(max(1, p.Zones), most); p.tables == 0 && len(ids) > 0 {
+	if row := p.rows(most); p.tables == 0 && len(ids) > 0 {
 		p.tables = row * max(1, min(most/row, int(math.Round(float64(len(ids)/row)/linesTable))))
 	}
 	held := make([]float64, p.tables)
@@ -385,7 +387,7 @@
 			if c := r.here[proxy]; c.table < 0 {
 				c.table = r.least(c.Zone, load)
 				load[c.table] += c.Rate
-				r.post(thePlanner, c)
+				r.post(thePlanner, *c)
 				r.post(thePacer, control.Bind{Proxy: proxy, Table: n[c.table]})
 			}
 		}
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -79,10 +79,9 @@
 	g := &Governor{desk: desk{Provision: p}, replicas: map[uint32]*replica{}}
 	d := &g.desk
 	d.boxes = []*inbox{
-		theRoll: {part: &roll{desk: d, here: map[int]*chair{},
-			wait: map[uint64]map[int]bool{}}},
+		theRoll: {part: &roll{desk: d, here: map[int]*chair{}, wait: map[uint64]map[int]bool{}}},
 		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{},
-			own: map[uint32]int{}, offers: map[uint32]offer{}, crowd: map[int]*chair{}}},
+			own: map[uint32]int{}, offers: map[uint32]offer{}, crowd: map[int]chair{}}},
 		theLevels: {part: &levels{desk: d, set: map[int]control.Level{}}},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
--- a/brain/types.go
+++ b/brain/types.go
@@ -19,8 +19,10 @@
 		weight, size, ticket, tries, bad, answer float64
 		cold, sick, trial                        bool
 	}
-	fleet  struct{ tries, bad, most, answer, serves, calm float64 } // planner to levels: tries a second, part missed
-	target struct {                                                 // planner to sequence: weights, below 0: stays as it is
+	fleet struct { // planner to levels: tries a second, parts missed, of all and of most, answer times
+		tries, bad, most, answer, serves, calm float64
+	}
+	target struct { // planner to sequence: weights, below 0: stays as it is
 		lines map[line]float64
 		out   map[uint32]bool
 	}
@@ -78,7 +80,7 @@
 type planner struct {
 	*desk
 	offers map[uint32]offer
-	crowd  map[int]*chair
+	crowd  map[int]chair
 	calm   map[int][]float64 // the last answer times of each kind
 	judged int64
 	out    map[uint32]bool
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -22,7 +22,7 @@
 		"1a0417000000050000001100" + "74776f2073657276657273206b6e6f776e"
 )
 
-func frame(t *testing.T, text string) []byte {
+func frame(t testing.TB, text string) []byte {
 	b, err := hex.DecodeString(text)
 	if err != nil {
 		t.Fatal(err)
@@ -151,3 +151,17 @@
 		}
 	}
 }
+
+func FuzzReadBatch(f *testing.F) {
+	whole := frame(f, eventsHex)
+	for cut := range len(whole) {
+		f.Add(whole[:cut])
+	}
+	f.Add(whole)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		batch, err := ReadBatch(bytes.NewReader(b))
+		if err == nil && len(batch.Records) > len(b)/recordHeadBytes {
+			t.Errorf("%d records from %d bytes", len(batch.Records), len(b))
+		}
+	})
+}
