--- /dev/null
+++ b/cmd/lilacbend/main.go
@@ -0,0 +1,82 @@
+// Command lilacbend is the governor on real sockets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "lilacbend:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	var t told
+	flag := func(name, env, usage string, into *string) cli.Flag {
+		return &cli.StringFlag{Name: name, Usage: usage, Sources: cli.EnvVars(env), Destination: into}
+	}
+	flags := []cli.Flag{
+		flag("config", "PROXY_CONFIG", "the configuration, as JSON", &t.file),
+		flag("name", "PROXY_NAME", "this governor's name, before the configuration's", &t.name),
+		flag("listen", "PROXY_LISTEN", "where proxies and collectors connect", &t.listen),
+		flag("discovery", "PROXY_DISCOVERY", "where the list of replicas is", &t.discovery),
+	}
+	run := func(ctx context.Context, _ *cli.Command) error {
+		c, err := readCharter(t)
+		if err != nil {
+			return err
+		}
+		log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("governor", c.name)
+		return serve(ctx, c, log)
+	}
+	return &cli.Command{
+		Name:   "lilacbend",
+		Usage:  "a governor that tells proxies where flows go",
+		Flags:  flags,
+		Action: run,
+		Commands: []*cli.Command{
+			{Name: "serve", Usage: "run a governor (also what happens without a command)", Action: run},
+			{Name: "check", Usage: "say whether a configuration would start: check [FILE]", ArgsUsage: "[FILE]",
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					t.file = or(cmd.Args().First(), t.file)
+					c, err := readCharter(t)
+					if err == nil {
+						fmt.Printf("%s would start: %s listens on %s, discovery at %s, %d replicas known, %d proxies, "+
+							"%d traffic groups\n", t.file, or(c.name, "it"), c.listen, c.discovery, len(c.known.Members),
+							c.provision.Proxies, len(c.names.Groups))
+					}
+					return err
+				}},
+			{Name: "version", Usage: "say what was built", Action: func(context.Context, *cli.Command) error {
+				fmt.Println(version())
+				return nil
+			}},
+		},
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "lilacbend, built without modules"
+	}
+	text := "lilacbend " + info.Main.Version + " " + info.GoVersion
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" || s.Key == "vcs.modified" {
+			text += " " + s.Key + "=" + s.Value
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/lilacbend/report.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"log/slog"
+	"runtime"
+
+	"lilacbend/internal/exchange"
+	"lilacbend/internal/governor"
+	"lilacbend/internal/resp"
+)
+
+// report prints the counters.
+func report(log *slog.Logger, core *governor.Core, x *exchange.Exchange, pool *resp.Pool) {
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	n, t := core.Count, &x.Tally
+	log.Info("counters",
+		slog.Group("in", "accepted", t.Accepted.Load(), "ended", t.Ended.Load(), "hellos", n.Hellos, "byes", n.Byes,
+			"acks", n.Acks, "outcomes", n.Met, "demands", n.Demands, "listings", n.Listings, "turns", n.Turns),
+		slog.Group("sent", "pushes", n.Pushes, "written", t.Pushes.Load(), "bytes", t.PushBytes.Load(), "lines", n.LinesSent,
+			"lines_ordered", n.LinesOrdered, "marks", n.Marks, "whole", n.Whole, "calls", t.Calls.Load(), "dials", t.Dials.Load()),
+		slog.Group("answered", "alive", t.Alive.Load(), "discovery", t.Answers.Load()),
+		slog.Group("lost", "notes", t.Lost.Load(), "emptied", t.Emptied.Load(), "stale", n.Stale, "replaced", n.Replaced,
+			"refused", t.Refused.Load()),
+		slog.Group("errors", "unreadable", t.Unreadable.Load(), "skipped", t.Skipped.Load(), "strange", n.Strange,
+			"writes", t.WriteErrors.Load(), "discovery", t.CallErrors.Load(), "odd", t.Odd.Load(), "timeouts", t.Timeouts.Load(),
+			"panics", t.Panics.Load(), "renewed", n.Renewed),
+		slog.Group("now", "proxies", n.Seats, "names", n.Names, "heap", mem.HeapAlloc, "goroutines", runtime.NumGoroutine()))
+}
--- /dev/null
+++ b/cmd/lilacbend/serve.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"lilacbend/brain"
+	"lilacbend/internal/exchange"
+	"lilacbend/internal/governor"
+	"lilacbend/internal/registry"
+	"lilacbend/internal/resp"
+	"lilacbend/internal/streams"
+)
+
+const (
+	// The collector and the runtime need room beside what is live: so much of the limit is ours.
+	memoryPart = 0.8
+	// Long messages may hold so much of it: any number of peers that send 1 MiB each stay under it.
+	buffersPart = 0.125
+	// What was sent together comes in pieces and over several connections; so long it is waited for, which
+	// is nothing beside the 100 ms and more that a message takes to a proxy.
+	gatherSpan = 2 * time.Millisecond
+	// SIGKILL may follow 0.7 s after SIGTERM: connections get so long to end.
+	partingMost = 300 * time.Millisecond
+)
+
+// clock shows one time base: the wall's at the start, and from then on the monotonic one.
+type clock struct{ start time.Time }
+
+func (c clock) now() int64 { return c.start.UnixNano() + time.Since(c.start).Nanoseconds() }
+
+// serve runs one governor until ctx ends.
+func serve(ctx context.Context, c charter, log *slog.Logger) error {
+	debug.SetMemoryLimit(int64(memoryPart * float64(c.memory)))
+	listener, err := net.Listen("tcp", c.listen)
+	if err != nil {
+		return fmt.Errorf("cannot listen: %w", err)
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	base, x := clock{time.Now()}, exchange.New()
+	core := governor.New(func() governor.Module { return brain.New(c.provision) }, c.names, c.provision.Proxies)
+	c.known.At, c.known.Wall = base.now(), base.start.UnixNano()
+	x.Tell(c.known)
+	log.Info("serving", "listen", c.listen, "discovery", c.discovery, "revision", c.known.Revision,
+		"replicas", len(c.known.Members), "proxies", c.provision.Proxies)
+
+	pool := resp.NewPool(int(buffersPart * float64(c.memory)))
+	var all sync.WaitGroup
+	var broken error
+	all.Go(func() {
+		defer stop()
+		broken = streams.New(x, pool, log, c.descriptors).Serve(ctx, listener)
+	})
+	all.Go(func() { registry.New(c.discovery, c.known.Revision, x, log, base.now, c.seed).Run(ctx) })
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGUSR1)
+	defer signal.Stop(asked)
+	drive(ctx, core, x, base, asked, log)
+	report(log, core, x, pool)
+	ended := make(chan struct{})
+	go func() { all.Wait(); close(ended) }()
+	select {
+	case <-ended:
+		return broken
+	case <-time.After(partingMost):
+		return errors.Join(broken, errors.New("connections did not end"))
+	}
+}
+
+// drive is the one goroutine in which the core runs.
+func drive(ctx context.Context, core *governor.Core, x *exchange.Exchange, base clock, asked <-chan os.Signal, log *slog.Logger) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-asked:
+			report(log, core, x, nil)
+			continue
+		case <-timer.C:
+		case <-x.Bell():
+			time.Sleep(gatherSpan)
+		}
+		o := core.Turn(base.now(), x.Take())
+		for _, s := range o.Pushes {
+			x.Send(s)
+		}
+		for _, s := range o.End {
+			x.End(s)
+		}
+		for _, text := range o.Logs {
+			log.Info(text)
+		}
+		if o.Failed != "" {
+			log.Error("the module failed, a fresh one goes on", "panic", o.Failed)
+		}
+		if o.Wake > 0 {
+			timer.Reset(time.Duration(max(0, o.Wake-base.now())))
+		}
+	}
+}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -12,6 +12,7 @@
 
 	"lilacbend/brain"
 	"lilacbend/control"
+	"lilacbend/provision"
 	"lilacbend/wire"
 )
 
@@ -80,13 +81,13 @@
 			delete(h.governors, id)
 			told = nil
 		case wire.Configure:
-			provision, err := wire.ParseProvision(e.Seed, e.Text)
+			p, err := provision.FromLines(e.Text).Provision(e.Seed)
 			if err != nil {
 				delete(h.governors, id)
 				h.reply.Fault(id, "cannot start: "+err.Error())
 				return
 			}
-			h.governors[id] = brain.New(provision)
+			h.governors[id] = brain.New(p)
 			told = nil
 		default:
 			told = append(told, ev)
--- a/control/control.go
+++ b/control/control.go
@@ -3,6 +3,24 @@
 // nothing. Times are whole nanoseconds; ids are kept as they came.
 package control
 
+import "math"
+
+// Milli is a millisecond: what comes and goes in milliseconds is kept in whole nanoseconds.
+const Milli = 1e6
+
+// Finite turns what is not a number into the absent value.
+func Finite(v float64) float64 {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return 0
+	}
+	return v
+}
+
+// Nanos reads milliseconds.
+func Nanos(ms float64) int64 {
+	return int64(math.Round(math.Max(-9e18, math.Min(9e18, Finite(ms)*Milli))))
+}
+
 // Effect says whether a flow may run more than once.
 type Effect int
 
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,178 @@
+// Package exchange is where the server side, the client side and the core meet: an inbox of notes for the
+// core, and an outbox of pushes for each stream. Nothing here waits for a peer.
+package exchange
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"lilacbend/internal/governor"
+)
+
+const (
+	// The core empties the inbox some hundred times a second, and a collector's lines come at 150 a second
+	// at most: so many are half a minute of them. Past it sums are dropped, which a later one makes up for.
+	notesMost = 4 << 10
+	// A proxy is written to a few times a second, and reads at once: so many wait only where it has stopped
+	// reading, and then its whole present state is shorter than they are.
+	itemsMost = 64
+)
+
+// Tally counts what passes the sockets.
+type Tally struct {
+	Accepted, Refused, Ended, Probes                 atomic.Int64 // connections
+	Reports, Joins, Skipped, Unreadable, Panics      atomic.Int64 // taken in
+	Pushes, PushBytes, Emptied, WriteErrors, Alive   atomic.Int64 // sent and answered
+	Calls, Answers, Dials, CallErrors, Odd, Timeouts atomic.Int64 // of discovery
+	Lost                                             atomic.Int64 // notes
+}
+
+// Exchange holds one inbox and the outboxes.
+type Exchange struct {
+	Tally Tally
+	mu    sync.Mutex
+	notes []any
+	bell  chan struct{}
+	outs  map[governor.Stream]*Outbox
+}
+
+// New makes an empty exchange.
+func New() *Exchange {
+	return &Exchange{bell: make(chan struct{}, 1), outs: map[governor.Stream]*Outbox{}}
+}
+
+// Tell leaves a note for the core. Sums are lost when the inbox is full; what each connection or call tells
+// once or twice is not.
+func (x *Exchange) Tell(note any) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch note.(type) {
+	case governor.Met, governor.Demand, governor.Ack:
+		if len(x.notes) >= notesMost {
+			x.Tally.Lost.Add(1)
+			return
+		}
+	}
+	x.notes = append(x.notes, note)
+	ring(x.bell)
+}
+
+func ring(bell chan struct{}) {
+	select {
+	case bell <- struct{}{}:
+	default:
+	}
+}
+
+// Bell rings when notes have come.
+func (x *Exchange) Bell() <-chan struct{} { return x.bell }
+
+// Take empties the inbox.
+func (x *Exchange) Take() []any {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	notes := x.notes
+	x.notes = nil
+	return notes
+}
+
+// Open makes the outbox of a stream.
+func (x *Exchange) Open(stream governor.Stream) *Outbox {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	b := &Outbox{stream: stream, exchange: x, bell: make(chan struct{}, 1)}
+	x.outs[stream] = b
+	return b
+}
+
+// Send puts a push into the outbox of its stream, if there is still one.
+func (x *Exchange) Send(s governor.Sent) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if b := x.outs[s.Stream]; b != nil {
+		b.put(Item{Push: s.Push})
+	}
+}
+
+// End asks for the end of a stream.
+func (x *Exchange) End(s governor.Stream) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if b := x.outs[s]; b != nil {
+		b.over = true
+		ring(b.bell)
+	}
+}
+
+// Item is what goes out on a stream: a push, or the word that the governor is there.
+type Item struct {
+	governor.Push
+	Alive bool
+}
+
+// Outbox holds what waits for one stream.
+type Outbox struct {
+	stream   governor.Stream
+	exchange *Exchange
+	items    []Item
+	emptied  bool // items were dropped: nothing goes until the whole state comes
+	asked    bool // for it
+	over     bool
+	bell     chan struct{}
+}
+
+func (b *Outbox) put(i Item) {
+	switch {
+	case b.emptied && !i.Anew:
+		return
+	case len(b.items) >= itemsMost:
+		b.items, b.emptied, b.asked = nil, true, false
+		b.exchange.Tally.Emptied.Add(1)
+	default:
+		b.emptied = false
+		b.items = append(b.items, i)
+	}
+	ring(b.bell)
+}
+
+// Alive answers a probe that came on the stream.
+func (b *Outbox) Alive() {
+	b.exchange.mu.Lock()
+	defer b.exchange.mu.Unlock()
+	b.put(Item{Alive: true})
+}
+
+// Next waits for the next item; false: the stream is over, or done is closed.
+func (b *Outbox) Next(done <-chan struct{}) (Item, bool) {
+	for {
+		b.exchange.mu.Lock()
+		if b.over {
+			b.exchange.mu.Unlock()
+			return Item{}, false
+		}
+		if len(b.items) > 0 {
+			i := b.items[0]
+			b.items = b.items[1:]
+			b.exchange.mu.Unlock()
+			return i, true
+		}
+		ask := b.emptied && !b.asked
+		b.asked = b.asked || ask
+		b.exchange.mu.Unlock()
+		if ask {
+			b.exchange.Tell(governor.Room{Stream: b.stream})
+		}
+		select {
+		case <-b.bell:
+		case <-done:
+			return Item{}, false
+		}
+	}
+}
+
+// Close forgets the outbox.
+func (b *Outbox) Close() {
+	b.exchange.mu.Lock()
+	defer b.exchange.mu.Unlock()
+	delete(b.exchange.outs, b.stream)
+}
--- /dev/null
+++ b/internal/governor/core.go
@@ -0,0 +1,215 @@
+// Package governor is the core of the program: at a time, with what came in, it says what goes out. It turns
+// names into numbers and back, messages into the module's events, and the module's orders into one message
+// for each proxy that they concern. It has no I/O, no clock and no goroutine, and it decides nothing.
+package governor
+
+import (
+	"fmt"
+	"maps"
+	"runtime/debug"
+	"slices"
+
+	"lilacbend/control"
+	"lilacbend/provision"
+)
+
+const (
+	// A module that panics at its start as well is tried again after this: not at once, as it would
+	// take the whole core, and soon, as the proxies have nobody else.
+	renewPause = int64(1e9)
+	sweepPause = int64(60 * 1e9) // names are kept for many times as long
+)
+
+// Module decides. It is brain.Governor.
+type Module interface {
+	Turn(now int64, events []control.Event) []control.Order
+}
+
+// Core is driven by one goroutine.
+type Core struct {
+	Count   Count
+	start   func() Module
+	names   provision.Names
+	proxies int
+	module  Module
+	roster  roster
+	seats   map[int]*stream // by proxy
+	streams map[Stream]*stream
+	tables  map[int]map[uint32]float64
+	out     map[uint32]bool // withdrawn
+	levels  map[tableGroup]control.Level
+	wakes   map[uint64]int64
+	swept   int64
+}
+
+type tableGroup struct{ table, group int }
+
+// stream is what the core knows of one proxy: its table and what it has been told by this stream.
+type stream struct {
+	id    Stream
+	hello control.Joined
+	blank bool // holds no ordered table, so it shuts nobody out that told does not name
+	table int  // below 0: what it brought with it
+	whole bool // a whole table is due
+	anew  bool // as messages were lost
+	told  map[uint32]bool
+	level map[int]Level
+	marks []uint64 // sent, not answered
+}
+
+// New makes a core whose modules are started by start.
+func New(start func() Module, names provision.Names, proxies int) *Core {
+	c := &Core{start: start, names: names, proxies: proxies, roster: newRoster(),
+		seats: map[int]*stream{}, streams: map[Stream]*stream{}}
+	c.renew()
+	return c
+}
+
+func (c *Core) renew() {
+	c.module = c.start()
+	c.tables, c.out = map[int]map[uint32]float64{}, map[uint32]bool{}
+	c.levels, c.wakes = map[tableGroup]control.Level{}, map[uint64]int64{}
+	for _, s := range c.seats {
+		s.table, s.whole = -1, false
+	}
+}
+
+// Turn takes in what came together and says what goes out.
+func (c *Core) Turn(now int64, notes []any) Outcome {
+	var o Outcome
+	var events []control.Event
+	c.Count.Turns++
+	for _, n := range notes {
+		if ev := c.event(n, now, &o); ev != nil {
+			events = append(events, ev)
+		}
+	}
+	for _, label := range slices.Sorted(maps.Keys(c.wakes)) {
+		if c.wakes[label] <= now {
+			delete(c.wakes, label)
+			events = append(events, control.Woken{Label: label})
+		}
+	}
+	orders, failed := c.consult(now, events)
+	if failed != "" {
+		c.Count.Renewed++
+		o.Failed = failed
+		c.renew()
+		orders, failed = c.consult(now, c.present())
+		if failed != "" {
+			c.wakes[0] = now + renewPause
+		}
+	}
+	c.send(c.carry(orders, now, &o), &o)
+	if now-c.swept > sweepPause {
+		c.sweep(now)
+		c.swept = now
+	}
+	for _, at := range c.wakes {
+		if o.Wake == 0 || at < o.Wake {
+			o.Wake = at
+		}
+	}
+	c.Count.Names, c.Count.Seats = int64(len(c.roster.known)), int64(len(c.seats))
+	return o
+}
+
+// consult asks the module; a panic is what it failed with.
+func (c *Core) consult(now int64, events []control.Event) (orders []control.Order, failed string) {
+	defer func() {
+		if p := recover(); p != nil {
+			orders, failed = nil, fmt.Sprintf("%v at %s", p, debug.Stack())
+		}
+	}()
+	return c.module.Turn(now, events), ""
+}
+
+// present tells a fresh module of the last list and of who is joined.
+func (c *Core) present() []control.Event {
+	events := []control.Event{c.standing()}
+	for _, proxy := range slices.Sorted(maps.Keys(c.seats)) {
+		events = append(events, c.seats[proxy].hello)
+	}
+	return events
+}
+
+// event is what a note means to the module; nil: nothing.
+func (c *Core) event(note any, now int64, o *Outcome) control.Event {
+	switch n := note.(type) {
+	case Hello:
+		c.Count.Hellos++
+		return c.joined(n, o)
+	case Bye:
+		c.Count.Byes++
+		if s := c.streams[n.Stream]; s != nil {
+			delete(c.streams, n.Stream)
+			delete(c.seats, s.hello.Proxy)
+			return control.Left{Proxy: s.hello.Proxy}
+		}
+		return nil // replaced long before it ended
+	case Ack:
+		c.Count.Acks++
+		if s := c.streams[n.Stream]; s != nil {
+			if k := slices.Index(s.marks, n.Mark); k >= 0 {
+				s.marks = s.marks[k+1:]
+				return control.Answered{Proxy: s.hello.Proxy, Mark: n.Mark, Took: n.Took}
+			}
+		}
+		c.Count.Stale++
+		return nil
+	case Met:
+		c.Count.Met++
+		if id, ok := c.roster.numbers[n.Replica]; ok {
+			n.Met.Replica, n.Met.Zone = id, index(c.names.Zones, n.Zone)
+			return n.Met
+		}
+	case Demand:
+		c.Count.Demands++
+		s := c.seats[n.Proxy]
+		if n.Stream != 0 && (s == nil || s.id != n.Stream) {
+			c.Count.Stale++
+			return nil
+		}
+		if n.Demand.Group = slices.Index(c.names.Groups, n.Group); n.Demand.Group >= 0 && s != nil {
+			return n.Demand
+		}
+	case Listing:
+		c.Count.Listings++
+		ev, odd := c.listed(n, now)
+		c.Count.Strange += int64(odd)
+		return ev
+	case Room:
+		if s := c.streams[n.Stream]; s != nil {
+			s.whole, s.anew, s.blank, s.told, s.level = true, true, false, map[uint32]bool{}, map[int]Level{}
+		}
+		return nil
+	}
+	c.Count.Strange++
+	return nil
+}
+
+// joined seats a proxy. A stream that was taken in later replaces an earlier one, whichever spoke first.
+func (c *Core) joined(h Hello, o *Outcome) control.Event {
+	old := c.seats[h.Proxy]
+	switch {
+	case h.Proxy < 0 || h.Proxy >= c.proxies:
+		c.Count.Strange++
+		o.End = append(o.End, h.Stream)
+		return nil
+	case old != nil && old.id == h.Stream:
+		c.Count.Strange++
+		return nil
+	case old != nil && old.id > h.Stream:
+		c.Count.Replaced++
+		o.End = append(o.End, h.Stream)
+		return nil
+	case old != nil:
+		c.Count.Replaced++
+		o.End = append(o.End, old.id)
+		delete(c.streams, old.id)
+	}
+	s := &stream{id: h.Stream, blank: h.Blank, table: -1, told: map[uint32]bool{}, level: map[int]Level{},
+		hello: control.Joined{Proxy: h.Proxy, Zone: index(c.names.Zones, h.Zone), Rate: h.Rate}}
+	c.seats[h.Proxy], c.streams[h.Stream] = s, s
+	return s.hello
+}
--- /dev/null
+++ b/internal/governor/notes.go
@@ -0,0 +1,101 @@
+package governor
+
+import "lilacbend/control"
+
+// This file holds what comes in and what goes out, with names as the peers write them.
+
+// Stream is one connection of one proxy, numbered by whoever took it in.
+type Stream uint64
+
+// Notes: what came in.
+type (
+	// Hello: a proxy has joined by this stream; Blank: it holds no ordered table.
+	Hello struct {
+		Stream Stream
+		Proxy  int
+		Zone   string
+		Rate   float64
+		Blank  bool
+	}
+	// Bye: the stream has ended.
+	Bye struct{ Stream Stream }
+	// Ack: the proxy of the stream has applied all up to the mark.
+	Ack struct {
+		Stream Stream
+		Mark   uint64
+		Took   int64
+	}
+	// Met sums what the proxies of a zone met at a replica.
+	Met struct {
+		Zone, Replica string
+		control.Met
+	}
+	// Demand sums the flows that came to a proxy; Stream is 0 when a collector told it.
+	Demand struct {
+		Stream Stream
+		Group  string
+		control.Demand
+	}
+	// Listing is an answer of discovery, read at a time that both clocks showed as At and Wall.
+	Listing struct {
+		Revision int64
+		Whole    bool
+		Members  []Member
+		At, Wall int64
+	}
+	// Member is one replica of a listing; Phase is the word that discovery used.
+	Member struct {
+		ID, Zone, Kind string
+		State          control.State
+		Odd            bool // its state could not be read
+		Weight         float64
+		UpSince        int64 // by the wall clock; 0: long ago
+	}
+	// Room: a stream's outbox was full, and has been emptied.
+	Room struct{ Stream Stream }
+)
+
+// Push is one message to one proxy. A full one replaces the table and all levels.
+type Push struct {
+	Full   bool
+	Anew   bool   // the whole state, as earlier pushes were lost
+	Lines  []Line // shared between pushes: not to be changed
+	Shut   []string
+	Let    []string
+	Levels []Level
+	Marked bool
+	Mark   uint64
+}
+
+type Line struct {
+	Replica string
+	Weight  float64
+}
+
+type Level struct {
+	Group string
+	Share float64
+	Tries control.Tries
+}
+
+// Sent is a push and the stream it is for.
+type Sent struct {
+	Stream Stream
+	Push   Push
+}
+
+// Outcome is what a turn asks for.
+type Outcome struct {
+	Pushes []Sent
+	End    []Stream // replaced by newer streams of the same proxies
+	Wake   int64    // when the next turn is due at the latest, if above 0
+	Logs   []string
+	Failed string // the module panicked: what it said
+}
+
+// Count is what the core has counted so far.
+type Count struct {
+	Turns, Hellos, Byes, Acks, Met, Demands, Listings int64 // taken in
+	Pushes, LinesOrdered, LinesSent, Marks, Whole     int64 // sent; Whole: full tables, as binds or once more
+	Strange, Stale, Replaced, Renewed, Names, Seats   int64
+}
--- /dev/null
+++ b/internal/governor/push.go
@@ -0,0 +1,219 @@
+package governor
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"lilacbend/control"
+)
+
+// marksKept bounds the marks that one stream may leave unanswered: a proxy gets a few messages a second and
+// answers speak for all before them, so so many are hours of silence.
+const marksKept = 4096
+
+// news is what the orders of one turn have changed, and whom they reach.
+type news struct {
+	lines   map[int]map[uint32]bool // by table
+	turned  map[uint32]bool         // withdrawn or let in
+	levels  map[int]bool            // by table, AllTables among them
+	marked  bool
+	mark    uint64
+	wholes  map[int][]Line // a whole table is worked out once for all its proxies
+	changes map[int][]Line
+}
+
+// carry carries out orders on the tables and says what is new.
+func (c *Core) carry(orders []control.Order, now int64, o *Outcome) *news {
+	n := &news{lines: map[int]map[uint32]bool{}, turned: map[uint32]bool{}, levels: map[int]bool{},
+		wholes: map[int][]Line{}, changes: map[int][]Line{}}
+	for _, order := range orders {
+		switch w := order.(type) {
+		case control.SetLine:
+			if c.tables[w.Table] == nil {
+				c.tables[w.Table] = map[uint32]float64{}
+			}
+			if n.lines[w.Table] == nil {
+				n.lines[w.Table] = map[uint32]bool{}
+			}
+			n.lines[w.Table][w.Replica] = true
+			if c.tables[w.Table][w.Replica] = w.Weight; w.Weight <= 0 {
+				delete(c.tables[w.Table], w.Replica)
+			}
+			c.ordered(1, func(s *stream) bool { return s.table == w.Table })
+		case control.Bind:
+			if s := c.seats[w.Proxy]; s != nil {
+				s.table, s.whole = w.Table, true
+				c.Count.LinesOrdered += int64(c.bindLines(w.Table))
+			}
+		case control.Withdraw:
+			n.turned[w.Replica] = true
+			if c.out[w.Replica] = true; !w.Out {
+				delete(c.out, w.Replica)
+			}
+			c.ordered(1, func(s *stream) bool { return c.holds(s, w.Replica) })
+		case control.Level:
+			n.levels[w.Table], c.levels[tableGroup{w.Table, w.Group}] = true, w
+			c.ordered(1, func(s *stream) bool { return w.Table == control.AllTables || w.Table == s.table })
+		case control.Mark:
+			n.marked, n.mark = true, w.Number
+		case control.Wake:
+			at, set := c.wakes[w.Label]
+			if due := now + max(0, w.After); !set || due < at { // one label wakes once, however late
+				c.wakes[w.Label] = due
+			}
+		case control.Log:
+			o.Logs = append(o.Logs, w.Text)
+		default:
+			c.Count.Strange++ // a probe: replicas may not be probed here
+		}
+	}
+	return n
+}
+
+// ordered counts lines as the simulator's channel does.
+func (c *Core) ordered(lines int64, reaches func(*stream) bool) {
+	for _, s := range c.seats {
+		if reaches(s) {
+			c.Count.LinesOrdered += lines
+		}
+	}
+}
+
+func (c *Core) bindLines(table int) int {
+	lines := 1 + len(c.tables[table])
+	for id := range c.tables[table] {
+		if c.out[id] {
+			lines++
+		}
+	}
+	for group := range c.names.Groups {
+		if _, set := c.level(table, group); set {
+			lines++
+		}
+	}
+	return lines
+}
+
+// holds says whether a withdrawal concerns the stream: what an unbound proxy brought with it is not known.
+func (c *Core) holds(s *stream, id uint32) bool {
+	_, has := c.tables[s.table][id]
+	return has || s.table < 0
+}
+
+// level is what holds for a group in a table: the lower share, the table's own way of trying again.
+func (c *Core) level(table, group int) (Level, bool) {
+	own, mine := c.levels[tableGroup{table, group}]
+	all, everywhere := c.levels[tableGroup{control.AllTables, group}]
+	l := Level{Group: c.names.Groups[group], Share: own.Share, Tries: own.Tries}
+	switch {
+	case mine && everywhere:
+		l.Share = math.Min(own.Share, all.Share)
+	case everywhere:
+		l.Share, l.Tries = all.Share, all.Tries
+	}
+	return l, mine || everywhere
+}
+
+// send makes one message for each proxy that the news concern.
+func (c *Core) send(n *news, o *Outcome) {
+	for _, proxy := range slices.Sorted(maps.Keys(c.seats)) {
+		s := c.seats[proxy]
+		p, reached := c.push(s, n)
+		if reached && n.marked {
+			p.Marked, p.Mark = true, n.mark
+			s.marks = append(s.marks, n.mark)
+			s.marks = s.marks[max(0, len(s.marks)-marksKept):]
+			c.Count.LinesOrdered++
+			c.Count.Marks++
+		} else if last := len(s.marks) - 1; p.Anew && last >= 0 { // what asked for it may have been lost
+			p.Marked, p.Mark = true, s.marks[last]
+		}
+		if lines := p.lines(); lines > 0 {
+			c.Count.Pushes++
+			c.Count.LinesSent += int64(lines)
+			o.Pushes = append(o.Pushes, Sent{s.id, p})
+		}
+	}
+}
+
+// lines counts as the proxies' channel does.
+func (p Push) lines() int {
+	lines := len(p.Lines) + len(p.Shut) + len(p.Let) + len(p.Levels)
+	if p.Full {
+		lines++
+	}
+	if p.Marked {
+		lines++
+	}
+	return lines
+}
+
+func (c *Core) push(s *stream, n *news) (p Push, reached bool) {
+	whole := s.whole
+	p.Anew, s.anew = s.anew, false
+	if s.whole = false; whole && s.table >= 0 {
+		c.Count.Whole++
+		p.Full, p.Lines = true, c.whole(s.table, n)
+		s.level = map[int]Level{}
+		for _, id := range slices.Sorted(maps.Keys(c.tables[s.table])) {
+			c.tell(s, id, &p)
+		}
+	} else {
+		p.Lines = c.changed(s.table, n)
+		for _, id := range slices.Sorted(maps.Keys(n.lines[s.table])) {
+			if c.tables[s.table][id] > 0 {
+				c.tell(s, id, &p)
+			}
+		}
+		turned := n.turned
+		if whole { // its messages were lost while it was bound to nothing
+			turned = c.out
+		}
+		for _, id := range slices.Sorted(maps.Keys(turned)) {
+			if c.holds(s, id) {
+				reached = true
+				c.tell(s, id, &p)
+			}
+		}
+	}
+	for group := range c.names.Groups { // what holds for all goes with every later message
+		l, set := c.level(s.table, group)
+		if told, has := s.level[group]; set && (!has || told != l) {
+			p.Levels = append(p.Levels, l)
+			s.level[group] = l
+		}
+	}
+	reached = reached || p.lines() > 0 || len(n.lines[s.table]) > 0 || n.levels[control.AllTables] || n.levels[s.table]
+	return p, reached
+}
+
+// tell says whether a replica is withdrawn, if the proxy may think otherwise.
+func (c *Core) tell(s *stream, id uint32, p *Push) {
+	shut, sure := s.told[id]
+	if out := c.out[id]; out != shut || !sure && !s.blank {
+		if s.told[id] = out; out {
+			p.Shut = append(p.Shut, c.roster.known[id].name)
+		} else {
+			p.Let = append(p.Let, c.roster.known[id].name)
+		}
+	}
+}
+
+func (c *Core) whole(table int, n *news) []Line {
+	if n.wholes[table] == nil {
+		for _, id := range slices.Sorted(maps.Keys(c.tables[table])) {
+			n.wholes[table] = append(n.wholes[table], Line{c.roster.known[id].name, c.tables[table][id]})
+		}
+	}
+	return n.wholes[table]
+}
+
+func (c *Core) changed(table int, n *news) []Line {
+	if n.changes[table] == nil {
+		for _, id := range slices.Sorted(maps.Keys(n.lines[table])) {
+			n.changes[table] = append(n.changes[table], Line{c.roster.known[id].name, c.tables[table][id]})
+		}
+	}
+	return n.changes[table]
+}
--- /dev/null
+++ b/internal/governor/roster.go
@@ -0,0 +1,123 @@
+package governor
+
+import (
+	"maps"
+	"slices"
+
+	"lilacbend/control"
+)
+
+const (
+	// A name that is listed no more is kept longer than the module keeps a replica that is gone, so that it
+	// means the same to both.
+	nameKept = int64(20 * 60 * 1e9)
+	// More names than any list of one deployment: past it new ones are not taken in, so that a discovery
+	// that makes up names cannot fill the memory.
+	namesMost = 1 << 16
+)
+
+// roster gives replicas numbers: the same replica the same number for as long as it is known.
+type roster struct {
+	numbers map[string]uint32
+	known   map[uint32]*member
+	last    uint32
+}
+
+type member struct {
+	control.Entry
+	name    string
+	upSince int64
+	seen    int64 // when it was last listed and not gone
+}
+
+func newRoster() roster {
+	return roster{numbers: map[string]uint32{}, known: map[uint32]*member{}}
+}
+
+func index(names []string, name string) int {
+	if k := slices.Index(names, name); k >= 0 {
+		return k
+	}
+	return len(names) // one more, for all that the provision does not name
+}
+
+// listed reads an answer of discovery as an event, and says how many of its members it could not use.
+func (c *Core) listed(l Listing, now int64) (control.Listed, int) {
+	ev, odd := control.Listed{Full: l.Whole}, 0
+	for _, m := range l.Members {
+		id, ok := c.roster.numbers[m.ID]
+		if !ok && (m.ID == "" || m.Odd || len(c.roster.known) >= namesMost) {
+			odd++
+			continue
+		}
+		if !ok {
+			c.roster.last++
+			id = c.roster.last
+			c.roster.numbers[m.ID] = id
+			c.roster.known[id] = &member{name: m.ID, upSince: -1}
+		}
+		r := c.roster.known[id]
+		if m.Odd {
+			odd++
+		} else {
+			if m.UpSince != r.upSince { // worked out once, so that steps of the wall clock start nobody anew
+				r.upSince, r.Start = m.UpSince, 0
+				if m.UpSince > 0 {
+					r.Start = max(1, min(l.At, l.At-l.Wall+m.UpSince))
+				}
+			}
+			r.Entry = control.Entry{Replica: id, Zone: index(c.names.Zones, m.Zone),
+				Kind: index(c.names.Kinds, m.Kind), State: m.State, Weight: m.Weight, Start: r.Start}
+		}
+		r.seen = now
+		ev.Entries = append(ev.Entries, r.Entry)
+	}
+	if l.Whole {
+		for _, r := range c.roster.known {
+			if r.seen != now {
+				r.State = control.Gone
+			}
+		}
+	}
+	return ev, odd
+}
+
+// standing is the last list, for a module that starts over.
+func (c *Core) standing() control.Listed {
+	ev := control.Listed{Full: true}
+	for _, id := range slices.Sorted(maps.Keys(c.roster.known)) {
+		if r := c.roster.known[id]; r.State != control.Gone {
+			ev.Entries = append(ev.Entries, r.Entry)
+		}
+	}
+	return ev
+}
+
+// sweep forgets the names of replicas that are long gone and that no table and no stream holds.
+func (c *Core) sweep(now int64) {
+	held := map[uint32]bool{}
+	for _, lines := range c.tables {
+		for id := range lines {
+			held[id] = true
+		}
+	}
+	for _, s := range c.seats {
+		for id, shut := range s.told {
+			if shut {
+				held[id] = true
+			}
+		}
+	}
+	for id, r := range c.roster.known {
+		if r.State != control.Gone {
+			r.seen = now
+		} else if now-r.seen > nameKept && !held[id] {
+			delete(c.roster.numbers, r.name)
+			delete(c.roster.known, id)
+			delete(c.out, id)
+			for _, s := range c.seats {
+				delete(s.told, id)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/registry/client.go
@@ -0,0 +1,197 @@
+// Package registry is the client side: it asks discovery for the whole list, then watches it on a kept
+// connection, and puts each answer into the exchange.
+package registry
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"lilacbend/internal/exchange"
+)
+
+const (
+	path = "/registry/instances"
+	// A watch waits so long for news. What discovery has to tell counts as told 2 s after a wait, whether it
+	// has arrived or not, so short waits keep a connection that died silently from costing much.
+	watchWait = 2 * time.Second
+	// An answer is late when it takes so much longer than was asked for: discovery's agent is on this machine
+	// and answers at once.
+	lateAfter = time.Second
+	dialMost  = time.Second
+	// After a failed call the next one waits from backoffFirst, twice as long each time, to backoffMost: soon
+	// enough for a list that counts as told after 6 s, and no load for an agent that refuses.
+	backoffFirst, backoffMost = 50 * time.Millisecond, time.Second
+	// An answer without news that came much too soon is no reason to call in a tight loop; a watch goes on if
+	// the next call comes within 200 ms.
+	idlePause = 100 * time.Millisecond
+	// A list of some ten thousand members; more would be held several times while it is read.
+	bodyMost = 4 << 20
+	// A list older than ours is a stale copy, and changes nothing; after so many in a row discovery has lost
+	// its count and begun anew.
+	olderMost = 5
+)
+
+// Failure says how far a call came.
+type Failure struct {
+	Stage string
+	Err   error
+}
+
+func (f *Failure) Error() string { return f.Stage + ": " + f.Err.Error() }
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Client follows one discovery.
+type Client struct {
+	address  string
+	exchange *exchange.Exchange
+	log      *slog.Logger
+	clock    func() int64
+	seed     uint64
+	draws    uint64
+
+	known   int64 // the revision we hold
+	whole   bool  // it is from an answer, so it can be watched
+	older   int   // answers in a row that were older
+	failing bool
+}
+
+// New makes a client that holds the list of a revision already.
+func New(address string, known int64, x *exchange.Exchange, log *slog.Logger, clock func() int64, seed uint64) *Client {
+	return &Client{address: address, known: known, exchange: x, log: log, clock: clock, seed: seed}
+}
+
+// Run follows discovery until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	backoff := backoffFirst
+	for ctx.Err() == nil {
+		answers, err := c.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if answers > 0 {
+			backoff = backoffFirst
+		}
+		c.exchange.Tally.CallErrors.Add(1)
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			c.exchange.Tally.Timeouts.Add(1)
+		}
+		if !c.failing {
+			c.log.Warn("discovery fails", "error", err, "answers", answers, "revision", c.known)
+		}
+		c.failing = true
+		c.sleep(ctx, backoff/2+time.Duration(c.chance()*float64(backoff/2)))
+		backoff = min(2*backoff, backoffMost)
+	}
+}
+
+// follow calls on one connection until it fails, and says how many answers it got.
+func (c *Client) follow(ctx context.Context) (answers int, err error) {
+	c.exchange.Tally.Dials.Add(1)
+	dialer := net.Dialer{Timeout: dialMost}
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return 0, &Failure{"dial", err}
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	for r := bufio.NewReader(conn); ; answers++ {
+		asked := time.Now()
+		news, kept, err := c.call(conn, r)
+		if err != nil {
+			return answers, err
+		}
+		if c.failing {
+			c.failing = false
+			c.log.Info("discovery answers", "revision", c.known)
+		}
+		if !kept {
+			return answers + 1, &Failure{"next call", errors.New("the connection is not kept")}
+		}
+		if !news && time.Since(asked) < watchWait/2 {
+			c.sleep(ctx, idlePause)
+		}
+	}
+}
+
+// call asks once and takes the answer in.
+func (c *Client) call(conn net.Conn, r *bufio.Reader) (news, kept bool, err error) {
+	query, wait := "", time.Duration(0)
+	if c.whole {
+		wait = watchWait
+		query = fmt.Sprintf("?since=%d&timeout_ms=%d", c.known, wait.Milliseconds())
+	}
+	c.exchange.Tally.Calls.Add(1)
+	conn.SetDeadline(time.Now().Add(wait + lateAfter))
+	if _, err = fmt.Fprintf(conn, "GET %s%s HTTP/1.1\r\nHost: %s\r\n\r\n", path, query, c.address); err != nil {
+		return false, false, &Failure{"send", err}
+	}
+	resp, err := http.ReadResponse(r, &http.Request{Method: http.MethodGet})
+	if err != nil {
+		return false, false, &Failure{"status", err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false, false, &Failure{"status", fmt.Errorf("answered %s", resp.Status)}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bodyMost+1))
+	if err != nil {
+		return false, false, &Failure{fmt.Sprintf("body after %d bytes", len(body)), err}
+	}
+	if len(body) > bodyMost {
+		return false, false, &Failure{"body", fmt.Errorf("over %d bytes", bodyMost)}
+	}
+	if news, err = c.take(body); err != nil {
+		c.exchange.Tally.Odd.Add(1)
+		return false, false, &Failure{"list", err}
+	}
+	c.exchange.Tally.Answers.Add(1)
+	return news, !resp.Close && r.Buffered() == 0, nil
+}
+
+// take passes on what is newer than what we hold; a whole list of the same revision is what we hold.
+func (c *Client) take(body []byte) (news bool, err error) {
+	l, err := Parse(body)
+	if err != nil {
+		return false, err
+	}
+	switch {
+	case l.Revision < c.known && (!l.Whole || c.older+1 < olderMost):
+		c.older++
+		c.whole = false // ask for all of it
+		return false, fmt.Errorf("revision %d is older than ours, %d", l.Revision, c.known)
+	case l.Revision == c.known && !l.Whole:
+		return false, nil
+	case !l.Whole && !c.whole:
+		return false, errors.New("changes where the whole list was asked for")
+	}
+	c.older, c.known, c.whole = 0, l.Revision, true
+	l.At, l.Wall = c.clock(), time.Now().UnixNano()
+	c.exchange.Tell(l)
+	return true, nil
+}
+
+func (c *Client) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (c *Client) chance() float64 {
+	c.draws++
+	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, c.seed), c.draws)
+	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
+}
--- /dev/null
+++ b/internal/streams/words.go
@@ -0,0 +1,134 @@
+package streams
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"lilacbend/control"
+	"lilacbend/internal/governor"
+)
+
+// linesMost is how many lines go into one part of a message: with the longest names it stays under the
+// largest size of a message.
+const linesMost = 4 << 10
+
+// fields are the names and values of one message, and the first thing wrong with them.
+type fields struct {
+	words []string
+	err   error
+}
+
+func (f *fields) note(format string, args ...any) {
+	if f.err == nil {
+		f.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (f *fields) has(name string) (string, bool) {
+	for k := 1; k+1 < len(f.words); k += 2 {
+		if f.words[k] == name {
+			return f.words[k+1], true
+		}
+	}
+	return "", false
+}
+
+func (f *fields) text(name string) string {
+	v, ok := f.has(name)
+	if !ok {
+		f.note("%s without %s", f.words[0], name)
+	}
+	return v
+}
+
+func (f *fields) number(name string) float64 {
+	v := f.text(name)
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) || n < 0 {
+		f.note("%s with %s %.40q", f.words[0], name, v)
+		return 0
+	}
+	return n
+}
+
+func (f *fields) whole(name string) int {
+	n := f.number(name)
+	if n != math.Trunc(n) || n > math.MaxInt32 {
+		f.note("%s with %s %v", f.words[0], name, n)
+		return 0
+	}
+	return int(n)
+}
+
+func (f *fields) ms(name string) int64 { return control.Nanos(f.number(name)) }
+
+func hello(f *fields) governor.Hello {
+	blank, _ := f.has("new")
+	return governor.Hello{Proxy: f.whole("id"), Zone: f.text("site"), Rate: f.number("rps"), Blank: blank == "1"}
+}
+
+func ack(f *fields) governor.Ack {
+	return governor.Ack{Mark: uint64(f.whole("seq")), Took: f.ms("ms")}
+}
+
+func met(f *fields) governor.Met {
+	m := governor.Met{Zone: f.text("site"), Replica: f.text("target")}
+	m.Tries, m.Missed, m.Answer, m.Span = f.whole("count"), f.whole("fail"), f.ms("mean"), f.ms("over")
+	m.Held = -1
+	if report, ok := f.has("util"); ok {
+		first, _, _ := strings.Cut(report, ",")
+		_, value, _ := strings.Cut(first, ":")
+		if held, err := strconv.ParseFloat(value, 64); err == nil {
+			m.Held = control.Finite(held)
+		}
+	}
+	return m
+}
+
+func demand(f *fields) governor.Demand {
+	d := governor.Demand{Group: f.text("lane")}
+	d.Proxy, d.Flows, d.Missed, d.Span = f.whole("id"), f.whole("count"), f.whole("fail"), f.ms("over")
+	return d
+}
+
+func figure(v float64) string { return strconv.FormatFloat(v, 'f', -1, 32) }
+
+// parts writes a push as the messages that make it up, the mark with the last.
+func parts(p governor.Push) [][]string {
+	var out [][]string
+	full, lines, shut, let := p.Full, p.Lines, p.Shut, p.Let
+	for full || len(lines)+len(shut)+len(let) > 0 {
+		part := []string{"push"}
+		if full {
+			part, full = append(part, "full", "1"), false
+		}
+		if n := min(len(lines), linesMost); n > 0 {
+			pairs := make([]string, n)
+			for k, l := range lines[:n] {
+				pairs[k] = l.Replica + ":" + figure(l.Weight)
+			}
+			part, lines = append(part, "endpoints", strings.Join(pairs, ",")), lines[n:]
+		} else if n := min(len(shut), linesMost); n > 0 {
+			part, shut = append(part, "eject", strings.Join(shut[:n], ",")), shut[n:]
+		} else if n := min(len(let), linesMost); n > 0 {
+			part, let = append(part, "restore", strings.Join(let[:n], ",")), let[n:]
+		}
+		out = append(out, part)
+	}
+	for _, l := range p.Levels {
+		out = append(out, []string{"push", "routes", l.Group, "admit", figure(l.Share), "policy", strconv.Itoa(int(l.Tries))})
+	}
+	if p.Marked {
+		if len(out) == 0 {
+			out = append(out, []string{"push"})
+		}
+		last := len(out) - 1
+		out[last] = append(out[last], "nonce_out", strconv.FormatUint(p.Mark, 10))
+	}
+	for k := range len(out) - 1 {
+		out[k] = append(out[k], "continued", "1")
+	}
+	return out
+}
--- a/wire/provision.go
+++ b/provision/provision.go
@@ -1,4 +1,4 @@
-package wire
+package provision
 
 import (
 	"fmt"
@@ -9,9 +9,9 @@
 	"lilacbend/control"
 )
 
-// sheet holds the path=value lines of the start message and the first thing wrong with them.
+// sheet reads facts and keeps the first thing wrong with them.
 type sheet struct {
-	lines map[string]string
+	facts Facts
 	err   error
 }
 
@@ -21,14 +21,16 @@
 	}
 }
 
-func (s *sheet) text(path string) string {
-	v, ok := s.lines[path]
+func (s *sheet) list(path string) []string {
+	v, ok := s.facts[path]
 	if !ok {
 		s.note("setting %s is missing", path)
 	}
 	return v
 }
 
+func (s *sheet) text(path string) string { return strings.Join(s.list(path), ",") }
+
 func (s *sheet) number(path string) float64 {
 	v := s.text(path)
 	f, err := strconv.ParseFloat(v, 64)
@@ -39,7 +41,7 @@
 	return f
 }
 
-func (s *sheet) ms(path string) int64 { return nanos(s.number(path)) }
+func (s *sheet) ms(path string) int64 { return control.Nanos(s.number(path)) }
 
 func (s *sheet) count(path string) int {
 	f := s.number(path)
@@ -50,13 +52,6 @@
 	return int(f)
 }
 
-func (s *sheet) list(path string) []string {
-	if v := s.text(path); v != "" {
-		return strings.Split(v, ",")
-	}
-	return nil
-}
-
 // choice reads a word that must be one of those given.
 func choice[T any](s *sheet, path string, words map[string]T) T {
 	v := s.text(path)
@@ -67,14 +62,23 @@
 	return t
 }
 
-// ParseProvision reads the start message of an instance. Paths it does not know are skipped.
-func ParseProvision(seed uint64, text string) (control.Provision, error) {
-	s := &sheet{lines: map[string]string{}}
-	for _, line := range strings.Split(text, "\n") {
-		if path, value, ok := strings.Cut(strings.TrimRight(line, "\r"), "="); ok {
-			s.lines[path] = value
-		}
+// Names are the words that numbers stand for, in their order.
+type Names struct{ Groups, Zones, Kinds []string }
+
+// Names says what traffic groups, zones and kinds are called.
+func (f Facts) Names() (Names, error) {
+	s := &sheet{facts: f}
+	n := Names{Zones: s.list("zones"), Kinds: s.list("kinds")}
+	lanes := s.count("lanes.count")
+	for k := 0; k < lanes && s.err == nil; k++ {
+		n.Groups = append(n.Groups, s.text(fmt.Sprintf("lanes.%d.name", k)))
 	}
+	return n, s.err
+}
+
+// Provision reads what the module needs. Paths it does not know are skipped.
+func (f Facts) Provision(seed uint64) (control.Provision, error) {
+	s := &sheet{facts: f}
 	p := control.Provision{
 		Seed:      seed,
 		Governors: s.count("balancers"),
@@ -101,8 +105,8 @@
 		TryFactor:  s.number("domain.try_factor"),
 		UsualTries: control.Tries(s.count("domain.usual_how")),
 	}
-	if s.lines["domain.shards"] != "0" {
-		s.note("domain.shards=%q: sites with slices are not served", s.lines["domain.shards"])
+	if shards := s.text("domain.shards"); shards != "0" {
+		s.note("domain.shards=%q: sites with slices are not served", shards)
 	}
 	lanes := s.count("lanes.count")
 	for k := 0; k < lanes && s.err == nil; k++ {
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -43,7 +43,6 @@
 	recordHeadBytes  = 6
 	entryBytes       = 21
 	largestFrame     = 1 << 30
-	nanosPerMilli    = 1e6
 	backendsFailed   = 0
 	backendsDelta    = 3
 )
@@ -104,7 +103,7 @@
 	if math.IsNaN(clock) || math.IsInf(clock, 0) {
 		return Batch{}, fmt.Errorf("clock is not a number")
 	}
-	return decode(nanos(clock), body, int(count))
+	return decode(control.Nanos(clock), body, int(count))
 }
 
 func decode(now int64, body []byte, count int) (Batch, error) {
@@ -153,21 +152,9 @@
 func (c *cursor) u32() uint32 { v := binary.LittleEndian.Uint32(c.b); c.b = c.b[4:]; return v }
 func (c *cursor) u64() uint64 { v := binary.LittleEndian.Uint64(c.b); c.b = c.b[8:]; return v }
 func (c *cursor) f32() float64 {
-	return finite(float64(math.Float32frombits(c.u32())))
-}
-func (c *cursor) ms() int64 { return nanos(math.Float64frombits(c.u64())) }
-
-// finite turns what is not a number into the wire's absent value.
-func finite(v float64) float64 {
-	if math.IsNaN(v) || math.IsInf(v, 0) {
-		return 0
-	}
-	return v
-}
-
-func nanos(ms float64) int64 {
-	return int64(math.Round(math.Max(-9e18, math.Min(9e18, finite(ms)*nanosPerMilli))))
+	return control.Finite(float64(math.Float32frombits(c.u32())))
 }
+func (c *cursor) ms() int64 { return control.Nanos(math.Float64frombits(c.u64())) }
 
 func event(code uint16, fields []byte, least int) (Record, error) {
 	if len(fields) < least {
@@ -334,7 +321,7 @@
 	case control.Wake:
 		at = begin(outNotifyMe)
 		r.u64(o.Label)
-		r.u64(math.Float64bits(float64(o.After) / nanosPerMilli))
+		r.u64(math.Float64bits(float64(o.After) / control.Milli))
 	case control.Log:
 		at = begin(outEmit)
 		r.words(o.Text)
