--- a/cmd/lilacbend/report.go
+++ b/cmd/lilacbend/report.go
@@ -20,7 +20,7 @@
 		slog.Group("sent", "pushes", n.Pushes, "written", t.Pushes.Load(), "bytes", t.PushBytes.Load(), "lines", n.LinesSent,
 			"lines_ordered", n.LinesOrdered, "marks", n.Marks, "whole", n.Whole, "calls", t.Calls.Load(), "dials", t.Dials.Load()),
 		slog.Group("answered", "alive", t.Alive.Load(), "discovery", t.Answers.Load()),
-		slog.Group("lost", "notes", t.Lost.Load(), "emptied", t.Emptied.Load(), "stale", n.Stale, "replaced", n.Replaced,
+		slog.Group("lost", "notes", t.Lost.Load(), "emptied", t.Emptied.Load(), "stale", n.Stale, "silent", n.Silent, "replaced", n.Replaced,
 			"refused", t.Refused.Load()),
 		slog.Group("errors", "unreadable", t.Unreadable.Load(), "skipped", t.Skipped.Load(), "strange", n.Strange,
 			"writes", t.WriteErrors.Load(), "discovery", t.CallErrors.Load(), "odd", t.Odd.Load(), "timeouts", t.Timeouts.Load(),
--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -73,7 +72,8 @@
 	case <-ended:
 		return broken
 	case <-time.After(partingMost):
-		return errors.Join(broken, errors.New("connections did not end"))
+		log.Warn("connections did not end in time")
+		return nil
 	}
 }
 
@@ -88,10 +88,10 @@
 		case <-asked:
 			report(log, core, x, nil)
 			continue
-		case <-timer.C:
+		case <-timer.C: // after a stall it is late, and much waits to be read
 		case <-x.Bell():
-			time.Sleep(gatherSpan)
 		}
+		time.Sleep(gatherSpan)
 		o := core.Turn(base.now(), x.Take())
 		for _, s := range o.Pushes {
 			x.Send(s)
--- /dev/null
+++ b/cmd/lilacbend/serve_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lilacbend/internal/resp"
+)
+
+type lines struct {
+	sync.Mutex
+	bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.Lock()
+	defer l.Unlock()
+	return l.Buffer.Write(b)
+}
+
+func exampleCharter(t *testing.T, listen string) charter {
+	raw, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := parseCharter(raw, told{listen: listen, discovery: "127.0.0.1:1"}) // nobody answers there
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// free is an address of loopback that nobody listens on.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// A governor serves from its known list while discovery refuses, and ends soon after it is told to.
+func TestServingFromTheKnownList(t *testing.T) {
+	at, out := free(t), &lines{}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- serve(ctx, exampleCharter(t, at), slog.New(slog.NewTextHandler(out, nil))) }()
+	var conn net.Conn
+	for range 200 {
+		var err error
+		if conn, err = net.Dial("tcp", at); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if conn == nil {
+		t.Fatal("nobody listens")
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	pool := resp.NewPool(1 << 20)
+	r := resp.NewReader(conn, pool)
+	for _, says := range []string{"probe", "hello id 3 site a rps 20 new 1"} {
+		if _, err := resp.Write(conn, pool, strings.Fields(says)...); err != nil {
+			t.Fatal(err)
+		}
+		words, err := r.Next()
+		if text := strings.Join(words, " "); err != nil || text != "alive" && !strings.HasPrefix(text, "push full 1 endpoints box-") {
+			t.Fatalf("%s: %q %v", says, text, err)
+		}
+	}
+	start := time.Now()
+	stop()
+	if err := <-ended; err != nil || time.Since(start) > partingMost {
+		t.Errorf("ended after %v: %v", time.Since(start), err)
+	}
+	for _, says := range []string{"msg=serving", "discovery fails", "in.hellos=1", "answered.alive=1", "sent.whole=1"} {
+		if !strings.Contains(out.String(), says) {
+			t.Errorf("no %q in the log:\n%s", says, out)
+		}
+	}
+}
+
+func TestAnAddressInUseIsNamed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	err = serve(context.Background(), exampleCharter(t, l.Addr().String()), slog.New(slog.DiscardHandler))
+	if err == nil || !strings.Contains(err.Error(), l.Addr().String()) || strings.Contains(err.Error(), "\n") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -135,11 +135,13 @@
 	ring(b.bell)
 }
 
-// Alive answers a probe that came on the stream.
+// Alive answers a probe that came on the stream; who reads none of the answers gets no more of them.
 func (b *Outbox) Alive() {
 	b.exchange.mu.Lock()
 	defer b.exchange.mu.Unlock()
-	b.put(Item{Alive: true})
+	if len(b.items) < itemsMost/2 {
+		b.put(Item{Alive: true})
+	}
 }
 
 // Next waits for the next item; false: the stream is over, or done is closed.
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,78 @@
+package exchange
+
+import (
+	"testing"
+
+	"lilacbend/internal/governor"
+)
+
+func mark(n uint64) governor.Push { return governor.Push{Marked: true, Mark: n} }
+
+func TestAFullInboxLosesSumsOnly(t *testing.T) {
+	x := New()
+	for range notesMost + 3 {
+		x.Tell(governor.Met{})
+	}
+	x.Tell(governor.Bye{Stream: 1})
+	x.Tell(governor.Ack{Stream: 1})
+	<-x.Bell()
+	if notes := x.Take(); len(notes) != notesMost+1 || notes[notesMost] != (governor.Bye{Stream: 1}) || x.Tally.Lost.Load() != 4 {
+		t.Errorf("%d notes, %d lost", len(notes), x.Tally.Lost.Load())
+	}
+	if notes := x.Take(); notes != nil {
+		t.Errorf("%d notes are left", len(notes))
+	}
+}
+
+// A proxy that reads nothing gets its whole present state once it reads again, and not half of the news.
+func TestAFullOutboxAsksForTheWholeState(t *testing.T) {
+	x := New()
+	out, done := x.Open(3), make(chan struct{})
+	for n := range uint64(itemsMost + 2) {
+		x.Send(governor.Sent{Stream: 3, Push: mark(n)})
+	}
+	if len(out.items) != 0 || x.Tally.Emptied.Load() != 1 {
+		t.Errorf("%d items wait", len(out.items))
+	}
+	go func() { <-x.Bell(); x.Send(governor.Sent{Stream: 3, Push: governor.Push{Anew: true}}) }()
+	x.Send(governor.Sent{Stream: 4, Push: mark(1)}) // nobody's
+	if i, ok := out.Next(done); !ok || !i.Anew {
+		t.Errorf("got %+v", i)
+	}
+	if notes := x.Take(); len(notes) != 1 || notes[0] != (governor.Room{Stream: 3}) {
+		t.Errorf("notes %+v", notes)
+	}
+	x.Send(governor.Sent{Stream: 3, Push: mark(9)})
+	if i, ok := out.Next(done); !ok || i.Mark != 9 {
+		t.Errorf("got %+v", i)
+	}
+}
+
+func TestAnOutboxEnds(t *testing.T) {
+	x := New()
+	out, done := x.Open(3), make(chan struct{})
+	x.Send(governor.Sent{Stream: 3, Push: mark(1)})
+	x.End(3)
+	x.End(4)
+	if _, ok := out.Next(done); ok {
+		t.Error("an ended stream goes on")
+	}
+	out = x.Open(5)
+	for range itemsMost {
+		out.Alive()
+	}
+	if len(out.items) != itemsMost/2 || out.emptied {
+		t.Errorf("%d answers to probes wait", len(out.items))
+	}
+	if i, ok := out.Next(done); !ok || !i.Alive {
+		t.Errorf("got %+v", i)
+	}
+	out.items = nil
+	close(done)
+	if _, ok := out.Next(done); ok {
+		t.Error("goes on after the end of its connection")
+	}
+	if out.Close(); x.outs[5] != nil {
+		t.Error("a closed outbox stays")
+	}
+}
--- a/internal/governor/core.go
+++ b/internal/governor/core.go
@@ -18,6 +18,11 @@
 	// take the whole core, and soon, as the proxies have nobody else.
 	renewPause = int64(1e9)
 	sweepPause = int64(60 * 1e9) // names are kept for many times as long
+	// A machine that vanishes says nothing, and its stream stays open. A proxy that has been silent for so
+	// long though it owes an answer is told to the module as having left, until it speaks again: longer than
+	// a full channel at a fifth of its pace and a stall take together. Its stream is neither ended nor left
+	// out of what goes to it, so one that was only slow has missed nothing.
+	silenceMost = int64(10 * 1e9)
 )
 
 // Module decides. It is brain.Governor.
@@ -55,6 +60,8 @@
 	told  map[uint32]bool
 	level map[int]Level
 	marks []uint64 // sent, not answered
+	owes  int64    // since when it has been silent though it owes an answer; 0: it does not
+	away  bool     // told to the module as having left, as it is silent
 }
 
 // New makes a core whose modules are started by start.
@@ -80,10 +87,9 @@
 	var events []control.Event
 	c.Count.Turns++
 	for _, n := range notes {
-		if ev := c.event(n, now, &o); ev != nil {
-			events = append(events, ev)
-		}
+		events = append(events, c.events(n, now, &o)...)
 	}
+	events = append(events, c.silent(now)...)
 	for _, label := range slices.Sorted(maps.Keys(c.wakes)) {
 		if c.wakes[label] <= now {
 			delete(c.wakes, label)
@@ -100,7 +106,7 @@
 			c.wakes[0] = now + renewPause
 		}
 	}
-	c.send(c.carry(orders, now, &o), &o)
+	c.send(c.carry(orders, now, &o), now, &o)
 	if now-c.swept > sweepPause {
 		c.sweep(now)
 		c.swept = now
@@ -128,13 +134,36 @@
 func (c *Core) present() []control.Event {
 	events := []control.Event{c.standing()}
 	for _, proxy := range slices.Sorted(maps.Keys(c.seats)) {
-		events = append(events, c.seats[proxy].hello)
+		if s := c.seats[proxy]; !s.away {
+			events = append(events, s.hello)
+		}
 	}
 	return events
 }
 
-// event is what a note means to the module; nil: nothing.
-func (c *Core) event(note any, now int64, o *Outcome) control.Event {
+// silent says who owes an answer for too long.
+func (c *Core) silent(now int64) (left []control.Event) {
+	for _, proxy := range slices.Sorted(maps.Keys(c.seats)) {
+		if s := c.seats[proxy]; s.owes > 0 && now-s.owes > silenceMost && !s.away {
+			s.away = true
+			c.Count.Silent++
+			left = append(left, control.Left{Proxy: proxy})
+		}
+	}
+	return left
+}
+
+// heard says that a stream spoke; one that was silent joins anew.
+func (s *stream) heard() (back []control.Event) {
+	if s.owes = 0; s.away {
+		s.away, s.table = false, -1
+		back = []control.Event{s.hello}
+	}
+	return back
+}
+
+// events are what a note means to the module.
+func (c *Core) events(note any, now int64, o *Outcome) []control.Event {
 	switch n := note.(type) {
 	case Hello:
 		c.Count.Hellos++
@@ -144,52 +173,67 @@
 		if s := c.streams[n.Stream]; s != nil {
 			delete(c.streams, n.Stream)
 			delete(c.seats, s.hello.Proxy)
-			return control.Left{Proxy: s.hello.Proxy}
+			if !s.away {
+				return []control.Event{control.Left{Proxy: s.hello.Proxy}}
+			}
 		}
-		return nil // replaced long before it ended
 	case Ack:
 		c.Count.Acks++
-		if s := c.streams[n.Stream]; s != nil {
-			if k := slices.Index(s.marks, n.Mark); k >= 0 {
-				s.marks = s.marks[k+1:]
-				return control.Answered{Proxy: s.hello.Proxy, Mark: n.Mark, Took: n.Took}
-			}
+		s := c.streams[n.Stream]
+		if s == nil {
+			c.Count.Stale++
+			return nil
 		}
-		c.Count.Stale++
-		return nil
+		back := s.heard()
+		k := slices.Index(s.marks, n.Mark)
+		if k < 0 || back != nil { // what was waited for before it left is waited for no more
+			c.Count.Stale++
+			return back
+		}
+		s.marks = s.marks[k+1:]
+		return []control.Event{control.Answered{Proxy: s.hello.Proxy, Mark: n.Mark, Took: n.Took}}
 	case Met:
 		c.Count.Met++
-		if id, ok := c.roster.numbers[n.Replica]; ok {
-			n.Met.Replica, n.Met.Zone = id, index(c.names.Zones, n.Zone)
-			return n.Met
+		id, ok := c.roster.numbers[n.Replica]
+		if !ok {
+			c.Count.Strange++
+			return nil
 		}
+		n.Met.Replica, n.Met.Zone = id, index(c.names.Zones, n.Zone)
+		return []control.Event{n.Met}
 	case Demand:
 		c.Count.Demands++
 		s := c.seats[n.Proxy]
-		if n.Stream != 0 && (s == nil || s.id != n.Stream) {
+		if s == nil || n.Stream != 0 && s.id != n.Stream {
 			c.Count.Stale++
 			return nil
 		}
-		if n.Demand.Group = slices.Index(c.names.Groups, n.Group); n.Demand.Group >= 0 && s != nil {
-			return n.Demand
+		var back []control.Event
+		if n.Stream != 0 {
+			back = s.heard()
+		}
+		if n.Demand.Group = slices.Index(c.names.Groups, n.Group); n.Demand.Group < 0 {
+			c.Count.Strange++
+			return back
 		}
+		return append(back, n.Demand)
 	case Listing:
 		c.Count.Listings++
 		ev, odd := c.listed(n, now)
 		c.Count.Strange += int64(odd)
-		return ev
+		return []control.Event{ev}
 	case Room:
 		if s := c.streams[n.Stream]; s != nil {
 			s.whole, s.anew, s.blank, s.told, s.level = true, true, false, map[uint32]bool{}, map[int]Level{}
 		}
-		return nil
+	default:
+		c.Count.Strange++
 	}
-	c.Count.Strange++
 	return nil
 }
 
 // joined seats a proxy. A stream that was taken in later replaces an earlier one, whichever spoke first.
-func (c *Core) joined(h Hello, o *Outcome) control.Event {
+func (c *Core) joined(h Hello, o *Outcome) []control.Event {
 	old := c.seats[h.Proxy]
 	switch {
 	case h.Proxy < 0 || h.Proxy >= c.proxies:
@@ -211,5 +255,5 @@
 	s := &stream{id: h.Stream, blank: h.Blank, table: -1, told: map[uint32]bool{}, level: map[int]Level{},
 		hello: control.Joined{Proxy: h.Proxy, Zone: index(c.names.Zones, h.Zone), Rate: h.Rate}}
 	c.seats[h.Proxy], c.streams[h.Stream] = s, s
-	return s.hello
+	return []control.Event{s.hello}
 }
--- /dev/null
+++ b/internal/governor/core_test.go
@@ -0,0 +1,311 @@
+package governor
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"lilacbend/control"
+	"lilacbend/provision"
+)
+
+// script is a module that gives the orders of its next line, and keeps what it was told.
+type script struct {
+	turns [][]control.Order
+	told  []control.Event
+}
+
+func (s *script) Turn(_ int64, events []control.Event) []control.Order {
+	s.told = events
+	if len(s.turns) == 0 {
+		return nil
+	}
+	orders := s.turns[0]
+	s.turns = s.turns[1:]
+	if orders != nil && len(orders) == 0 {
+		panic("scripted")
+	}
+	return orders
+}
+
+var panics = []control.Order{}
+
+func core(turns ...[]control.Order) (*Core, *script) {
+	s := &script{turns: turns}
+	names := provision.Names{Groups: []string{"read", "order"}, Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"}}
+	return New(func() Module { return s }, names, 9), s
+}
+
+func list(whole bool, members ...string) Listing {
+	l := Listing{Whole: whole, At: 1000e9, Wall: 1000e9}
+	for _, m := range members { // the name, and a letter of its state: r, t, g, or ? for odd
+		l.Members = append(l.Members, Member{ID: m[:len(m)-1], Zone: "b", Kind: "m2", Weight: 1, Odd: m[len(m)-1] == '?',
+			State: control.State(max(0, strings.IndexByte("rtg", m[len(m)-1])))})
+	}
+	return l
+}
+
+// text writes what goes out in one line a push.
+func text(o Outcome) string {
+	var out []string
+	for _, s := range o.Pushes {
+		line := fmt.Sprintf("%d:", s.Stream)
+		if s.Push.Full {
+			line += " full"
+		}
+		for _, l := range s.Push.Lines {
+			line += fmt.Sprintf(" %s=%v", l.Replica, l.Weight)
+		}
+		for _, id := range s.Push.Shut {
+			line += " -" + id
+		}
+		for _, id := range s.Push.Let {
+			line += " +" + id
+		}
+		for _, l := range s.Push.Levels {
+			line += fmt.Sprintf(" %s~%v/%d", l.Group, l.Share, l.Tries)
+		}
+		if s.Push.Marked {
+			line += fmt.Sprintf(" #%d", s.Push.Mark)
+		}
+		out = append(out, line)
+	}
+	return strings.Join(out, "; ")
+}
+
+type orders = []control.Order
+
+func line(table int, id uint32, weight float64) control.SetLine {
+	return control.SetLine{Table: table, Replica: id, Weight: weight}
+}
+
+func TestTurnsBecomePushes(t *testing.T) {
+	all := control.AllTables
+	steps := []struct {
+		notes  []any
+		orders orders
+		want   string
+	}{
+		{[]any{list(true, "xr", "yr", "zr"), Hello{Stream: 1, Proxy: 4, Zone: "a", Blank: true}, Hello{Stream: 2, Proxy: 5}},
+			orders{line(0, 1, 1), line(0, 2, 0.5), control.Bind{Proxy: 4}, control.Mark{Number: 1}}, "1: full x=1 y=0.5 #1"},
+		{nil, orders{control.Bind{Proxy: 5}, control.Mark{Number: 2}}, "2: full x=1 y=0.5 +x +y #2"}, // may shut who knows whom
+		{nil, orders{line(0, 2, 0.7), control.Mark{Number: 3}}, "1: y=0.7 #3; 2: y=0.7 #3"},
+		{nil, orders{line(1, 3, 1), control.Mark{Number: 4}}, ""}, // nobody has the table
+		{nil, orders{control.Withdraw{Replica: 3, Out: true}}, ""},
+		{nil, orders{control.Withdraw{Replica: 1, Out: true}, control.Mark{Number: 5}}, "1: -x #5; 2: -x #5"},
+		{nil, orders{line(0, 3, 1)}, "1: z=1 -z; 2: z=1 -z"}, // laid for who is withdrawn already
+		{nil, orders{control.Withdraw{Replica: 1}, line(0, 3, 0), control.Mark{Number: 6}}, "1: z=0 +x #6; 2: z=0 +x #6"},
+		{nil, orders{control.Withdraw{Replica: 3}, line(0, 3, 2)}, "1: z=2 +z; 2: z=2 +z"},
+		{nil, orders{control.Level{Table: all, Group: 1, Share: 0.5, Tries: 1}}, "1: order~0.5/1; 2: order~0.5/1"},
+		{nil, orders{control.Level{Table: 0, Group: 1, Share: 0.7, Tries: 2}}, "1: order~0.5/2; 2: order~0.5/2"},
+		{nil, orders{control.Bind{Proxy: 4, Table: 1}}, "1: full z=1 order~0.5/1"},
+		{nil, orders{line(0, 2, 0.7), control.Mark{Number: 7}}, "2: y=0.7 #7"},
+		{[]any{Bye{1}}, orders{line(1, 3, 2)}, ""},
+		{nil, orders{control.Withdraw{Replica: 1, Out: true}}, "2: -x"},
+		{[]any{Hello{Stream: 3, Proxy: 4}}, orders{control.Bind{Proxy: 4, Table: 0}}, "3: full x=1 y=0.7 z=2 -x +y +z order~0.5/2"},
+		{[]any{Hello{Stream: 4, Proxy: 5}}, nil, "4: order~0.5/1"},
+		{nil, orders{control.Withdraw{Replica: 2, Out: true}, control.Mark{Number: 8}}, "3: -y #8; 4: -y #8"}, // 4 is bound to nothing yet
+		{[]any{Room{3}}, nil, "3: full x=1 y=0.7 z=2 -x -y +z order~0.5/2 #8"},
+		{[]any{Ack{Stream: 3, Mark: 8}, Room{3}}, nil, "3: full x=1 y=0.7 z=2 -x -y +z order~0.5/2"},
+		{[]any{Room{4}}, nil, "4: -x -y order~0.5/1 #8"},
+		{nil, orders{control.Bind{Proxy: 7}, control.Bind{Proxy: 4, Table: 1}, line(1, 3, 0)}, "3: full order~0.5/1"},
+	}
+	c, s := core()
+	for k, step := range steps {
+		s.turns = []orders{step.orders}
+		if got := text(c.Turn(int64(k)*1e9, step.notes)); got != step.want {
+			t.Errorf("turn %d: got  %s\nwant %s", k, got, step.want)
+		}
+	}
+}
+
+// The lines the module's channel is charged are those that go out, as long as nothing is said twice.
+func TestLinesAreCountedAsOrdered(t *testing.T) {
+	c, _ := core(orders{line(0, 1, 1), line(0, 2, 1), control.Level{Table: control.AllTables, Share: 0.5},
+		control.Withdraw{Replica: 2, Out: true}, control.Bind{Proxy: 4}, control.Bind{Proxy: 5}, control.Mark{Number: 1}},
+		orders{line(0, 1, 2), control.Mark{Number: 2}})
+	c.Turn(0, []any{list(true, "xr", "yr"), Hello{Stream: 1, Proxy: 4, Blank: true}, Hello{Stream: 2, Proxy: 5, Blank: true}})
+	c.Turn(1, nil)
+	// A bind: itself, two lines, one level, one withdrawn; each with its mark; then a line and a mark each.
+	if n := c.Count; n.LinesSent != 2*(5+1)+2*2 || n.Marks != 4 || n.Whole != 2 {
+		t.Errorf("%+v", n)
+	}
+}
+
+func TestWhatTheModuleIsTold(t *testing.T) {
+	usage := control.Demand{Proxy: 4, Flows: 3}
+	for name, c := range map[string]struct {
+		notes []any
+		want  []control.Event
+		end   []Stream
+	}{
+		"joined":            {[]any{Hello{Stream: 2, Proxy: 5, Zone: "b", Rate: 2}}, []control.Event{control.Joined{Proxy: 5, Zone: 1, Rate: 2}}, nil},
+		"unknown zone":      {[]any{Hello{Stream: 2, Proxy: 5, Zone: "q"}}, []control.Event{control.Joined{Proxy: 5, Zone: 2}}, nil},
+		"no such proxy":     {[]any{Hello{Stream: 2, Proxy: 9}}, nil, []Stream{2}},
+		"again":             {[]any{Hello{Stream: 1, Proxy: 4}}, nil, nil},
+		"a newer stream":    {[]any{Hello{Stream: 2, Proxy: 4}, Bye{1}}, []control.Event{control.Joined{Proxy: 4, Zone: 2}}, []Stream{1}},
+		"an older stream":   {[]any{Hello{Stream: 0, Proxy: 4}}, nil, []Stream{0}},
+		"left":              {[]any{Bye{1}, Bye{1}}, []control.Event{control.Left{Proxy: 4}}, nil},
+		"answered":          {[]any{Ack{Stream: 1, Mark: 7, Took: 5}}, []control.Event{control.Answered{Proxy: 4, Mark: 7, Took: 5}}, nil},
+		"answered twice":    {[]any{Ack{Stream: 1, Mark: 7}, Ack{Stream: 1, Mark: 7}}, []control.Event{control.Answered{Proxy: 4, Mark: 7}}, nil},
+		"another's mark":    {[]any{Ack{Stream: 1, Mark: 8}, Ack{Stream: 3, Mark: 7}}, nil, nil},
+		"an old mark":       {[]any{Hello{Stream: 2, Proxy: 4}, Ack{Stream: 2, Mark: 7}}, []control.Event{control.Joined{Proxy: 4, Zone: 2}}, []Stream{1}},
+		"usage":             {[]any{Demand{1, "order", usage}, Demand{0, "read", usage}}, []control.Event{control.Demand{Proxy: 4, Group: 1, Flows: 3}, usage}, nil},
+		"usage of old":      {[]any{Demand{3, "order", usage}, Demand{1, "no such", usage}, Demand{0, "read", control.Demand{Proxy: 8}}}, nil, nil},
+		"sums":              {[]any{Met{"b", "y", control.Met{Tries: 2}}, Met{"b", "w", control.Met{}}}, []control.Event{control.Met{Replica: 2, Zone: 1, Tries: 2}}, nil},
+		"something unknown": {[]any{"rain"}, nil, nil},
+	} {
+		c0, s := core(orders{line(0, 1, 1), control.Bind{Proxy: 4}, control.Mark{Number: 7}})
+		c0.Turn(0, []any{list(true, "xr", "yr"), Hello{Stream: 1, Proxy: 4}})
+		o := c0.Turn(1, c.notes)
+		if !reflect.DeepEqual(s.told, c.want) || !reflect.DeepEqual(o.End, c.end) {
+			t.Errorf("%s: told %+v, ends %v", name, s.told, o.End)
+		}
+	}
+}
+
+func states(ev control.Event) (out string) {
+	for _, e := range ev.(control.Listed).Entries {
+		out += fmt.Sprintf("%d%c", e.Replica, "rtg"[e.State])
+	}
+	return out
+}
+
+func TestTheListKeepsItsNumbers(t *testing.T) {
+	c, s := core()
+	for k, step := range []struct {
+		l    Listing
+		want string
+		odd  int64
+	}{
+		{list(true, "xr", "yr", "z?"), "1r2r", 1},
+		{list(false, "y?", "wr", "xt"), "2r3r1t", 2}, // what cannot be read stays as it was
+		{list(true, "yr", "w?"), "2r3r", 3},          // x is gone
+		{list(false, "yg", "xr"), "2g1r", 3},
+	} {
+		c.Turn(int64(k), []any{step.l})
+		if got := states(s.told[0]); got != step.want || c.Count.Strange != step.odd {
+			t.Errorf("list %d: %s, %d odd", k, got, c.Count.Strange)
+		}
+	}
+	if l := c.standing(); !l.Full || states(l) != "1r3r" {
+		t.Errorf("standing list %+v", l)
+	}
+	if k := c.roster.known[1].Kind; k != 1 || index(c.names.Kinds, "new kind") != 2 {
+		t.Errorf("kinds %d", k)
+	}
+}
+
+// A step of the wall clock between two answers must not look like a restart of every replica.
+func TestStartsStayThroughStepsOfTheWallClock(t *testing.T) {
+	c, s := core()
+	at := func(wall, up int64) int64 {
+		c.Turn(wall, []any{Listing{At: 500e9, Wall: wall, Members: []Member{{ID: "x", Weight: 1, UpSince: up}}}})
+		return s.told[0].(control.Listed).Entries[0].Start
+	}
+	for k, step := range [][3]int64{{1000e9, 990e9, 490e9}, {5000e9, 990e9, 490e9}, {5000e9, 4999e9, 499e9},
+		{400e9, 4999e9, 499e9}, {400e9, 900e9, 500e9}, {400e9, 1, 100e9 + 1}, {9000e9, 2, 1}, {400e9, 0, 0}} {
+		if got := at(step[0], step[1]); got != step[2] {
+			t.Errorf("step %d: start %d, want %d", k, got, step[2])
+		}
+	}
+}
+
+func TestNamesAreForgottenInTheEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		held func(c *Core)
+		kept bool
+	}{
+		"nobody":   {func(*Core) {}, false},
+		"a table":  {func(c *Core) { c.tables[3] = map[uint32]float64{1: 1} }, true},
+		"a stream": {func(c *Core) { c.seats[4].told[1] = true }, true},
+	} {
+		g, _ := core()
+		g.Turn(0, []any{list(true, "xr"), Hello{Stream: 1, Proxy: 4}})
+		g.Turn(1, []any{list(true, "yr")})
+		g.out[1] = true
+		c.held(g)
+		g.sweep(nameKept)
+		if g.roster.known[1] == nil {
+			t.Errorf("%s: forgotten early", name)
+		}
+		g.sweep(nameKept + 1)
+		if _, kept := g.roster.numbers["x"]; kept != c.kept || g.out[1] != c.kept || g.roster.known[2] == nil {
+			t.Errorf("%s: kept %v", name, kept)
+		}
+	}
+}
+
+func TestAPanicStartsAFreshModule(t *testing.T) {
+	c, s := core(orders{line(0, 1, 1), control.Bind{Proxy: 4}, control.Withdraw{Replica: 1, Out: true}}, panics,
+		orders{line(0, 2, 1), line(0, 1, 1), control.Bind{Proxy: 4}}, panics, panics)
+	c.Turn(0, []any{list(true, "xr", "yr"), Hello{Stream: 1, Proxy: 4, Zone: "a", Rate: 3}})
+	o := c.Turn(1, []any{list(false, "yt")})
+	want := []control.Event{c.standing(), control.Joined{Proxy: 4, Zone: 0, Rate: 3}}
+	if !strings.HasPrefix(o.Failed, "scripted at") || !reflect.DeepEqual(s.told, want) || c.Count.Renewed != 1 {
+		t.Errorf("told %+v after %.40q", s.told, o.Failed)
+	}
+	if got := text(o); got != "1: full x=1 y=1 +x +y" { // what the last module had withdrawn is let in again
+		t.Errorf("pushes %s", got)
+	}
+	if o = c.Turn(2, nil); o.Failed == "" || o.Wake != 2+renewPause {
+		t.Errorf("a module that fails at once: %+v", o)
+	}
+}
+
+// A machine that vanished leaves its stream open: nothing must wait for it, and it must miss nothing if it was
+// only slow.
+func TestWhoOwesAnAnswerInSilenceHasLeft(t *testing.T) {
+	mark := control.Mark{Number: 1}
+	c, s := core(orders{line(0, 1, 1), control.Bind{Proxy: 4}, control.Bind{Proxy: 5}, mark})
+	c.Turn(5, []any{list(true, "xr"), Hello{Stream: 1, Proxy: 4}, Hello{Stream: 2, Proxy: 5}, Hello{Stream: 3, Proxy: 6}})
+	for _, step := range []struct {
+		at     int64
+		notes  []any
+		orders orders
+		told   []control.Event
+		want   string
+	}{
+		{5 + silenceMost/2, []any{Demand{2, "read", control.Demand{Proxy: 5}}}, nil, []control.Event{control.Demand{Proxy: 5}}, ""},
+		{5 + silenceMost, nil, nil, nil, ""},
+		{6 + silenceMost, nil, nil, []control.Event{control.Left{Proxy: 4}}, ""},
+		{7 + silenceMost, nil, orders{control.Withdraw{Replica: 1, Out: true}, mark}, nil, "1: -x #1; 2: -x #1; 3: -x #1"},
+		{8 + silenceMost, []any{Ack{Stream: 1, Mark: 1}}, nil, []control.Event{control.Joined{Proxy: 4, Zone: 2}}, ""},
+		{9 + silenceMost, []any{Ack{Stream: 2, Mark: 1}, Ack{Stream: 3, Mark: 1}}, nil,
+			[]control.Event{control.Answered{Proxy: 5, Mark: 1}, control.Answered{Proxy: 6, Mark: 1}}, ""},
+		{9 + 2*silenceMost, nil, orders{mark}, nil, ""},
+		{9 + 9*silenceMost, []any{Bye{1}}, nil, []control.Event{control.Left{Proxy: 4}}, ""},
+	} {
+		s.turns = []orders{step.orders}
+		if got := text(c.Turn(step.at, step.notes)); got != step.want || !reflect.DeepEqual(s.told, step.told) {
+			t.Errorf("at %d: told %+v, pushes %s", step.at, s.told, got)
+		}
+	}
+}
+
+func TestTheLogNamesReplicas(t *testing.T) {
+	c, _ := core(orders{control.Log{Text: "replica 1 sick: 1 of 1 missed"}, control.Log{Text: "replica 9 sick"}, control.Log{Text: "calm"}})
+	o := c.Turn(0, []any{list(true, "xr")})
+	if want := []string{"replica x sick: 1 of 1 missed", "replica 9 sick", "calm"}; !slices.Equal(o.Logs, want) {
+		t.Errorf("logged %q", o.Logs)
+	}
+}
+
+func TestLateTimersDoNotPileUp(t *testing.T) {
+	wake := control.Wake{Label: 3, After: 10}
+	c, s := core(orders{wake, control.Wake{Label: 3, After: 20}, control.Wake{After: 50}}, orders{wake}, nil, nil)
+	if o := c.Turn(0, nil); o.Wake != 10 {
+		t.Errorf("due at %d", o.Wake)
+	}
+	if o := c.Turn(9, nil); o.Wake != 10 || len(s.told) != 0 {
+		t.Errorf("due at %d, told %v", o.Wake, s.told)
+	}
+	if c.Turn(1000, nil); !slices.Equal(s.told, []control.Event{control.Woken{}, control.Woken{Label: 3}}) {
+		t.Errorf("told %v", s.told)
+	}
+	if o := c.Turn(1001, nil); o.Wake != 0 || len(s.told) != 0 {
+		t.Errorf("due at %d, told %v", o.Wake, s.told)
+	}
+}
--- a/internal/governor/notes.go
+++ b/internal/governor/notes.go
@@ -95,7 +95,7 @@
 
 // Count is what the core has counted so far.
 type Count struct {
-	Turns, Hellos, Byes, Acks, Met, Demands, Listings int64 // taken in
-	Pushes, LinesOrdered, LinesSent, Marks, Whole     int64 // sent; Whole: full tables, as binds or once more
-	Strange, Stale, Replaced, Renewed, Names, Seats   int64
+	Turns, Hellos, Byes, Acks, Met, Demands, Listings       int64 // taken in
+	Pushes, LinesOrdered, LinesSent, Marks, Whole           int64 // sent; Whole: full tables, as binds or once more
+	Strange, Stale, Silent, Replaced, Renewed, Names, Seats int64
 }
--- a/internal/governor/push.go
+++ b/internal/governor/push.go
@@ -1,9 +1,12 @@
 package governor
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"slices"
+	"strconv"
+	"strings"
 
 	"lilacbend/control"
 )
@@ -63,7 +66,7 @@
 				c.wakes[w.Label] = due
 			}
 		case control.Log:
-			o.Logs = append(o.Logs, w.Text)
+			o.Logs = append(o.Logs, c.named(w.Text))
 		default:
 			c.Count.Strange++ // a probe: replicas may not be probed here
 		}
@@ -71,6 +74,15 @@
 	return n
 }
 
+// named puts the replica's name into a line of the log, for those who look for the machine.
+func (c *Core) named(text string) string {
+	var id uint32
+	if n, _ := fmt.Sscanf(text, "replica %d ", &id); n == 1 && c.roster.known[id] != nil {
+		return strings.Replace(text, strconv.Itoa(int(id)), c.roster.known[id].name, 1)
+	}
+	return text
+}
+
 // ordered counts lines as the simulator's channel does.
 func (c *Core) ordered(lines int64, reaches func(*stream) bool) {
 	for _, s := range c.seats {
@@ -116,7 +128,7 @@
 }
 
 // send makes one message for each proxy that the news concern.
-func (c *Core) send(n *news, o *Outcome) {
+func (c *Core) send(n *news, now int64, o *Outcome) {
 	for _, proxy := range slices.Sorted(maps.Keys(c.seats)) {
 		s := c.seats[proxy]
 		p, reached := c.push(s, n)
@@ -124,6 +136,9 @@
 			p.Marked, p.Mark = true, n.mark
 			s.marks = append(s.marks, n.mark)
 			s.marks = s.marks[max(0, len(s.marks)-marksKept):]
+			if s.owes == 0 {
+				s.owes = now
+			}
 			c.Count.LinesOrdered++
 			c.Count.Marks++
 		} else if last := len(s.marks) - 1; p.Anew && last >= 0 { // what asked for it may have been lost
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"lilacbend/internal/exchange"
@@ -96,6 +97,12 @@
 
 // follow calls on one connection until it fails, and says how many answers it got.
 func (c *Client) follow(ctx context.Context) (answers int, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			c.exchange.Tally.Panics.Add(1)
+			err = &Failure{"panic", fmt.Errorf("%v at %s", v, debug.Stack())}
+		}
+	}()
 	c.exchange.Tally.Dials.Add(1)
 	dialer := net.Dialer{Timeout: dialMost}
 	conn, err := dialer.DialContext(ctx, "tcp", c.address)
--- /dev/null
+++ b/internal/registry/client_test.go
@@ -0,0 +1,199 @@
+package registry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"lilacbend/control"
+	"lilacbend/internal/exchange"
+	"lilacbend/internal/governor"
+)
+
+const someList = `{"revision":41,"complete":true,"members":[{"id":"s-1","host_port":"h:1","locality":"a","flavor":"m2",` +
+	`"cell":3,"phase":"Ready","size":1.5,"up_since_ms":2}]}`
+
+func client(known int64) (*Client, *exchange.Exchange) {
+	x := exchange.New()
+	return New("", known, x, slog.New(slog.DiscardHandler), func() int64 { return 7 }, 1), x
+}
+
+func TestParse(t *testing.T) {
+	l, err := Parse([]byte(someList))
+	want := governor.Member{ID: "s-1", Zone: "a", Kind: "m2", Weight: 1.5, UpSince: 2e6}
+	if err != nil || l.Revision != 41 || !l.Whole || len(l.Members) != 1 || l.Members[0] != want {
+		t.Errorf("%+v %v", l, err)
+	}
+	for _, c := range []struct {
+		member string
+		state  control.State
+		odd    bool
+	}{
+		{`{"id":"s","phase":"Terminating"}`, control.Draining, false}, {`{"id":"s","phase":"Gone"}`, control.Gone, false},
+		{`{"id":"s","phase":"Sleeping"}`, 0, true}, {`{"id":"s"}`, 0, true}, {`{"phase":"Ready"}`, 0, true},
+		{`{"id":"a,b","phase":"Ready"}`, 0, true}, {`{"id":"a:b","phase":"Ready"}`, 0, true},
+		{`{"id":"a b","phase":"Ready"}`, 0, true}, {`{"id":"s","phase":"Ready","size":-1}`, 0, true},
+		{`{"id":"` + strings.Repeat("s", nameMost+1) + `","phase":"Ready"}`, 0, true},
+	} {
+		l, err := Parse([]byte(`{"revision":1,"complete":false,"members":[` + c.member + `]}`))
+		if err != nil || l.Members[0].State != c.state || l.Members[0].Odd != c.odd {
+			t.Errorf("%s: %+v %v", c.member, l, err)
+		}
+	}
+	for _, bad := range []string{"", "null", "[]", "{}", `{"revision":1}`, `{"revision":"x","complete":true}`, someList[:50],
+		`{"revision":1,"complete":true,"members":[{"id":4}]}`} {
+		if _, err := Parse([]byte(bad)); err == nil {
+			t.Errorf("%q is read as a list", bad)
+		}
+	}
+}
+
+func TestWhatIsOlderChangesNothing(t *testing.T) {
+	answer := func(revision int, whole bool) []byte {
+		return fmt.Appendf(nil, `{"revision":%d,"complete":%v,"members":[]}`, revision, whole)
+	}
+	for name, c := range map[string]struct {
+		answers [][]byte
+		known   int64 // after the last
+		told    int
+		fails   bool // the last
+		whole   bool // what is asked for next
+	}{
+		"first":                 {[][]byte{answer(41, true)}, 41, 1, false, false},
+		"changes at first":      {[][]byte{answer(44, false)}, 41, 0, true, true},
+		"newer":                 {[][]byte{answer(41, true), answer(43, false)}, 43, 2, false, false},
+		"nothing new":           {[][]byte{answer(41, true), answer(41, false)}, 41, 1, false, false},
+		"the same list":         {[][]byte{answer(41, true), answer(41, true)}, 41, 2, false, false},
+		"older changes":         {[][]byte{answer(41, true), answer(40, false)}, 41, 1, true, true},
+		"an older list":         {[][]byte{answer(41, true), answer(40, true)}, 41, 1, true, true},
+		"not a list":            {[][]byte{answer(41, true), []byte("<html>")}, 41, 1, true, false},
+		"discovery begins anew": {[][]byte{answer(3, true), answer(3, true), answer(3, true), answer(3, true), answer(3, true)}, 3, 1, false, false},
+	} {
+		cl, x := client(41)
+		var err error
+		for _, a := range c.answers {
+			_, err = cl.take(a)
+		}
+		if told := len(x.Take()); cl.known != c.known || told != c.told || (err != nil) != c.fails || cl.whole == c.whole {
+			t.Errorf("%s: revision %d, %d told, whole next %v: %v", name, cl.known, told, !cl.whole, err)
+		}
+	}
+}
+
+// answering is the other end of a connection: it reads one call, checks what it asks, and sends text.
+func answering(t *testing.T, want, text string) net.Conn {
+	here, there := net.Pipe()
+	go func() {
+		req, err := http.ReadRequest(bufio.NewReader(there))
+		if err == nil && req.URL.RequestURI() != want {
+			t.Errorf("asked %s, want %s", req.URL.RequestURI(), want)
+		}
+		fmt.Fprint(there, text)
+		there.Close()
+	}()
+	return here
+}
+
+func TestOneCall(t *testing.T) {
+	chunked := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n",
+		60, someList[:60], len(someList)-60, someList[60:])
+	sized := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(someList), someList)
+	many := `{"revision":42,"complete":true,"members":[` + strings.Repeat(`{"id":"s-1","phase":"Ready"},`, 5000) + `{"id":"s-2","phase":"Ready"}]}`
+	for name, c := range map[string]struct {
+		text, stage string
+		kept        bool
+		told        int
+	}{
+		"sized":          {sized, "", true, 1},
+		"chunked":        {chunked, "", true, 1},
+		"closed":         {"HTTP/1.0 200 OK\r\n\r\n" + someList, "", false, 1},
+		"thousands":      {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(many), many), "", true, 1},
+		"more follows":   {sized + "HTTP/1.1 200 OK\r\n", "", false, 1},
+		"cut off":        {sized[:len(sized)-9], "body after", false, 0},
+		"chunk cut off":  {chunked[:120], "body after", false, 0},
+		"nothing":        {"", "status", false, 0},
+		"not HTTP":       {"+OK\r\n", "status", false, 0},
+		"an error":       {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "status", false, 0},
+		"not JSON":       {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "list", false, 0},
+		"over the limit": {"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat(" ", bodyMost+1), "body", false, 0},
+	} {
+		cl, x := client(41)
+		conn := answering(t, path, c.text)
+		_, kept, err := cl.call(conn, bufio.NewReader(iotest.HalfReader(conn)))
+		var failure *Failure
+		if errors.As(err, &failure) != (c.stage != "") || err != nil && !strings.HasPrefix(failure.Stage, c.stage) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if told := len(x.Take()); kept != c.kept || told != c.told {
+			t.Errorf("%s: kept %v, %d told", name, kept, told)
+		}
+		conn.Close()
+	}
+	cl, _ := client(41)
+	cl.whole = true
+	conn := answering(t, fmt.Sprintf("%s?since=41&timeout_ms=%d", path, watchWait.Milliseconds()), sized)
+	if _, _, err := cl.call(conn, bufio.NewReader(conn)); err != nil {
+		t.Error(err)
+	}
+}
+
+// standIn is a discovery that serves each connection by the next of its ways, and the last way from then on.
+func standIn(t *testing.T, ways ...func(net.Conn)) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for k := 0; ; k++ {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go ways[min(k, len(ways)-1)](conn)
+		}
+	}()
+	return l
+}
+
+func TestFollowingAnUnsteadyDiscovery(t *testing.T) {
+	asked := make(chan string, 100)
+	serving := func(conn net.Conn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		for revision := 50; ; revision++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			asked <- req.URL.RawQuery
+			body := fmt.Sprintf(`{"revision":%d,"complete":%v,"members":[]}`, revision, req.URL.RawQuery == "")
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	}
+	garbage := func(conn net.Conn) { fmt.Fprint(conn, "garbage\r\n\r\n"); conn.Close() }
+	l := standIn(t, func(conn net.Conn) { conn.Close() }, garbage, serving)
+	defer l.Close()
+	c, x := client(41)
+	c.address = l.Addr().String()
+	ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	for _, want := range []string{"", "since=50&timeout_ms=2000", "since=51&timeout_ms=2000"} {
+		if got := <-asked; got != want {
+			t.Errorf("asked %q, want %q", got, want)
+		}
+	}
+	stop()
+	<-ended
+	if x.Tally.Dials.Load() != 3 || len(x.Take()) < 2 {
+		t.Errorf("%d dials", x.Tally.Dials.Load())
+	}
+}
--- /dev/null
+++ b/internal/streams/server_test.go
@@ -0,0 +1,210 @@
+package streams
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"lilacbend/internal/governor"
+	"lilacbend/internal/resp"
+)
+
+// running serves on loopback until the test ends, and checks that nothing is left behind.
+func running(t *testing.T, s *Server) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- s.Serve(ctx, l) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil || s.pool.Lent() != 0 || len(s.peers) != 0 || s.unnamed.Len() != 0 {
+			t.Errorf("left behind: %d buffers, %d peers, %v", s.pool.Lent(), len(s.peers), err)
+		}
+	})
+	return l.Addr().String()
+}
+
+type caller struct {
+	net.Conn
+	read *resp.Reader
+}
+
+func call(t *testing.T, address string, says ...string) caller {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	t.Cleanup(func() { conn.Close() })
+	c := caller{conn, resp.NewReader(conn, resp.NewPool(1<<20))}
+	for _, text := range says {
+		c.say(t, text)
+	}
+	return c
+}
+
+func (c caller) say(t *testing.T, text string) {
+	if _, err := resp.Write(c, resp.NewPool(1<<20), strings.Fields(text)...); err != nil {
+		t.Error(err)
+	}
+}
+
+func (c caller) hears(t *testing.T, want string) {
+	words, err := c.read.Next()
+	if got := strings.Join(words, " "); got != want || err != nil {
+		t.Errorf("heard %q, want %q: %v", got, want, err)
+	}
+}
+
+func (c caller) ends(t *testing.T) {
+	if _, err := c.Conn.Read(make([]byte, 1)); err == nil || errors.Is(err, context.DeadlineExceeded) ||
+		strings.Contains(err.Error(), "timeout") {
+		t.Errorf("does not end: %v", err)
+	}
+}
+
+// told waits for so many notes.
+func told(t *testing.T, s *Server, n int) (notes []any) {
+	for late := time.After(10 * time.Second); len(notes) < n; {
+		select {
+		case <-s.exchange.Bell():
+			notes = append(notes, s.exchange.Take()...)
+		case <-late:
+			t.Fatalf("%d notes of %d: %v", len(notes), n, notes)
+		}
+	}
+	return notes
+}
+
+func TestAStreamFromHelloToItsEnd(t *testing.T) {
+	s := server(100)
+	at := running(t, s)
+	c := call(t, at, "probe", "hello id 17 site a rps 2 new 1")
+	c.hears(t, "alive")
+	if notes := told(t, s, 1); notes[0] != (governor.Hello{Stream: 1, Proxy: 17, Zone: "a", Rate: 2, Blank: true}) {
+		t.Errorf("%+v", notes)
+	}
+	s.exchange.Send(governor.Sent{Stream: 1, Push: governor.Push{Full: true, Marked: true, Mark: 3,
+		Lines: []governor.Line{{Replica: "s-1", Weight: 1}}, Levels: []governor.Level{{Group: "g", Share: 1}}}})
+	c.hears(t, "push full 1 endpoints s-1:1 continued 1")
+	c.hears(t, "push routes g admit 1 policy 0 nonce_out 3")
+	c.say(t, "probe")
+	c.hears(t, "alive")
+	s.exchange.End(1)
+	c.ends(t)
+	if notes := told(t, s, 1); notes[0] != (governor.Bye{Stream: 1}) {
+		t.Errorf("%+v", notes)
+	}
+}
+
+func TestWhoCannotBeReadEndsAlone(t *testing.T) {
+	s := server(100)
+	at := running(t, s)
+	good := call(t, at, "hello id 1 site a rps 2 new 1")
+	for _, bad := range []string{"garbage", "*2\r\n$5\r\nhello\r\n$2\r\nid\r\n", "*1\r\n$1048577\r\n"} {
+		c := call(t, at)
+		io.WriteString(c, bad)
+		c.ends(t)
+	}
+	broken := call(t, at, "hello id 2 site a rps 2 new 1")
+	told(t, s, 2)
+	io.WriteString(broken, "*1\r\n$4\r\nac")
+	broken.Close()
+	if notes := told(t, s, 1); notes[0].(governor.Bye).Stream < 2 {
+		t.Errorf("%+v", notes)
+	}
+	good.say(t, "probe")
+	good.hears(t, "alive")
+}
+
+// A panic stops at its connection: here the proxy's outbox is taken from under it.
+func TestAPanicEndsItsConnectionAlone(t *testing.T) {
+	s := server(100)
+	here, there := net.Pipe()
+	p := &peer{server: s, conn: there, role: proxy, done: make(chan struct{})}
+	s.all.Add(1)
+	p.server = &Server{exchange: s.exchange, log: s.log, peers: s.peers, unnamed: s.unnamed} // no pool
+	p.server.all.Add(1)
+	go io.WriteString(here, "x")
+	p.attend()
+	if s.all.Done(); s.exchange.Tally.Panics.Load() != 1 {
+		t.Error("no panic was counted")
+	}
+	if _, err := here.Write([]byte("x")); err == nil {
+		t.Error("the connection goes on")
+	}
+}
+
+// Hundreds of silent strangers neither keep others out nor hold places for ever; named peers stay.
+func TestStrangersGoFirst(t *testing.T) {
+	const places = 20
+	s := server(descriptorsKept + places)
+	at := running(t, s)
+	good := call(t, at, "hello id 1 site a rps 2 new 1")
+	reports := call(t, at, "agent site a", "outcomes site a target s-5 count 1 fail 0 mean 1 over 1")
+	told(t, s, 2)
+	for range 10 * places {
+		call(t, at)
+	}
+	late := call(t, at, "probe")
+	late.hears(t, "alive")
+	reports.say(t, "outcomes site a target s-5 count 1 fail 0 mean 1 over 1")
+	good.say(t, "ack id 1 seq 1 ms 1")
+	told(t, s, 2)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.peers) > places {
+		t.Errorf("%d peers in %d places", len(s.peers), places)
+	}
+}
+
+func TestNamedPeersAreNotPutOut(t *testing.T) {
+	s := server(descriptorsKept + 2)
+	at := running(t, s)
+	for id := range 2 {
+		call(t, at, fmt.Sprintf("hello id %d site a rps 2 new 1", id))
+	}
+	told(t, s, 2)
+	call(t, at).ends(t)
+	if s.exchange.Tally.Refused.Load() != 1 {
+		t.Error("nobody was refused")
+	}
+}
+
+// A proxy that reads nothing holds up nobody: what waits for it is dropped for its whole state.
+func TestAPeerThatReadsNothingHoldsUpNobody(t *testing.T) {
+	s := server(100)
+	at := running(t, s)
+	here, there := net.Pipe() // it keeps nothing on the way
+	defer here.Close()
+	s.admit(there)
+	slow := caller{here, nil}
+	slow.say(t, "hello id 1 site a rps 2 new 1")
+	told(t, s, 1)
+	good := call(t, at, "hello id 2 site a rps 2 new 1")
+	told(t, s, 1)
+	shut := governor.Push{Shut: []string{"s-1"}}
+	s.exchange.Send(governor.Sent{Stream: 1, Push: shut})
+	here.Read(make([]byte, 1)) // the rest of this message is not read
+	for s.exchange.Tally.Emptied.Load() == 0 {
+		s.exchange.Send(governor.Sent{Stream: 1, Push: shut})
+	}
+	s.exchange.Send(governor.Sent{Stream: 2, Push: shut})
+	good.hears(t, "push eject s-1")
+	slow.say(t, "ack id 1 seq 1 ms 1") // it is heard all the while
+	if notes := told(t, s, 1); notes[0] != (governor.Ack{Stream: 1, Mark: 1, Took: 1e6}) {
+		t.Errorf("%+v", notes)
+	}
+	here.Read(make([]byte, resp.BufferSize))
+	if notes := told(t, s, 1); notes[0] != (governor.Room{Stream: 1}) {
+		t.Errorf("%+v", notes)
+	}
+}
--- a/internal/streams/words.go
+++ b/internal/streams/words.go
@@ -53,6 +53,14 @@
 	return n
 }
 
+// perhaps reads a figure that may be left out: nothing stands on it alone.
+func (f *fields) perhaps(name string) float64 {
+	if _, ok := f.has(name); !ok {
+		return 0
+	}
+	return f.number(name)
+}
+
 func (f *fields) whole(name string) int {
 	n := f.number(name)
 	if n != math.Trunc(n) || n > math.MaxInt32 {
@@ -66,11 +74,11 @@
 
 func hello(f *fields) governor.Hello {
 	blank, _ := f.has("new")
-	return governor.Hello{Proxy: f.whole("id"), Zone: f.text("site"), Rate: f.number("rps"), Blank: blank == "1"}
+	return governor.Hello{Proxy: f.whole("id"), Zone: f.text("site"), Rate: f.perhaps("rps"), Blank: blank == "1"}
 }
 
 func ack(f *fields) governor.Ack {
-	return governor.Ack{Mark: uint64(f.whole("seq")), Took: f.ms("ms")}
+	return governor.Ack{Mark: uint64(f.whole("seq")), Took: control.Nanos(f.perhaps("ms"))}
 }
 
 func met(f *fields) governor.Met {
