A replaced stream ends though its write is stuck; an emptied outbox is always answered

Found by reading: a proxy that rejoins while its older, half-open stream blocks in a write left that connection and its descriptor open for ever (End only told the writer, internal/streams/peer.go); and a proxy with nothing to be told whose outbox was emptied got no answer to Room, so its outbox took nothing ever after (internal/governor/push.go). Both have a test that fails without the mend. Unknown commands and flags are named in one line.

--- a/cmd/lilacbend/main.go
+++ b/cmd/lilacbend/main.go
@@ -33,7 +33,10 @@
 		flag("listen", "PROXY_LISTEN", "where proxies and collectors connect", &t.listen),
 		flag("discovery", "PROXY_DISCOVERY", "where the list of replicas is", &t.discovery),
 	}
-	run := func(ctx context.Context, _ *cli.Command) error {
+	run := func(ctx context.Context, cmd *cli.Command) error {
+		if cmd.Args().Present() {
+			return fmt.Errorf("no command %q: serve, check or version", cmd.Args().First())
+		}
 		c, err := readCharter(t)
 		if err != nil {
 			return err
@@ -41,7 +44,7 @@
 		log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("governor", c.name)
 		return serve(ctx, c, log)
 	}
-	return &cli.Command{
+	root := &cli.Command{
 		Name:   "lilacbend",
 		Usage:  "a governor that tells proxies where flows go",
 		Flags:  flags,
@@ -65,6 +68,10 @@
 			}},
 		},
 	}
+	for _, c := range append(root.Commands, root) { // what is wrong is said in one line, without a page of help
+		c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
+	}
+	return root
 }
 
 func version() string {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -76,11 +76,11 @@
 	return notes
 }
 
-// Open makes the outbox of a stream.
-func (x *Exchange) Open(stream governor.Stream) *Outbox {
+// Open makes the outbox of a stream; end ends its connection, whatever it is at.
+func (x *Exchange) Open(stream governor.Stream, end func()) *Outbox {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	b := &Outbox{stream: stream, exchange: x, bell: make(chan struct{}, 1)}
+	b := &Outbox{stream: stream, end: end, exchange: x, bell: make(chan struct{}, 1)}
 	x.outs[stream] = b
 	return b
 }
@@ -94,13 +94,14 @@
 	}
 }
 
-// End asks for the end of a stream.
+// End ends a stream.
 func (x *Exchange) End(s governor.Stream) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if b := x.outs[s]; b != nil {
 		b.over = true
 		ring(b.bell)
+		b.end()
 	}
 }
 
@@ -113,6 +114,7 @@
 // Outbox holds what waits for one stream.
 type Outbox struct {
 	stream   governor.Stream
+	end      func()
 	exchange *Exchange
 	items    []Item
 	emptied  bool // items were dropped: nothing goes until the whole state comes
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -27,7 +27,7 @@
 // A proxy that reads nothing gets its whole present state once it reads again, and not half of the news.
 func TestAFullOutboxAsksForTheWholeState(t *testing.T) {
 	x := New()
-	out, done := x.Open(3), make(chan struct{})
+	out, done := x.Open(3, nil), make(chan struct{})
 	for n := range uint64(itemsMost + 2) {
 		x.Send(governor.Sent{Stream: 3, Push: mark(n)})
 	}
@@ -50,14 +50,15 @@
 
 func TestAnOutboxEnds(t *testing.T) {
 	x := New()
-	out, done := x.Open(3), make(chan struct{})
+	ended := 0
+	out, done := x.Open(3, func() { ended++ }), make(chan struct{})
 	x.Send(governor.Sent{Stream: 3, Push: mark(1)})
 	x.End(3)
 	x.End(4)
-	if _, ok := out.Next(done); ok {
+	if _, ok := out.Next(done); ok || ended != 1 {
 		t.Error("an ended stream goes on")
 	}
-	out = x.Open(5)
+	out = x.Open(5, nil)
 	for range itemsMost {
 		out.Alive()
 	}
--- a/internal/governor/core_test.go
+++ b/internal/governor/core_test.go
@@ -110,7 +110,9 @@
 		{[]any{Room{3}}, nil, "3: full x=1 y=0.7 z=2 -x -y +z order~0.5/2 #8"},
 		{[]any{Ack{Stream: 3, Mark: 8}, Room{3}}, nil, "3: full x=1 y=0.7 z=2 -x -y +z order~0.5/2"},
 		{[]any{Room{4}}, nil, "4: -x -y order~0.5/1 #8"},
-		{nil, orders{control.Bind{Proxy: 7}, control.Bind{Proxy: 4, Table: 1}, line(1, 3, 0)}, "3: full order~0.5/1"},
+		{[]any{Bye{3}, Bye{4}, Hello{Stream: 5, Proxy: 4, Blank: true}}, nil, "5: order~0.5/1"},
+		{[]any{Room{5}}, nil, "5: -x -y order~0.5/1"},
+		{nil, orders{control.Bind{Proxy: 7}, control.Bind{Proxy: 4, Table: 1}, line(1, 3, 0)}, "5: full order~0.5/1"},
 	}
 	c, s := core()
 	for k, step := range steps {
@@ -121,6 +123,15 @@
 	}
 }
 
+// Who has nothing to be told is told so all the same, as its outbox takes nothing else before.
+func TestAnEmptiedOutboxIsAlwaysAnswered(t *testing.T) {
+	c, _ := core()
+	c.Turn(0, []any{Hello{Stream: 1, Proxy: 4}})
+	if o := c.Turn(1, []any{Room{1}}); len(o.Pushes) != 1 || !o.Pushes[0].Push.Anew || c.Count.Pushes != 0 {
+		t.Errorf("%+v", o.Pushes)
+	}
+}
+
 // The lines the module's channel is charged are those that go out, as long as nothing is said twice.
 func TestLinesAreCountedAsOrdered(t *testing.T) {
 	c, _ := core(orders{line(0, 1, 1), line(0, 2, 1), control.Level{Table: control.AllTables, Share: 0.5},
--- a/internal/governor/push.go
+++ b/internal/governor/push.go
@@ -144,9 +144,11 @@
 		} else if last := len(s.marks) - 1; p.Anew && last >= 0 { // what asked for it may have been lost
 			p.Marked, p.Mark = true, s.marks[last]
 		}
-		if lines := p.lines(); lines > 0 {
+		lines := p.lines()
+		if c.Count.LinesSent += int64(lines); lines > 0 {
 			c.Count.Pushes++
-			c.Count.LinesSent += int64(lines)
+		}
+		if lines > 0 || p.Anew { // an emptied outbox waits for it, whatever there is to say
 			o.Pushes = append(o.Pushes, Sent{s.id, p})
 		}
 	}
--- a/internal/streams/peer.go
+++ b/internal/streams/peer.go
@@ -114,7 +114,7 @@
 			h.Stream, p.id, p.role = p.stream, h.Proxy, proxy
 			x.Tally.Joins.Add(1)
 			p.server.name(p)
-			p.out = x.Open(p.stream)
+			p.out = x.Open(p.stream, func() { p.conn.Close() })
 			p.server.all.Add(1)
 			go p.write()
 			note = h
--- a/internal/streams/server_test.go
+++ b/internal/streams/server_test.go
@@ -207,4 +207,11 @@
 	if notes := told(t, s, 1); notes[0] != (governor.Room{Stream: 1}) {
 		t.Errorf("%+v", notes)
 	}
+	s.exchange.Send(governor.Sent{Stream: 1, Push: governor.Push{Anew: true, Full: true}})
+	here.Read(make([]byte, 1))
+	s.exchange.End(1) // replaced while it is being written to
+	slow.ends(t)
+	if notes := told(t, s, 1); notes[0] != (governor.Bye{Stream: 1}) {
+		t.Errorf("%+v", notes)
+	}
 }
