A panic anywhere in a turn starts a fresh module; lists without members change nothing

An answer of discovery without members read as an empty list, which would have withdrawn every replica. An older list is believed only after some fifteen seconds of nothing else. An address in use is tried for a second, as a governor may be started while the one before it ends; SIGUSR1 is taken from the start.

--- a/cmd/lilacbend/report.go
+++ b/cmd/lilacbend/report.go
@@ -6,11 +6,10 @@
 
 	"lilacbend/internal/exchange"
 	"lilacbend/internal/governor"
-	"lilacbend/internal/resp"
 )
 
 // report prints the counters.
-func report(log *slog.Logger, core *governor.Core, x *exchange.Exchange, pool *resp.Pool) {
+func report(log *slog.Logger, core *governor.Core, x *exchange.Exchange) {
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
 	n, t := core.Count, &x.Tally
--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -28,6 +29,9 @@
 	// What was sent together comes in pieces and over several connections; so long it is waited for, which
 	// is nothing beside the 100 ms and more that a message takes to a proxy.
 	gatherSpan = 2 * time.Millisecond
+	// A governor that is started anew may come while the one before it is still ending: an address in use is
+	// tried for longer than that takes, and then is a fault.
+	inUseMost, inUsePause = time.Second, 20 * time.Millisecond
 	// SIGKILL may follow 0.7 s after SIGTERM: connections get so long to end.
 	partingMost = 300 * time.Millisecond
 )
@@ -39,8 +43,11 @@
 
 // serve runs one governor until ctx ends.
 func serve(ctx context.Context, c charter, log *slog.Logger) error {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGUSR1)
+	defer signal.Stop(asked)
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.memory)))
-	listener, err := net.Listen("tcp", c.listen)
+	listener, err := listen(ctx, c.listen)
 	if err != nil {
 		return fmt.Errorf("cannot listen: %w", err)
 	}
@@ -61,11 +68,8 @@
 		broken = streams.New(x, pool, log, c.descriptors).Serve(ctx, listener)
 	})
 	all.Go(func() { registry.New(c.discovery, c.known.Revision, x, log, base.now, c.seed).Run(ctx) })
-	asked := make(chan os.Signal, 1)
-	signal.Notify(asked, syscall.SIGUSR1)
-	defer signal.Stop(asked)
 	drive(ctx, core, x, base, asked, log)
-	report(log, core, x, pool)
+	report(log, core, x)
 	ended := make(chan struct{})
 	go func() { all.Wait(); close(ended) }()
 	select {
@@ -77,6 +81,15 @@
 	}
 }
 
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	for since := time.Now(); ; time.Sleep(inUsePause) {
+		l, err := net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(since) > inUseMost || ctx.Err() != nil {
+			return l, err
+		}
+	}
+}
+
 // drive is the one goroutine in which the core runs.
 func drive(ctx context.Context, core *governor.Core, x *exchange.Exchange, base clock, asked <-chan os.Signal, log *slog.Logger) {
 	timer := time.NewTimer(0)
@@ -86,7 +99,7 @@
 		case <-ctx.Done():
 			return
 		case <-asked:
-			report(log, core, x, nil)
+			report(log, core, x)
 			continue
 		case <-timer.C: // after a stall it is late, and much waits to be read
 		case <-x.Bell():
--- a/internal/governor/core.go
+++ b/internal/governor/core.go
@@ -44,6 +44,8 @@
 	out     map[uint32]bool // withdrawn
 	levels  map[tableGroup]control.Level
 	wakes   map[uint64]int64
+	fresh   bool  // the module has had no turn yet
+	rest    int64 // no turns until then
 	swept   int64
 }
 
@@ -72,44 +74,36 @@
 	return c
 }
 
+// renew starts a fresh module, which is told of the list and the proxies with the next turn. What a turn that
+// failed has said to whom is not known.
 func (c *Core) renew() {
-	c.module = c.start()
+	c.module, c.fresh = c.start(), true
 	c.tables, c.out = map[int]map[uint32]float64{}, map[uint32]bool{}
 	c.levels, c.wakes = map[tableGroup]control.Level{}, map[uint64]int64{}
 	for _, s := range c.seats {
 		s.table, s.whole = -1, false
+		s.unsure()
 	}
 }
 
-// Turn takes in what came together and says what goes out.
+// unsure forgets what the stream has been told.
+func (s *stream) unsure() { s.blank, s.told, s.level = false, map[uint32]bool{}, map[int]Level{} }
+
+// Turn takes in what came together and says what goes out. After a panic a fresh module takes over at once.
 func (c *Core) Turn(now int64, notes []any) Outcome {
 	var o Outcome
-	var events []control.Event
 	c.Count.Turns++
-	for _, n := range notes {
-		events = append(events, c.events(n, now, &o)...)
-	}
-	events = append(events, c.silent(now)...)
-	for _, label := range slices.Sorted(maps.Keys(c.wakes)) {
-		if c.wakes[label] <= now {
-			delete(c.wakes, label)
-			events = append(events, control.Woken{Label: label})
-		}
-	}
-	orders, failed := c.consult(now, events)
-	if failed != "" {
-		c.Count.Renewed++
-		o.Failed = failed
+	if failed := c.turn(now, notes, &o); failed != "" {
 		c.renew()
-		orders, failed = c.consult(now, c.present())
-		if failed != "" {
-			c.wakes[0] = now + renewPause
+		c.Count.Renewed++
+		o = Outcome{Failed: failed, End: o.End}
+		if c.turn(now, nil, &o) != "" {
+			c.renew()
+			o, c.rest = Outcome{Failed: failed, End: o.End}, now+renewPause
 		}
 	}
-	c.send(c.carry(orders, now, &o), now, &o)
-	if now-c.swept > sweepPause {
-		c.sweep(now)
-		c.swept = now
+	if c.rest > now {
+		o.Wake = c.rest
 	}
 	for _, at := range c.wakes {
 		if o.Wake == 0 || at < o.Wake {
@@ -120,14 +114,37 @@
 	return o
 }
 
-// consult asks the module; a panic is what it failed with.
-func (c *Core) consult(now int64, events []control.Event) (orders []control.Order, failed string) {
+func (c *Core) turn(now int64, notes []any, o *Outcome) (failed string) {
 	defer func() {
 		if p := recover(); p != nil {
-			orders, failed = nil, fmt.Sprintf("%v at %s", p, debug.Stack())
+			failed = fmt.Sprintf("%v at %s", p, debug.Stack())
 		}
 	}()
-	return c.module.Turn(now, events), ""
+	var events []control.Event
+	for _, n := range notes {
+		events = append(events, c.events(n, now, o)...)
+	}
+	events = append(events, c.silent(now)...)
+	for _, label := range slices.Sorted(maps.Keys(c.wakes)) {
+		if c.wakes[label] <= now {
+			delete(c.wakes, label)
+			events = append(events, control.Woken{Label: label})
+		}
+	}
+	if now < c.rest {
+		return ""
+	}
+	if c.fresh {
+		events = c.present()
+	}
+	orders := c.module.Turn(now, events)
+	c.fresh = false
+	c.send(c.carry(orders, now, o), now, o)
+	if now-c.swept > sweepPause {
+		c.sweep(now)
+		c.swept = now
+	}
+	return ""
 }
 
 // present tells a fresh module of the last list and of who is joined.
@@ -224,7 +241,8 @@
 		return []control.Event{ev}
 	case Room:
 		if s := c.streams[n.Stream]; s != nil {
-			s.whole, s.anew, s.blank, s.told, s.level = true, true, false, map[uint32]bool{}, map[int]Level{}
+			s.whole, s.anew = true, true
+			s.unsure()
 		}
 	default:
 		c.Count.Strange++
--- a/internal/governor/core_test.go
+++ b/internal/governor/core_test.go
@@ -264,6 +264,13 @@
 	if o = c.Turn(2, nil); o.Failed == "" || o.Wake != 2+renewPause {
 		t.Errorf("a module that fails at once: %+v", o)
 	}
+	s.turns, s.told = []orders{{control.Withdraw{Replica: 1, Out: true}}}, nil
+	if o = c.Turn(3, []any{Hello{Stream: 2, Proxy: 5}}); s.told != nil || o.Wake != 2+renewPause {
+		t.Errorf("asked while it rests: %+v", o)
+	}
+	if o = c.Turn(2+renewPause, nil); len(s.told) != 3 || text(o) != "1: -x; 2: -x" {
+		t.Errorf("told %+v, pushes %s", s.told, text(o))
+	}
 }
 
 // A machine that vanished leaves its stream open: nothing must wait for it, and it must miss nothing if it was
--- a/internal/governor/push.go
+++ b/internal/governor/push.go
@@ -33,6 +33,10 @@
 	for _, order := range orders {
 		switch w := order.(type) {
 		case control.SetLine:
+			if c.roster.known[w.Replica] == nil { // never to be named
+				c.Count.Strange++
+				continue
+			}
 			if c.tables[w.Table] == nil {
 				c.tables[w.Table] = map[uint32]float64{}
 			}
@@ -40,7 +44,7 @@
 				n.lines[w.Table] = map[uint32]bool{}
 			}
 			n.lines[w.Table][w.Replica] = true
-			if c.tables[w.Table][w.Replica] = w.Weight; w.Weight <= 0 {
+			if c.tables[w.Table][w.Replica] = control.Finite(w.Weight); c.tables[w.Table][w.Replica] <= 0 {
 				delete(c.tables[w.Table], w.Replica)
 			}
 			c.ordered(1, func(s *stream) bool { return s.table == w.Table })
@@ -50,6 +54,10 @@
 				c.Count.LinesOrdered += int64(c.bindLines(w.Table))
 			}
 		case control.Withdraw:
+			if c.roster.known[w.Replica] == nil {
+				c.Count.Strange++
+				continue
+			}
 			n.turned[w.Replica] = true
 			if c.out[w.Replica] = true; !w.Out {
 				delete(c.out, w.Replica)
@@ -171,13 +179,13 @@
 	p.Anew, s.anew = s.anew, false
 	if s.whole = false; whole && s.table >= 0 {
 		c.Count.Whole++
-		p.Full, p.Lines = true, c.whole(s.table, n)
+		p.Full, p.Lines = true, written(c, s.table, c.tables[s.table], n.wholes)
 		s.level = map[int]Level{}
 		for _, id := range slices.Sorted(maps.Keys(c.tables[s.table])) {
 			c.tell(s, id, &p)
 		}
 	} else {
-		p.Lines = c.changed(s.table, n)
+		p.Lines = written(c, s.table, n.lines[s.table], n.changes)
 		for _, id := range slices.Sorted(maps.Keys(n.lines[s.table])) {
 			if c.tables[s.table][id] > 0 {
 				c.tell(s, id, &p)
@@ -217,20 +225,12 @@
 	}
 }
 
-func (c *Core) whole(table int, n *news) []Line {
-	if n.wholes[table] == nil {
-		for _, id := range slices.Sorted(maps.Keys(c.tables[table])) {
-			n.wholes[table] = append(n.wholes[table], Line{c.roster.known[id].name, c.tables[table][id]})
-		}
-	}
-	return n.wholes[table]
-}
-
-func (c *Core) changed(table int, n *news) []Line {
-	if n.changes[table] == nil {
-		for _, id := range slices.Sorted(maps.Keys(n.lines[table])) {
-			n.changes[table] = append(n.changes[table], Line{c.roster.known[id].name, c.tables[table][id]})
+// written is a table, or what changed of it, as lines: worked out once for all its proxies.
+func written[V any](c *Core, table int, ids map[uint32]V, done map[int][]Line) []Line {
+	if done[table] == nil {
+		for _, id := range slices.Sorted(maps.Keys(ids)) {
+			done[table] = append(done[table], Line{c.roster.known[id].name, c.tables[table][id]})
 		}
 	}
-	return n.changes[table]
+	return done[table]
 }
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -36,9 +36,9 @@
 	idlePause = 100 * time.Millisecond
 	// A list of some ten thousand members; more would be held several times while it is read.
 	bodyMost = 4 << 20
-	// A list older than ours is a stale copy, and changes nothing; after so many in a row discovery has lost
-	// its count and begun anew.
-	olderMost = 5
+	// A list older than ours is a stale copy, and changes nothing; after so many in a row, which take some
+	// fifteen seconds, discovery has lost its count and begun anew.
+	olderMost = 20
 )
 
 // Failure says how far a call came.
--- a/internal/registry/client_test.go
+++ b/internal/registry/client_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -48,7 +49,8 @@
 			t.Errorf("%s: %+v %v", c.member, l, err)
 		}
 	}
-	for _, bad := range []string{"", "null", "[]", "{}", `{"revision":1}`, `{"revision":"x","complete":true}`, someList[:50],
+	for _, bad := range []string{"", "null", "[]", "{}", `{"revision":1}`, `{"revision":"x","complete":true,"members":[]}`,
+		`{"revision":1,"complete":true}`, `{"revision":1,"complete":true,"members":null}`, `{"revision":1,"members":[]}`, someList[:50],
 		`{"revision":1,"complete":true,"members":[{"id":4}]}`} {
 		if _, err := Parse([]byte(bad)); err == nil {
 			t.Errorf("%q is read as a list", bad)
@@ -75,7 +77,7 @@
 		"older changes":         {[][]byte{answer(41, true), answer(40, false)}, 41, 1, true, true},
 		"an older list":         {[][]byte{answer(41, true), answer(40, true)}, 41, 1, true, true},
 		"not a list":            {[][]byte{answer(41, true), []byte("<html>")}, 41, 1, true, false},
-		"discovery begins anew": {[][]byte{answer(3, true), answer(3, true), answer(3, true), answer(3, true), answer(3, true)}, 3, 1, false, false},
+		"discovery begins anew": {slices.Repeat([][]byte{answer(3, true)}, olderMost), 3, 1, false, false},
 	} {
 		cl, x := client(41)
 		var err error
--- a/internal/registry/listing.go
+++ b/internal/registry/listing.go
@@ -15,9 +15,9 @@
 
 // answer is the list in discovery's words.
 type answer struct {
-	Revision *int64   `json:"revision"`
-	Complete *bool    `json:"complete"`
-	Members  []member `json:"members"`
+	Revision *int64    `json:"revision"`
+	Complete *bool     `json:"complete"`
+	Members  *[]member `json:"members"`
 }
 
 type member struct {
@@ -37,11 +37,11 @@
 	if err := json.Unmarshal(raw, &a); err != nil {
 		return governor.Listing{}, fmt.Errorf("not a list: %w", err)
 	}
-	if a.Revision == nil || a.Complete == nil {
-		return governor.Listing{}, errors.New("not a list: no revision, or not said whether it is complete")
+	if a.Revision == nil || a.Complete == nil || a.Members == nil {
+		return governor.Listing{}, errors.New("not a list: no revision, no members, or not said whether they are all")
 	}
 	l := governor.Listing{Revision: *a.Revision, Whole: *a.Complete}
-	for _, m := range a.Members {
+	for _, m := range *a.Members {
 		state, known := states[m.Phase]
 		weight := 1.0
 		if m.Size != nil {
