--- a/cmd/lilacbend/report.go
+++ b/cmd/lilacbend/report.go
@@ -14,15 +14,16 @@
 	runtime.ReadMemStats(&mem)
 	n, t := core.Count, &x.Tally
 	log.Info("counters",
-		slog.Group("in", "accepted", t.Accepted.Load(), "ended", t.Ended.Load(), "hellos", n.Hellos, "byes", n.Byes,
-			"acks", n.Acks, "outcomes", n.Met, "demands", n.Demands, "listings", n.Listings, "turns", n.Turns),
-		slog.Group("sent", "pushes", n.Pushes, "written", t.Pushes.Load(), "bytes", t.PushBytes.Load(), "lines", n.LinesSent,
-			"lines_ordered", n.LinesOrdered, "marks", n.Marks, "whole", n.Whole, "calls", t.Calls.Load(), "dials", t.Dials.Load()),
+		slog.Group("in", "accepted", t.Accepted.Load(), "ended", t.Ended.Load(), "joins", n.Joins, "leaves", n.Leaves,
+			"answers", n.Answers, "met", n.Met, "demands", n.Demands, "listings", n.Listings, "turns", n.Turns),
+		slog.Group("sent", "pushes", n.Pushes, "written", t.Pushes.Load(), "bytes", t.PushBytes.Load(),
+			"lines", n.LinesSent, "lines_ordered", n.LinesOrdered, "marks", n.Marks, "whole", n.Whole,
+			"calls", t.Calls.Load(), "dials", t.Dials.Load()),
 		slog.Group("answered", "alive", t.Alive.Load(), "discovery", t.Answers.Load()),
 		slog.Group("lost", "notes", t.Lost.Load(), "emptied", t.Emptied.Load(), "stale", n.Stale, "silent", n.Silent, "replaced", n.Replaced,
 			"refused", t.Refused.Load()),
 		slog.Group("errors", "unreadable", t.Unreadable.Load(), "skipped", t.Skipped.Load(), "strange", n.Strange,
-			"writes", t.WriteErrors.Load(), "discovery", t.CallErrors.Load(), "odd", t.Odd.Load(), "timeouts", t.Timeouts.Load(),
-			"panics", t.Panics.Load(), "renewed", n.Renewed),
+			"writes", t.WriteErrors.Load(), "discovery", t.CallErrors.Load(), "odd", t.Odd.Load(),
+			"timeouts", t.Timeouts.Load(), "panics", t.Panics.Load(), "renewed", n.Renewed),
 		slog.Group("now", "proxies", n.Seats, "names", n.Names, "heap", mem.HeapAlloc, "goroutines", runtime.NumGoroutine()))
 }
--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -91,7 +91,8 @@
 }
 
 // drive is the one goroutine in which the core runs.
-func drive(ctx context.Context, core *governor.Core, x *exchange.Exchange, base clock, asked <-chan os.Signal, log *slog.Logger) {
+func drive(ctx context.Context, core *governor.Core, x *exchange.Exchange, base clock,
+	asked <-chan os.Signal, log *slog.Logger) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/cmd/lilacbend/serve_test.go
+++ b/cmd/lilacbend/serve_test.go
@@ -82,7 +82,7 @@
 	if err := <-ended; err != nil || time.Since(start) > partingMost {
 		t.Errorf("ended after %v: %v", time.Since(start), err)
 	}
-	for _, says := range []string{"msg=serving", "discovery fails", "in.hellos=1", "answered.alive=1", "sent.whole=1"} {
+	for _, says := range []string{"msg=serving", "discovery fails", "in.joins=1", "answered.alive=1", "sent.whole=1"} {
 		if !strings.Contains(out.String(), says) {
 			t.Errorf("no %q in the log:\n%s", says, out)
 		}
--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -61,7 +61,8 @@
 				`"phase":%q,"size":1.0,"up_since_ms":%d}`, b.id, 9001+k, b.zone, b.kind, b.phase, b.since))
 		}
 	}
-	return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, t.revision, strings.Join(members, ",")), t.revision, t.news
+	text = fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, t.revision, strings.Join(members, ","))
+	return text, t.revision, t.news
 }
 
 // discovery answers one connection: the whole list, at once or when it is newer than what the caller has.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -47,7 +47,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	switch note.(type) {
-	case governor.Met, governor.Demand, governor.Ack:
+	case governor.Met, governor.Demand, governor.Answered:
 		if len(x.notes) >= notesMost {
 			x.Tally.Lost.Add(1)
 			return
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -13,10 +13,10 @@
 	for range notesMost + 3 {
 		x.Tell(governor.Met{})
 	}
-	x.Tell(governor.Bye{Stream: 1})
-	x.Tell(governor.Ack{Stream: 1})
+	x.Tell(governor.Left{Stream: 1})
+	x.Tell(governor.Answered{Stream: 1})
 	<-x.Bell()
-	if notes := x.Take(); len(notes) != notesMost+1 || notes[notesMost] != (governor.Bye{Stream: 1}) || x.Tally.Lost.Load() != 4 {
+	if notes := x.Take(); len(notes) != notesMost+1 || notes[notesMost] != (governor.Left{Stream: 1}) || x.Tally.Lost.Load() != 4 {
 		t.Errorf("%d notes, %d lost", len(notes), x.Tally.Lost.Load())
 	}
 	if notes := x.Take(); notes != nil {
--- a/internal/governor/core.go
+++ b/internal/governor/core.go
@@ -53,17 +53,17 @@
 
 // stream is what the core knows of one proxy: its table and what it has been told by this stream.
 type stream struct {
-	id    Stream
-	hello control.Joined
-	blank bool // holds no ordered table, so it shuts nobody out that told does not name
-	table int  // below 0: what it brought with it
-	whole bool // a whole table is due
-	anew  bool // as messages were lost
-	told  map[uint32]bool
-	level map[int]Level
-	marks []uint64 // sent, not answered
-	owes  int64    // since when it has been silent though it owes an answer; 0: it does not
-	away  bool     // told to the module as having left, as it is silent
+	id     Stream
+	joined control.Joined
+	blank  bool // holds no ordered table, so it shuts nobody out that told does not name
+	table  int  // below 0: what it brought with it
+	whole  bool // a whole table is due
+	anew   bool // as messages were lost
+	told   map[uint32]bool
+	level  map[int]Level
+	marks  []uint64 // sent, not answered
+	owes   int64    // since when it has been silent though it owes an answer; 0: it does not
+	away   bool     // told to the module as having left, as it is silent
 }
 
 // New makes a core whose modules are started by start.
@@ -152,7 +152,7 @@
 	events := []control.Event{c.standing()}
 	for _, proxy := range slices.Sorted(maps.Keys(c.seats)) {
 		if s := c.seats[proxy]; !s.away {
-			events = append(events, s.hello)
+			events = append(events, s.joined)
 		}
 	}
 	return events
@@ -174,7 +174,7 @@
 func (s *stream) heard() (back []control.Event) {
 	if s.owes = 0; s.away {
 		s.away, s.table = false, -1
-		back = []control.Event{s.hello}
+		back = []control.Event{s.joined}
 	}
 	return back
 }
@@ -182,20 +182,20 @@
 // events are what a note means to the module.
 func (c *Core) events(note any, now int64, o *Outcome) []control.Event {
 	switch n := note.(type) {
-	case Hello:
-		c.Count.Hellos++
-		return c.joined(n, o)
-	case Bye:
-		c.Count.Byes++
+	case Joined:
+		c.Count.Joins++
+		return c.seat(n, o)
+	case Left:
+		c.Count.Leaves++
 		if s := c.streams[n.Stream]; s != nil {
 			delete(c.streams, n.Stream)
-			delete(c.seats, s.hello.Proxy)
+			delete(c.seats, s.joined.Proxy)
 			if !s.away {
-				return []control.Event{control.Left{Proxy: s.hello.Proxy}}
+				return []control.Event{control.Left{Proxy: s.joined.Proxy}}
 			}
 		}
-	case Ack:
-		c.Count.Acks++
+	case Answered:
+		c.Count.Answers++
 		s := c.streams[n.Stream]
 		if s == nil {
 			c.Count.Stale++
@@ -208,7 +208,7 @@
 			return back
 		}
 		s.marks = s.marks[k+1:]
-		return []control.Event{control.Answered{Proxy: s.hello.Proxy, Mark: n.Mark, Took: n.Took}}
+		return []control.Event{control.Answered{Proxy: s.joined.Proxy, Mark: n.Mark, Took: n.Took}}
 	case Met:
 		c.Count.Met++
 		id, ok := c.roster.numbers[n.Replica]
@@ -250,8 +250,8 @@
 	return nil
 }
 
-// joined seats a proxy. A stream that was taken in later replaces an earlier one, whichever spoke first.
-func (c *Core) joined(h Hello, o *Outcome) []control.Event {
+// seat takes a proxy in. A stream that was taken in later replaces an earlier one, whichever spoke first.
+func (c *Core) seat(h Joined, o *Outcome) []control.Event {
 	old := c.seats[h.Proxy]
 	switch {
 	case h.Proxy < 0 || h.Proxy >= c.proxies:
@@ -271,7 +271,7 @@
 		delete(c.streams, old.id)
 	}
 	s := &stream{id: h.Stream, blank: h.Blank, table: -1, told: map[uint32]bool{}, level: map[int]Level{},
-		hello: control.Joined{Proxy: h.Proxy, Zone: index(c.names.Zones, h.Zone), Rate: h.Rate}}
+		joined: control.Joined{Proxy: h.Proxy, Zone: index(c.names.Zones, h.Zone), Rate: h.Rate}}
 	c.seats[h.Proxy], c.streams[h.Stream] = s, s
-	return []control.Event{s.hello}
+	return []control.Event{s.joined}
 }
--- a/internal/governor/notes.go
+++ b/internal/governor/notes.go
@@ -9,18 +9,18 @@
 
 // Notes: what came in.
 type (
-	// Hello: a proxy has joined by this stream; Blank: it holds no ordered table.
-	Hello struct {
+	// Joined: a proxy has joined by this stream; Blank: it holds no ordered table.
+	Joined struct {
 		Stream Stream
 		Proxy  int
 		Zone   string
 		Rate   float64
 		Blank  bool
 	}
-	// Bye: the stream has ended.
-	Bye struct{ Stream Stream }
-	// Ack: the proxy of the stream has applied all up to the mark.
-	Ack struct {
+	// Left: the stream has ended.
+	Left struct{ Stream Stream }
+	// Answered: the proxy of the stream has applied all up to the mark.
+	Answered struct {
 		Stream Stream
 		Mark   uint64
 		Took   int64
@@ -95,7 +95,7 @@
 
 // Count is what the core has counted so far.
 type Count struct {
-	Turns, Hellos, Byes, Acks, Met, Demands, Listings       int64 // taken in
+	Turns, Joins, Leaves, Answers, Met, Demands, Listings   int64 // taken in
 	Pushes, LinesOrdered, LinesSent, Marks, Whole           int64 // sent; Whole: full tables, as binds or once more
 	Strange, Stale, Silent, Replaced, Renewed, Names, Seats int64
 }
--- a/internal/streams/peer.go
+++ b/internal/streams/peer.go
@@ -79,7 +79,7 @@
 	p.server.exchange.Tally.Ended.Add(1)
 	if p.out != nil {
 		p.out.Close()
-		p.server.exchange.Tell(governor.Bye{Stream: p.stream})
+		p.server.exchange.Tell(governor.Left{Stream: p.stream})
 	}
 	p.server.mu.Lock()
 	defer p.server.mu.Unlock()
--- a/internal/streams/peer_test.go
+++ b/internal/streams/peer_test.go
@@ -26,8 +26,8 @@
 		note any
 		bad  bool
 	}{
-		{proxy, "ack id 17 seq 905 ms 310.4", governor.Ack{Stream: 5, Mark: 905, Took: 310400000}, false},
-		{proxy, "ack id 17 seq 905", governor.Ack{Stream: 5, Mark: 905}, false},
+		{proxy, "ack id 17 seq 905 ms 310.4", governor.Answered{Stream: 5, Mark: 905, Took: 310400000}, false},
+		{proxy, "ack id 17 seq 905", governor.Answered{Stream: 5, Mark: 905}, false},
 		{proxy, "ack id 18 seq 905 ms 310.4", nil, false},
 		{proxy, "ack id 17 seq x ms 310.4", nil, true},
 		{proxy, "demand id 17 lane lookup count 19 fail 2 over 1000.0",
--- a/internal/streams/server_test.go
+++ b/internal/streams/server_test.go
@@ -89,7 +89,7 @@
 	at := running(t, s)
 	c := call(t, at, "probe", "hello id 17 site a rps 2 new 1")
 	c.hears(t, "alive")
-	if notes := told(t, s, 1); notes[0] != (governor.Hello{Stream: 1, Proxy: 17, Zone: "a", Rate: 2, Blank: true}) {
+	if notes := told(t, s, 1); notes[0] != (governor.Joined{Stream: 1, Proxy: 17, Zone: "a", Rate: 2, Blank: true}) {
 		t.Errorf("%+v", notes)
 	}
 	s.exchange.Send(governor.Sent{Stream: 1, Push: governor.Push{Full: true, Marked: true, Mark: 3,
@@ -100,7 +100,7 @@
 	c.hears(t, "alive")
 	s.exchange.End(1)
 	c.ends(t)
-	if notes := told(t, s, 1); notes[0] != (governor.Bye{Stream: 1}) {
+	if notes := told(t, s, 1); notes[0] != (governor.Left{Stream: 1}) {
 		t.Errorf("%+v", notes)
 	}
 }
@@ -118,7 +118,7 @@
 	told(t, s, 2)
 	io.WriteString(broken, "*1\r\n$4\r\nac")
 	broken.Close()
-	if notes := told(t, s, 1); notes[0].(governor.Bye).Stream < 2 {
+	if notes := told(t, s, 1); notes[0].(governor.Left).Stream < 2 {
 		t.Errorf("%+v", notes)
 	}
 	good.say(t, "probe")
@@ -200,7 +200,7 @@
 	s.exchange.Send(governor.Sent{Stream: 2, Push: shut})
 	good.hears(t, "push eject s-1")
 	slow.say(t, "ack id 1 seq 1 ms 1") // it is heard all the while
-	if notes := told(t, s, 1); notes[0] != (governor.Ack{Stream: 1, Mark: 1, Took: 1e6}) {
+	if notes := told(t, s, 1); notes[0] != (governor.Answered{Stream: 1, Mark: 1, Took: 1e6}) {
 		t.Errorf("%+v", notes)
 	}
 	here.Read(make([]byte, resp.BufferSize))
@@ -211,7 +211,7 @@
 	here.Read(make([]byte, 1))
 	s.exchange.End(1) // replaced while it is being written to
 	slow.ends(t)
-	if notes := told(t, s, 1); notes[0] != (governor.Bye{Stream: 1}) {
+	if notes := told(t, s, 1); notes[0] != (governor.Left{Stream: 1}) {
 		t.Errorf("%+v", notes)
 	}
 }
--- a/internal/streams/words.go
+++ b/internal/streams/words.go
@@ -72,13 +72,13 @@
 
 func (f *fields) ms(name string) int64 { return control.Nanos(f.number(name)) }
 
-func hello(f *fields) governor.Hello {
+func hello(f *fields) governor.Joined {
 	blank, _ := f.has("new")
-	return governor.Hello{Proxy: f.whole("id"), Zone: f.text("site"), Rate: f.perhaps("rps"), Blank: blank == "1"}
+	return governor.Joined{Proxy: f.whole("id"), Zone: f.text("site"), Rate: f.perhaps("rps"), Blank: blank == "1"}
 }
 
-func ack(f *fields) governor.Ack {
-	return governor.Ack{Mark: uint64(f.whole("seq")), Took: control.Nanos(f.perhaps("ms"))}
+func ack(f *fields) governor.Answered {
+	return governor.Answered{Mark: uint64(f.whole("seq")), Took: control.Nanos(f.perhaps("ms"))}
 }
 
 func met(f *fields) governor.Met {
