A log that nobody reads holds up nobody; replaced collectors go first when places run out

Found by reading: a full pipe behind standard error would have blocked the loop that drives the core, and a closed one would have ended the program; lines now wait in a bounded queue of their own and are lost past it. Collectors that vanish without a word and dial again kept their places for ever; the one before in a zone is now dispensable, though not ended while there is room.

--- a/cmd/lilacbend/main.go
+++ b/cmd/lilacbend/main.go
@@ -41,8 +41,11 @@
 		if err != nil {
 			return err
 		}
-		log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("governor", c.name)
-		return serve(ctx, c, log)
+		signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to end
+		book := newLogbook(os.Stderr)
+		err = serve(ctx, c, slog.New(slog.NewTextHandler(book, nil)).With("governor", c.name))
+		book.close()
+		return err
 	}
 	root := &cli.Command{
 		Name:   "lilacbend",
--- a/internal/streams/peer.go
+++ b/internal/streams/peer.go
@@ -34,7 +34,8 @@
 	server *Server
 	conn   net.Conn
 	stream governor.Stream
-	place  *list.Element // among the unnamed; the server's lock guards it
+	place  *list.Element // in the queue of the dispensable; the server's lock guards it and the zone
+	zone   string        // of a collector
 	role   role
 	id     int // of a proxy
 	out    *exchange.Outbox
@@ -104,16 +105,17 @@
 	case len(words)%2 == 0:
 		f.note("%d words", len(words))
 	case kind == "agent" && p.role == stranger:
-		f.text("site")
-		p.role = collector
-		p.server.name(p)
+		if zone := f.text("site"); f.err == nil {
+			p.role = collector
+			p.server.name(p, zone)
+		}
 		return p.spoken(f)
 	case kind == "hello" && p.role == stranger:
 		h := hello(f)
 		if f.err == nil {
 			h.Stream, p.id, p.role = p.stream, h.Proxy, proxy
 			x.Tally.Joins.Add(1)
-			p.server.name(p)
+			p.server.name(p, "")
 			p.out = x.Open(p.stream, func() { p.conn.Close() })
 			p.server.all.Add(1)
 			go p.write()
--- a/internal/streams/server.go
+++ b/internal/streams/server.go
@@ -36,7 +36,8 @@
 
 	mu         sync.Mutex
 	peers      map[*peer]struct{}
-	unnamed    *list.List // the oldest first
+	queue      *list.List       // the dispensable, who goes first in front: the unnamed, and collectors replaced
+	zones      map[string]*peer // the last collector of each
 	last       governor.Stream
 	complained time.Time
 	all        sync.WaitGroup
@@ -45,7 +46,7 @@
 // New makes a server that holds no more than so many descriptors.
 func New(x *exchange.Exchange, pool *resp.Pool, log *slog.Logger, descriptors int) *Server {
 	return &Server{exchange: x, pool: pool, log: log, most: max(1, descriptors-descriptorsKept),
-		peers: map[*peer]struct{}{}, unnamed: list.New()}
+		peers: map[*peer]struct{}{}, queue: list.New(), zones: map[string]*peer{}}
 }
 
 // Serve accepts connections until ctx ends, then ends them all and waits for them.
@@ -66,7 +67,9 @@
 			return fmt.Errorf("accepting: %w", err)
 		case err != nil:
 			s.complain("cannot accept", err)
+			s.mu.Lock()
 			s.evict()
+			s.mu.Unlock()
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -74,55 +77,60 @@
 	}
 }
 
-// admit takes a connection in. When all places are taken, the unnamed one that has come first goes.
+// admit takes a connection in. When all places are taken, the first in the queue of the dispensable goes.
 func (s *Server) admit(conn net.Conn) {
 	s.mu.Lock()
-	full := len(s.peers) >= s.most
-	s.mu.Unlock()
-	if full && !s.evict() {
+	defer s.mu.Unlock()
+	if len(s.peers) >= s.most && !s.evict() {
 		s.exchange.Tally.Refused.Add(1)
 		conn.Close()
 		return
 	}
 	s.exchange.Tally.Accepted.Add(1)
-	s.mu.Lock()
 	s.last++
 	p := &peer{server: s, conn: conn, stream: s.last, done: make(chan struct{})}
-	p.place = s.unnamed.PushBack(p)
+	p.place = s.queue.PushBack(p)
 	s.peers[p] = struct{}{}
-	s.mu.Unlock()
 	s.all.Add(1)
 	go p.attend()
 }
 
 func (s *Server) evict() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	oldest := s.unnamed.Front()
-	if oldest == nil {
+	first := s.queue.Front()
+	if first == nil {
 		return false
 	}
-	p := oldest.Value.(*peer)
+	p := first.Value.(*peer)
 	s.drop(p)
 	p.conn.Close()
 	return true
 }
 
-// name says that a peer is known now.
-func (s *Server) name(p *peer) {
+// name says that a peer is known now. A collector takes the place of the one before it in its zone, which may
+// have vanished without a word: that one is not ended, but is dispensable from then on.
+func (s *Server) name(p *peer, zone string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p.place != nil {
-		s.unnamed.Remove(p.place)
+		s.queue.Remove(p.place)
 		p.place = nil
 	}
+	if p.zone = zone; p.role == collector {
+		if before := s.zones[zone]; before != nil {
+			before.place = s.queue.PushBack(before)
+		}
+		s.zones[zone] = p
+	}
 }
 
 // drop frees the place of a peer; twice does no harm.
 func (s *Server) drop(p *peer) {
 	delete(s.peers, p)
+	if s.zones[p.zone] == p {
+		delete(s.zones, p.zone)
+	}
 	if p.place != nil {
-		s.unnamed.Remove(p.place)
+		s.queue.Remove(p.place)
 		p.place = nil
 	}
 }
--- a/internal/streams/server_test.go
+++ b/internal/streams/server_test.go
@@ -25,7 +25,7 @@
 	go func() { ended <- s.Serve(ctx, l) }()
 	t.Cleanup(func() {
 		stop()
-		if err := <-ended; err != nil || s.pool.Lent() != 0 || len(s.peers) != 0 || s.unnamed.Len() != 0 {
+		if err := <-ended; err != nil || s.pool.Lent() != 0 || len(s.peers) != 0 || s.queue.Len() != 0 {
 			t.Errorf("left behind: %d buffers, %d peers, %v", s.pool.Lent(), len(s.peers), err)
 		}
 	})
@@ -131,7 +131,7 @@
 	here, there := net.Pipe()
 	p := &peer{server: s, conn: there, role: proxy, done: make(chan struct{})}
 	s.all.Add(1)
-	p.server = &Server{exchange: s.exchange, log: s.log, peers: s.peers, unnamed: s.unnamed} // no pool
+	p.server = &Server{exchange: s.exchange, log: s.log, peers: s.peers, queue: s.queue, zones: s.zones} // no pool
 	p.server.all.Add(1)
 	go io.WriteString(here, "x")
 	p.attend()
@@ -179,6 +179,26 @@
 	}
 }
 
+// Collectors that vanish without a word and dial again must not take all places in the end.
+func TestACollectorReplacedIsDispensable(t *testing.T) {
+	s := server(descriptorsKept + 3)
+	at := running(t, s)
+	const sums = "outcomes site a target s-5 count 1 fail 0 mean 1 over 1"
+	first := call(t, at, "agent site a", sums)
+	told(t, s, 1)
+	second := call(t, at, "agent site a", sums)
+	call(t, at, "agent site b", sums)
+	told(t, s, 2)
+	first.say(t, sums) // it is not ended while there is room
+	told(t, s, 1)
+	call(t, at, "hello id 1 site a rps 2 new 1")
+	told(t, s, 1)
+	first.ends(t)
+	second.say(t, sums)
+	told(t, s, 1)
+	call(t, at).ends(t)
+}
+
 // A proxy that reads nothing holds up nobody: what waits for it is dropped for its whole state.
 func TestAPeerThatReadsNothingHoldsUpNobody(t *testing.T) {
 	s := server(100)
