--- a/provision/provision.go
+++ b/provision/provision.go
@@ -41,6 +41,15 @@
 	return f
 }
 
+// above reads a number that nothing works without.
+func (s *sheet) above(path string) float64 {
+	f := s.number(path)
+	if f <= 0 {
+		s.note("setting %s=%v is not above 0", path, f)
+	}
+	return f
+}
+
 func (s *sheet) ms(path string) int64 { return control.Nanos(s.number(path)) }
 
 func (s *sheet) count(path string) int {
@@ -86,13 +95,13 @@
 		Kinds:     len(s.list("kinds")),
 		Proxies:   s.count("domain.proxy_count"),
 
-		ChannelRate:  s.number("domain.push_rate"),
-		ChannelLimit: int(s.number("domain.pending_max")),
+		ChannelRate:  s.above("domain.push_rate"),
+		ChannelLimit: int(s.above("domain.pending_max")),
 		MessageHead:  int(math.Ceil(s.number("domain.envelope"))),
 		WorstTransit: s.ms("domain.worst_transit_ms"),
 		MessagesMost: s.count("domain.pushes_allowed"),
 		MessagesSpan: s.ms("domain.reload_span_ms"),
-		ReportEvery:  s.ms("domain.cycle_ms"),
+		ReportEvery:  control.Nanos(s.above("domain.cycle_ms")),
 
 		ColdShare:    s.number("invariants.cold_from"),
 		WarmAfter:    s.ms("invariants.warm_after_ms"),
@@ -108,6 +117,7 @@
 	if shards := s.text("domain.shards"); shards != "0" {
 		s.note("domain.shards=%q: sites with slices are not served", shards)
 	}
+	s.above("lanes.count")
 	lanes := s.count("lanes.count")
 	for k := 0; k < lanes && s.err == nil; k++ {
 		p.Groups = append(p.Groups, group(s, fmt.Sprintf("lanes.%d.", k)))
--- a/provision/provision_test.go
+++ b/provision/provision_test.go
@@ -1,6 +1,7 @@
 package provision
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 
@@ -54,6 +55,8 @@
 		{"usual_how=1", "usual_how=x", `domain.usual_how="x" is not a number`},
 		{"admit=fraction", "admit=odd", `domain.admit="odd" is not known`},
 		{"shards=0", "shards=12", "slices are not served"},
+		{"cycle_ms=500.0", "cycle_ms=0", "domain.cycle_ms=0 is not above 0"},
+		{"lanes.count=1", "lanes.count=0", "lanes.count=0 is not above 0"},
 	} {
 		if _, err := FromLines(strings.Replace(sheetText, c[0], c[1], 1)).Provision(9); err == nil ||
 			!strings.Contains(err.Error(), c[2]) {
@@ -61,3 +64,26 @@
 		}
 	}
 }
+
+func TestJSONReadsLikeLines(t *testing.T) {
+	f, err := FromJSON([]byte(`{"zones":["a, b","c"],"kinds":[],"domain":{"cycle_ms":500.0,"by_class":[true,false]},
+		"lanes":[{"name":"x"},{"name":"y"}],"absent":null}`))
+	want := Facts{"zones": {"a, b", "c"}, "zones.count": {"2"}, "kinds": nil, "kinds.count": {"0"}, "domain.cycle_ms": {"500.0"},
+		"domain.by_class": {"true", "false"}, "domain.by_class.count": {"2"}, "lanes": nil, "lanes.count": {"2"},
+		"lanes.0.name": {"x"}, "lanes.1.name": {"y"}}
+	if err != nil || !reflect.DeepEqual(f, want) {
+		t.Errorf("%v %v", f, err)
+	}
+	n, err := f.Names()
+	if want := (Names{Groups: []string{"x", "y"}, Zones: []string{"a, b", "c"}}); err != nil || !reflect.DeepEqual(n, want) {
+		t.Errorf("%+v %v", n, err)
+	}
+	if lines := FromLines("zones=a,c\r\nkinds=\nnothing\n"); !reflect.DeepEqual(lines, Facts{"zones": {"a", "c"}, "kinds": nil}) {
+		t.Errorf("%v", lines)
+	}
+	for _, bad := range []string{"", "[]", "null 4", `{"a":1} {}`, `{"a":`} {
+		if f, err := FromJSON([]byte(bad)); err == nil {
+			t.Errorf("%q is read as %v", bad, f)
+		}
+	}
+}
