An answer of discovery that comes in slow pieces is read to its end

Found by reading: the whole list of thirty replicas in pieces that take over a second together was given up each time, so a governor would have stayed with its known list for ever. Each piece now gives the answer another second, ten at most; the test fails without it.

--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -24,10 +24,10 @@
 	// A watch waits so long for news. What discovery has to tell counts as told 2 s after a wait, whether it
 	// has arrived or not, so short waits keep a connection that died silently from costing much.
 	watchWait = 2 * time.Second
-	// An answer is late when it takes so much longer than was asked for: discovery's agent is on this machine
-	// and answers at once.
-	lateAfter = time.Second
-	dialMost  = time.Second
+	// An answer is late when nothing comes for so much longer than was asked for: discovery's agent is on this
+	// machine and answers at once. One that comes in pieces may take longer, but not for ever.
+	lateAfter, piecesMost = time.Second, 10 * time.Second
+	dialMost              = time.Second
 	// After a failed call the next one waits from backoffFirst, twice as long each time, to backoffMost: soon
 	// enough for a list that counts as told after 6 s, and no load for an agent that refuses.
 	backoffFirst, backoffMost = 50 * time.Millisecond, time.Second
@@ -95,6 +95,26 @@
 	}
 }
 
+// patient reads for as long as something comes.
+type patient struct {
+	net.Conn
+	until time.Time
+}
+
+func (p *patient) expect(wait time.Duration) {
+	now := time.Now()
+	p.until = now.Add(wait + piecesMost)
+	p.SetDeadline(now.Add(wait + lateAfter))
+}
+
+func (p *patient) Read(b []byte) (int, error) {
+	n, err := p.Conn.Read(b)
+	if later := time.Now().Add(lateAfter); n > 0 && later.Before(p.until) {
+		p.SetReadDeadline(later)
+	}
+	return n, err
+}
+
 // follow calls on one connection until it fails, and says how many answers it got.
 func (c *Client) follow(ctx context.Context) (answers int, err error) {
 	defer func() {
@@ -105,10 +125,11 @@
 	}()
 	c.exchange.Tally.Dials.Add(1)
 	dialer := net.Dialer{Timeout: dialMost}
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	dialed, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return 0, &Failure{"dial", err}
 	}
+	conn := &patient{Conn: dialed}
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
@@ -132,14 +153,14 @@
 }
 
 // call asks once and takes the answer in.
-func (c *Client) call(conn net.Conn, r *bufio.Reader) (news, kept bool, err error) {
+func (c *Client) call(conn *patient, r *bufio.Reader) (news, kept bool, err error) {
 	query, wait := "", time.Duration(0)
 	if c.whole {
 		wait = watchWait
 		query = fmt.Sprintf("?since=%d&timeout_ms=%d", c.known, wait.Milliseconds())
 	}
 	c.exchange.Tally.Calls.Add(1)
-	conn.SetDeadline(time.Now().Add(wait + lateAfter))
+	conn.expect(wait)
 	if _, err = fmt.Fprintf(conn, "GET %s%s HTTP/1.1\r\nHost: %s\r\n\r\n", path, query, c.address); err != nil {
 		return false, false, &Failure{"send", err}
 	}
