Short messages never need a buffer of the pool for long ones

Found by reading: a short message that lies across two buffers took its second from the pool that long messages share, so strangers holding that pool with unfinished messages would have ended healthy streams (internal/resp/reader.go, fill).

--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -19,8 +19,8 @@
 
 type buffer [BufferSize]byte
 
-// Pool lends buffers: the first of each reader and writer always, as connections are counted elsewhere, and
-// for messages that span several up to a number for all together.
+// Pool lends buffers: to each reader and writer what a short message takes, always, as connections are counted
+// elsewhere, and for long messages up to a number for all together.
 type Pool struct {
 	mu   sync.Mutex
 	free []*buffer
@@ -31,10 +31,10 @@
 // NewPool makes a pool of most bytes.
 func NewPool(most int) *Pool { return &Pool{most: most / BufferSize} }
 
-func (p *Pool) take(first bool) (*buffer, error) {
+func (p *Pool) take(short bool) (*buffer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !first && p.lent >= p.most {
+	if !short && p.lent >= p.most {
 		return nil, ErrNoBuffer
 	}
 	p.lent++
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -29,7 +29,8 @@
 // ErrUnreadable: what came is no message.
 var ErrUnreadable = errors.New("unreadable")
 
-// Reader reads messages from one connection. It holds one buffer between messages, and none once closed.
+// Reader reads messages from one connection. It holds one buffer or two, more for
+// long messages, and none once closed.
 type Reader struct {
 	src   io.Reader
 	pool  *Pool
@@ -174,7 +175,7 @@
 
 func (r *Reader) fill() error {
 	if r.end == len(r.chain)*BufferSize {
-		b, err := r.pool.take(len(r.chain) == 0)
+		b, err := r.pool.take(len(r.chain) < 2) // a short message may lie across two
 		if err != nil {
 			return err
 		}
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -74,6 +74,21 @@
 	}
 }
 
+// Peers that hold all buffers with long messages must not end those that send short ones.
+func TestShortMessagesNeedNoSpareBuffer(t *testing.T) {
+	const many = 5 * BufferSize / len(ack)
+	r := NewReader(strings.NewReader(strings.Repeat(ack, many)), NewPool(0))
+	for k := range many {
+		if _, err := r.Next(); err != nil {
+			t.Fatalf("message %d: %v", k, err)
+		}
+	}
+	r = NewReader(strings.NewReader(written(t, padded(t, 3*BufferSize)...)), NewPool(0))
+	if _, err := r.Next(); !errors.Is(err, ErrNoBuffer) {
+		t.Errorf("a long one: %v", err)
+	}
+}
+
 func TestGarbageIsUnreadable(t *testing.T) {
 	for _, text := range []string{"GET / HTTP/1.1\r\n\r\n", "\x16\x03\x01", "*x\r\n", "*-1\r\n", "*1\r\n:5\r\n", "*1\r\n$-1\r\n",
 		"*1\r\n$3\r\nabcd\r\n", "*1\r\n$3\r\nab\r\n\r\n", "*1\n$1\r\na\r\n", "*999999999999\r\n", "*99999999\r\n",
--- a/internal/streams/server.go
+++ b/internal/streams/server.go
@@ -20,7 +20,7 @@
 const (
 	// Descriptors that are not connections of peers: the listener, discovery's connections, the log, the
 	// runtime's own, and some to spare for a second call of discovery while the first one closes.
-	descriptorsKept = 24
+	descriptorsKept = 32
 	// A listener that cannot accept (no descriptor is left) tries again after this.
 	acceptPause = 20 * time.Millisecond
 	// The log tells of broken connections once in so long; the counters tell of all.
