Reading of the whole change: tables worked out once with their numbers, chance in one place

A table's numbers were sorted again for each of its proxies though its lines were shared; the draw of chance stood in the module's plumbing and again in discovery's backoff; a place in the queue was given up in two places; the log's goroutine had two selects for one. The backoff's draw goes from [0, 1) to (0, 1], a difference of one part in 2^32.

--- a/brain/mail.go
+++ b/brain/mail.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
-	"hash/crc32"
 	"maps"
 	"slices"
 
@@ -52,8 +50,7 @@
 // chance draws from 0 to 1, the same for the same seed and count of draws.
 func (d *desk) chance() float64 {
 	d.draws++
-	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, d.Seed), d.draws)
-	return (float64(crc32.ChecksumIEEE(b)) + 1) / (1 << 32)
+	return control.Chance(d.Seed, d.draws)
 }
 
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/cmd/lilacbend/logbook.go
+++ b/cmd/lilacbend/logbook.go
@@ -25,22 +25,16 @@
 	b := &logbook{lines: make(chan []byte, logLines), ending: make(chan struct{}), end: make(chan struct{})}
 	go func() {
 		defer close(b.end)
-		for ending := b.ending; ; {
+		for {
 			select {
 			case line := <-b.lines:
 				w.Write(line)
-				continue
-			default:
-			}
-			if ending == nil {
+			case <-b.ending:
+				for left := len(b.lines); left > 0; left-- {
+					w.Write(<-b.lines)
+				}
 				return
 			}
-			select {
-			case line := <-b.lines:
-				w.Write(line)
-			case <-ending:
-				ending = nil
-			}
 		}
 	}()
 	return b
--- a/control/control.go
+++ b/control/control.go
@@ -3,7 +3,11 @@
 // nothing. Times are whole nanoseconds; ids are kept as they came.
 package control
 
-import "math"
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+)
 
 // Milli is a millisecond: what comes and goes in milliseconds is kept in whole nanoseconds.
 const Milli = 1e6
@@ -16,6 +20,12 @@
 	return v
 }
 
+// Chance draws from above 0 to 1, the same for the same seed and count of draws.
+func Chance(seed, draws uint64) float64 {
+	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, seed), draws)
+	return (float64(crc32.ChecksumIEEE(b)) + 1) / (1 << 32)
+}
+
 // Nanos reads milliseconds.
 func Nanos(ms float64) int64 {
 	return int64(math.Round(math.Max(-9e18, math.Min(9e18, Finite(ms)*Milli))))
--- a/internal/governor/push.go
+++ b/internal/governor/push.go
@@ -22,14 +22,20 @@
 	levels  map[int]bool            // by table, AllTables among them
 	marked  bool
 	mark    uint64
-	wholes  map[int][]Line // a whole table is worked out once for all its proxies
-	changes map[int][]Line
+	wholes  map[int]sheet // a table is worked out once for all its proxies
+	changes map[int]sheet
+}
+
+// sheet is a table, or what changed of it, in the order of its numbers.
+type sheet struct {
+	ids   []uint32
+	lines []Line
 }
 
 // carry carries out orders on the tables and says what is new.
 func (c *Core) carry(orders []control.Order, now int64, o *Outcome) *news {
 	n := &news{lines: map[int]map[uint32]bool{}, turned: map[uint32]bool{}, levels: map[int]bool{},
-		wholes: map[int][]Line{}, changes: map[int][]Line{}}
+		wholes: map[int]sheet{}, changes: map[int]sheet{}}
 	for _, order := range orders {
 		switch w := order.(type) {
 		case control.SetLine:
@@ -176,21 +182,21 @@
 
 func (c *Core) push(s *stream, n *news) (p Push, reached bool) {
 	whole := s.whole
-	p.Anew, s.anew = s.anew, false
-	if s.whole = false; whole && s.table >= 0 {
+	p.Anew, s.anew, s.whole = s.anew, false, false
+	var t sheet
+	if p.Full = whole && s.table >= 0; p.Full {
 		c.Count.Whole++
-		p.Full, p.Lines = true, written(c, s.table, c.tables[s.table], n.wholes)
-		s.level = map[int]Level{}
-		for _, id := range slices.Sorted(maps.Keys(c.tables[s.table])) {
-			c.tell(s, id, &p)
-		}
+		t, s.level = written(c, s.table, c.tables[s.table], n.wholes), map[int]Level{}
 	} else {
-		p.Lines = written(c, s.table, n.lines[s.table], n.changes)
-		for _, id := range slices.Sorted(maps.Keys(n.lines[s.table])) {
-			if c.tables[s.table][id] > 0 {
-				c.tell(s, id, &p)
-			}
+		t = written(c, s.table, n.lines[s.table], n.changes)
+	}
+	p.Lines = t.lines
+	for _, id := range t.ids {
+		if c.tables[s.table][id] > 0 {
+			c.tell(s, id, &p)
 		}
+	}
+	if !p.Full {
 		turned := n.turned
 		if whole { // its messages were lost while it was bound to nothing
 			turned = c.out
@@ -226,11 +232,14 @@
 }
 
 // written is a table, or what changed of it, as lines: worked out once for all its proxies.
-func written[V any](c *Core, table int, ids map[uint32]V, done map[int][]Line) []Line {
-	if done[table] == nil {
-		for _, id := range slices.Sorted(maps.Keys(ids)) {
-			done[table] = append(done[table], Line{c.roster.known[id].name, c.tables[table][id]})
+func written[V any](c *Core, table int, ids map[uint32]V, done map[int]sheet) sheet {
+	t, has := done[table]
+	if !has {
+		t.ids = slices.Sorted(maps.Keys(ids))
+		for _, id := range t.ids {
+			t.lines = append(t.lines, Line{c.roster.known[id].name, c.tables[table][id]})
 		}
+		done[table] = t
 	}
-	return done[table]
+	return t
 }
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -5,10 +5,8 @@
 import (
 	"bufio"
 	"context"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"log/slog"
 	"net"
@@ -16,6 +14,7 @@
 	"runtime/debug"
 	"time"
 
+	"lilacbend/control"
 	"lilacbend/internal/exchange"
 )
 
@@ -90,7 +89,7 @@
 			c.log.Warn("discovery fails", "error", err, "answers", answers, "revision", c.known)
 		}
 		c.failing = true
-		c.sleep(ctx, backoff/2+time.Duration(c.chance()*float64(backoff/2)))
+		sleep(ctx, backoff/2+time.Duration(c.chance()*float64(backoff/2)))
 		backoff = min(2*backoff, backoffMost)
 	}
 }
@@ -147,7 +146,7 @@
 			return answers + 1, &Failure{"next call", errors.New("the connection is not kept")}
 		}
 		if !news && time.Since(asked) < watchWait/2 {
-			c.sleep(ctx, idlePause)
+			sleep(ctx, idlePause)
 		}
 	}
 }
@@ -209,7 +208,7 @@
 	return true, nil
 }
 
-func (c *Client) sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -220,6 +219,5 @@
 
 func (c *Client) chance() float64 {
 	c.draws++
-	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, c.seed), c.draws)
-	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
+	return control.Chance(c.seed, c.draws)
 }
--- a/internal/registry/listing.go
+++ b/internal/registry/listing.go
@@ -31,7 +31,7 @@
 
 var states = map[string]control.State{"Ready": control.Ready, "Terminating": control.Draining, "Gone": control.Gone}
 
-// Parse reads a list. A member that cannot be read stands in it as odd, if its name can be used.
+// Parse reads a list. A member that cannot be read stands in it as odd.
 func Parse(raw []byte) (governor.Listing, error) {
 	var a answer
 	if err := json.Unmarshal(raw, &a); err != nil {
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -29,8 +29,8 @@
 // ErrUnreadable: what came is no message.
 var ErrUnreadable = errors.New("unreadable")
 
-// Reader reads messages from one connection. It holds one buffer or two, more for
-// long messages, and none once closed.
+// Reader reads messages from one connection. It holds a buffer or two, more for long messages, and none
+// once closed.
 type Reader struct {
 	src   io.Reader
 	pool  *Pool
--- a/internal/streams/server.go
+++ b/internal/streams/server.go
@@ -111,10 +111,7 @@
 func (s *Server) name(p *peer, zone string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.place != nil {
-		s.queue.Remove(p.place)
-		p.place = nil
-	}
+	s.unqueue(p)
 	if p.zone = zone; p.role == collector {
 		if before := s.zones[zone]; before != nil {
 			before.place = s.queue.PushBack(before)
@@ -129,6 +126,10 @@
 	if s.zones[p.zone] == p {
 		delete(s.zones, p.zone)
 	}
+	s.unqueue(p)
+}
+
+func (s *Server) unqueue(p *peer) {
 	if p.place != nil {
 		s.queue.Remove(p.place)
 		p.place = nil
