SIGHUP reads the configuration again, and discovery moves at once

Now SIGHUP is caught from main's first line; the file is read beside the loop, a bad one is one log line; Client.Move ends the open call and begins a new conversation with the whole list. Streams, tables and list stay. Checked in the logs: the numbers of versions go on at the new address, so the rule on older lists can stay as it is.

--- a/cmd/lilacbend/charter.go
+++ b/cmd/lilacbend/charter.go
@@ -28,6 +28,19 @@
 // told is what the command line and the environment say; what is set there goes before the file.
 type told struct{ name, listen, discovery, file string }
 
+// reload says when the configuration is to be read again, and where it is.
+type reload struct {
+	asked <-chan os.Signal
+	told  told
+}
+
+// read reads the configuration again: what it says of discovery now goes before what was told at the start.
+func (r reload) read() (charter, error) {
+	t := r.told
+	t.discovery = ""
+	return readCharter(t)
+}
+
 func readCharter(t told) (charter, error) {
 	if t.file == "" {
 		return charter{}, errors.New("no configuration is named: PROXY_CONFIG or --config")
--- a/cmd/lilacbend/main.go
+++ b/cmd/lilacbend/main.go
@@ -14,15 +14,17 @@
 )
 
 func main() {
+	hangups := make(chan os.Signal, 1) // from the first line: by itself SIGHUP ends a program
+	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
+	if err := command(hangups).Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "lilacbend:", err)
 		os.Exit(1)
 	}
 }
 
-func command() *cli.Command {
+func command(hangups <-chan os.Signal) *cli.Command {
 	var t told
 	flag := func(name, env, usage string, into *string) cli.Flag {
 		return &cli.StringFlag{Name: name, Usage: usage, Sources: cli.EnvVars(env), Destination: into}
@@ -43,7 +45,7 @@
 		}
 		signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to end
 		book := newLogbook(os.Stderr)
-		err = serve(ctx, c, slog.New(slog.NewTextHandler(book, nil)).With("governor", c.name))
+		err = serve(ctx, c, reload{hangups, t}, slog.New(slog.NewTextHandler(book, nil)).With("governor", c.name))
 		book.close()
 		return err
 	}
--- a/cmd/lilacbend/report.go
+++ b/cmd/lilacbend/report.go
@@ -15,7 +15,8 @@
 	n, t := core.Count, &x.Tally
 	log.Info("counters",
 		slog.Group("in", "accepted", t.Accepted.Load(), "ended", t.Ended.Load(), "joins", n.Joins, "leaves", n.Leaves,
-			"answers", n.Answers, "met", n.Met, "demands", n.Demands, "listings", n.Listings, "turns", n.Turns),
+			"answers", n.Answers, "met", n.Met, "demands", n.Demands, "listings", n.Listings, "turns", n.Turns,
+			"reloads", t.Reloads.Load()),
 		slog.Group("sent", "pushes", n.Pushes, "written", t.Pushes.Load(), "bytes", t.PushBytes.Load(),
 			"lines", n.LinesSent, "lines_ordered", n.LinesOrdered, "marks", n.Marks, "whole", n.Whole,
 			"calls", t.Calls.Load(), "dials", t.Dials.Load()),
@@ -24,6 +25,6 @@
 			"refused", t.Refused.Load()),
 		slog.Group("errors", "unreadable", t.Unreadable.Load(), "skipped", t.Skipped.Load(), "strange", n.Strange,
 			"writes", t.WriteErrors.Load(), "discovery", t.CallErrors.Load(), "odd", t.Odd.Load(),
-			"timeouts", t.Timeouts.Load(), "panics", t.Panics.Load(), "renewed", n.Renewed),
+			"timeouts", t.Timeouts.Load(), "misread", t.Misread.Load(), "panics", t.Panics.Load(), "renewed", n.Renewed),
 		slog.Group("now", "proxies", n.Seats, "names", n.Names, "heap", mem.HeapAlloc, "goroutines", runtime.NumGoroutine()))
 }
--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -42,7 +42,7 @@
 func (c clock) now() int64 { return c.start.UnixNano() + time.Since(c.start).Nanoseconds() }
 
 // serve runs one governor until ctx ends.
-func serve(ctx context.Context, c charter, log *slog.Logger) error {
+func serve(ctx context.Context, c charter, again reload, log *slog.Logger) error {
 	asked := make(chan os.Signal, 1)
 	signal.Notify(asked, syscall.SIGUSR1)
 	defer signal.Stop(asked)
@@ -67,7 +67,9 @@
 		defer stop()
 		broken = streams.New(x, pool, log, c.descriptors).Serve(ctx, listener)
 	})
-	all.Go(func() { registry.New(c.discovery, c.known.Revision, x, log, base.now, c.seed).Run(ctx) })
+	client := registry.New(c.discovery, c.known.Revision, x, log, base.now, c.seed)
+	all.Go(func() { client.Run(ctx) })
+	all.Go(func() { again.follow(ctx, client, x, log) })
 	drive(ctx, core, x, base, asked, log)
 	report(log, core, x)
 	ended := make(chan struct{})
@@ -81,6 +83,27 @@
 	}
 }
 
+// follow reads the configuration again whenever that is asked for, until ctx ends. Discovery moves; all else
+// that a configuration holds is for the next start.
+func (r reload) follow(ctx context.Context, client *registry.Client, x *exchange.Exchange, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.asked:
+		}
+		c, err := r.read()
+		if err != nil {
+			x.Tally.Misread.Add(1)
+			log.Error("the new configuration cannot be used, the old one goes on", "error", err)
+			continue
+		}
+		x.Tally.Reloads.Add(1)
+		log.Info("read again", "discovery", c.discovery)
+		client.Move(c.discovery)
+	}
+}
+
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	for since := time.Now(); ; time.Sleep(inUsePause) {
 		l, err := net.Listen("tcp", address)
--- a/cmd/lilacbend/serve_test.go
+++ b/cmd/lilacbend/serve_test.go
@@ -6,12 +6,15 @@
 	"log/slog"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"lilacbend/internal/exchange"
+	"lilacbend/internal/registry"
 	"lilacbend/internal/resp"
 )
 
@@ -59,7 +62,7 @@
 	at, out := free(t), &lines{}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error)
-	go func() { ended <- serve(ctx, exampleCharter(t, at), slog.New(slog.NewTextHandler(out, nil))) }()
+	go func() { ended <- serve(ctx, exampleCharter(t, at), reload{}, slog.New(slog.NewTextHandler(out, nil))) }()
 	var conn net.Conn
 	for range 200 {
 		var err error
@@ -112,8 +115,47 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	err = serve(context.Background(), exampleCharter(t, l.Addr().String()), slog.New(slog.DiscardHandler))
+	err = serve(context.Background(), exampleCharter(t, l.Addr().String()), reload{}, slog.New(slog.DiscardHandler))
 	if err == nil || !strings.Contains(err.Error(), l.Addr().String()) || strings.Contains(err.Error(), "\n") {
 		t.Errorf("got %v", err)
 	}
 }
+
+// A configuration read again moves discovery, whatever was said of it at the start; a bad one changes nothing.
+func TestReadingTheConfigurationAgain(t *testing.T) {
+	good, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, file, x := exampleCharter(t, "127.0.0.1:1"), filepath.Join(t.TempDir(), "config.json"), exchange.New()
+	asked, log := make(chan os.Signal), slog.New(slog.DiscardHandler)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	client := registry.New(c.discovery, 0, x, log, func() int64 { return 1 }, 1)
+	go client.Run(ctx)
+	go reload{asked, told{discovery: c.discovery, file: file}}.follow(ctx, client, x, log)
+	moved := bytes.Replace(good, []byte("127.0.0.1:8500"), []byte(l.Addr().String()), 1)
+	for _, raw := range [][]byte{good[:100], moved} {
+		if err := os.WriteFile(file, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		asked <- syscall.SIGHUP
+		for x.Tally.Misread.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(5 * time.Second))
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatalf("discovery did not move: %v", err)
+	}
+	conn.Close()
+	if x.Tally.Reloads.Load() != 1 || x.Tally.Misread.Load() != 1 {
+		t.Errorf("%d taken over, %d not usable", x.Tally.Reloads.Load(), x.Tally.Misread.Load())
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -25,6 +25,7 @@
 	Pushes, PushBytes, Emptied, WriteErrors, Alive   atomic.Int64 // sent and answered
 	Calls, Answers, Dials, CallErrors, Odd, Timeouts atomic.Int64 // of discovery
 	Lost                                             atomic.Int64 // notes
+	Reloads, Misread                                 atomic.Int64 // of the configuration: taken over, not usable
 }
 
 // Exchange holds one inbox and the outboxes.
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -52,6 +52,7 @@
 // Client follows one discovery.
 type Client struct {
 	address  string
+	moves    chan string // to another address, the newest alone
 	exchange *exchange.Exchange
 	log      *slog.Logger
 	clock    func() int64
@@ -66,11 +67,39 @@
 
 // New makes a client that holds the list of a revision already.
 func New(address string, known int64, x *exchange.Exchange, log *slog.Logger, clock func() int64, seed uint64) *Client {
-	return &Client{address: address, known: known, exchange: x, log: log, clock: clock, seed: seed}
+	return &Client{address: address, moves: make(chan string, 1), known: known, exchange: x, log: log, clock: clock, seed: seed}
 }
 
-// Run follows discovery until ctx ends.
+// Move goes over to the discovery at another address at once. One goroutine may move.
+func (c *Client) Move(address string) {
+	select {
+	case <-c.moves:
+	default:
+	}
+	c.moves <- address
+}
+
+// Run follows discovery until ctx ends. At a new address the conversation begins anew, with the whole list.
 func (c *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		talk, hangUp := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() { defer close(ended); c.converse(talk) }()
+		address := c.address
+		for address == c.address && ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case address = <-c.moves:
+			}
+		}
+		hangUp()
+		<-ended
+		c.address, c.whole, c.older = address, false, 0
+	}
+}
+
+// converse talks to one address until ctx ends.
+func (c *Client) converse(ctx context.Context) {
 	backoff := backoffFirst
 	for ctx.Err() == nil {
 		answers, err := c.follow(ctx)
--- a/internal/registry/client_test.go
+++ b/internal/registry/client_test.go
@@ -208,3 +208,46 @@
 		t.Errorf("%d dials", x.Tally.Dials.Load())
 	}
 }
+
+// A move ends a call that waits, and the new address is asked for the whole list.
+func TestMovingBeginsANewConversation(t *testing.T) {
+	asked := make(chan string, 10)
+	list := func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		asked <- req.Host + " " + req.URL.RawQuery
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(someList), someList)
+		if req, err = http.ReadRequest(r); err == nil { // a watch, which waits
+			asked <- req.Host + " " + req.URL.RawQuery
+			io.Copy(io.Discard, conn)
+		}
+		conn.Close()
+	}
+	first, second := standIn(t, list), standIn(t, list)
+	defer first.Close()
+	defer second.Close()
+	c, x := client(40)
+	c.address = first.Addr().String()
+	ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+	ended := make(chan struct{})
+	go func() { c.Run(ctx); close(ended) }()
+	start := time.Now()
+	for _, l := range []net.Listener{first, second} {
+		at := l.Addr().String()
+		c.Move(at)
+		for _, query := range []string{"", "since=41&timeout_ms=2000"} {
+			if got := <-asked; got != at+" "+query {
+				t.Errorf("asked %q of %s", got, at)
+			}
+		}
+		c.Move(at) // it is there already
+	}
+	if time.Since(start) > time.Second || x.Tally.Dials.Load() != 2 || len(x.Take()) != 2 {
+		t.Errorf("%d dials in %v", x.Tally.Dials.Load(), time.Since(start))
+	}
+	stop()
+	<-ended
+}
