--- a/brain/brain.go
+++ b/brain/brain.go
@@ -124,14 +124,14 @@
 
 func (r *replica) cold() bool { return r.entry.Start > 0 && r.now-r.entry.Start < r.WarmAfter }
 
-// warmth is the part of its usual work a replica that started not long ago is given: under what it can bear
-// at the slowest warming, less the more of all tries miss, as repeats push too. It harms who warms faster.
+// warmth is the part of its usual work a replica that started not long ago is given: a third of what makes it
+// fall at the slowest warming, less the more of all tries miss: repeats push too. It harms who warms faster.
 func (r *replica) warmth() float64 {
 	if !r.cold() {
 		return 1
 	}
 	able := r.ColdShare + (1-r.ColdShare)*float64(max(0, r.now-r.entry.Start))/float64(r.WarmAfter)
-	w := able * math.Min(1, coldSpare*r.FallMultiple) * math.Pow(1-r.fleet.lost, 2)
+	w := math.Min(1, able*coldSpare*r.FallMultiple) * math.Pow(1-r.fleet.lost, 2)
 	if r.now-r.heard < entrySpan {
 		w = math.Min(w, entryShare)
 	}
@@ -687,7 +687,7 @@
 	p.waits, p.cost, p.reached = p.queue(), 0, map[int]bool{}
 	// Late answers tell of a slow channel: withdrawals must not wait behind weights. It harms if proxies stall.
 	m, overdue, adds := marked{}, len(p.under) > 0 && p.now > p.under[0].due, p.step.adds
-	p.step.orders = slices.DeleteFunc(p.step.orders, func(o control.Order) bool { // one held up holds up no other
+	p.step.orders = slices.DeleteFunc(p.step.orders, func(o control.Order) bool { // one held up stops no other
 		messages, room := addMsgs, ordinaryPart // who lacks lines comes before who has stale ones
 		if adds--; adds < 0 {
 			messages, room = ordinaryMsgs, ordinaryPart/math.Max(1, p.late)
