Names of replaced replicas are forgotten after 30 s, whatever the streams were told of them

A replica back after ten and within twenty minutes was new to the module, which lifts nothing for it, and out for the core.

Now the core keeps a name for 30 s (before 20 min) and the module a minute (before ten), in that order, so who is back later is new to both. Up to 256 forgotten names that a stream may shut out stay; when one is listed again, or more come, streams are unsure and say so with the line. A panic while the configuration is read again is a file that cannot be used.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,7 +20,7 @@
 	entryShare, entrySpan                 = 0.5, 5 * second            // of a new replica's weight, how long
 	ordinaryPart, urgentPart, changeWorth = 0.4, 0.85, 0.15            // of the channel's limit; a change sent
 	ordinaryMsgs, addMsgs, urgentMsgs     = 0.5, 0.75, 0.95            // of a proxy's message cap
-	stepTimeout, lostSpan, forgetSpan     = 2 * second, 30 * second, 600 * second
+	stepTimeout, lostSpan, forgetSpan     = 2 * second, 30 * second, 60 * second
 	recent, samplesKept                   = 4 * second, 32       // older samples are not judged, more not kept
 	settleSpan, firstSteps                = 4 * second, 8        // a weight follows in this, sooner if new
 	kindSpread, shrink, slowest           = 2, 8.0, 1.0 / 16     // calm kinds; prior and least of a weight
--- a/cmd/lilacbend/charter.go
+++ b/cmd/lilacbend/charter.go
@@ -35,7 +35,12 @@
 }
 
 // read reads the configuration again: what it says of discovery now goes before what was told at the start.
-func (r reload) read() (charter, error) {
+func (r reload) read() (c charter, err error) {
+	defer func() {
+		if v := recover(); v != nil { // a file of no use is no reason to end
+			err = fmt.Errorf("panic: %v", v)
+		}
+	}()
 	t := r.told
 	t.discovery = ""
 	return readCharter(t)
--- a/internal/governor/core.go
+++ b/internal/governor/core.go
@@ -16,7 +16,7 @@
 	// A module that panics at its start as well is tried again after this: not at once, as it would
 	// take the whole core, and soon, as the proxies have nobody else.
 	renewPause = int64(1e9)
-	sweepPause = int64(60 * 1e9) // names are kept for many times as long
+	sweepPause = int64(5 * 1e9) // names are kept for some times as long
 	// A machine that vanishes says nothing, and its stream stays open. A proxy that has been silent for so
 	// long though it owes an answer is told to the module as having left, until it speaks again: longer than
 	// a full channel at a fifth of its pace and a stall take together. Its stream is neither ended nor left
--- a/internal/governor/roster.go
+++ b/internal/governor/roster.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// A name that is listed no more is kept longer than the module keeps a replica that is gone, so that it
-	// means the same to both.
-	nameKept = int64(20 * 60 * 1e9)
+	// A name that is listed no more is kept for as long as discovery may leave it out by mistake, and shorter than
+	// the module keeps a replica that is gone: back later it has a new number, and is new to both.
+	nameKept = int64(30 * 1e9)
+	// So many forgotten names are known as shut out by some stream; past it every stream is taken to shut out
+	// whoever it was not told of.
+	shutMost = 256
 	// More names than any list of one deployment: past it new ones are not taken in, so that a discovery
 	// that makes up names cannot fill the memory.
 	namesMost = 1 << 16
@@ -20,6 +23,7 @@
 type roster struct {
 	numbers map[string]uint32
 	known   map[uint32]*member
+	shut    []string // forgotten, though some streams may still shut them out
 	last    uint32
 }
 
@@ -51,6 +55,9 @@
 			continue
 		}
 		if !ok {
+			if slices.Contains(c.roster.shut, m.ID) {
+				c.doubt()
+			}
 			c.roster.last++
 			id = c.roster.last
 			c.roster.numbers[m.ID] = id
@@ -93,7 +100,14 @@
 	return ev
 }
 
-// sweep forgets the names of replicas that are long gone and that no table and no stream holds.
+// doubt takes all streams to shut out whoever they were not told of.
+func (c *Core) doubt() {
+	for _, s := range c.seats {
+		s.blank = false
+	}
+}
+
+// sweep forgets the names of replicas that are long gone and that no table holds.
 func (c *Core) sweep(now int64) {
 	held := map[uint32]bool{}
 	for _, lines := range c.tables {
@@ -101,13 +115,6 @@
 			held[id] = true
 		}
 	}
-	for _, s := range c.seats {
-		for id, shut := range s.told {
-			if shut {
-				held[id] = true
-			}
-		}
-	}
 	for id, r := range c.roster.known {
 		if r.State != control.Gone {
 			r.seen = now
@@ -115,9 +122,18 @@
 			delete(c.roster.numbers, r.name)
 			delete(c.roster.known, id)
 			delete(c.out, id)
+			told := false
 			for _, s := range c.seats {
+				told = told || s.told[id]
 				delete(s.told, id)
 			}
+			if told {
+				c.roster.shut = append(c.roster.shut, r.name)
+			}
 		}
 	}
+	if len(c.roster.shut) > shutMost {
+		c.doubt()
+		c.roster.shut = nil
+	}
 }
