--- a/brain/brain.go
+++ b/brain/brain.go
@@ -483,8 +483,8 @@
 			l.line += math.Min(1, math.Max(0, left)/math.Max(1, flows[g]))
 			left -= flows[g]
 		}
-	case f.answer > 0: // the further from strain, the quicker: what is past blocks nobody for long
-		l.line = math.Min(all, l.line+lineUp/math.Pow(press, 3)*all*float64(l.now-l.judged)/float64(second))
+	default:
+		l.line = math.Min(all, l.line+lineUp*all*float64(l.now-l.judged)/float64(second))
 	}
 	l.judged = l.now
 	if over != l.strain {
