A reload names what waits for the next start; a moved discovery may count anew

Read: after a move the client put older lists aside twenty times, some fifteen seconds (olderMost), as with an agent that is only behind; a discovery that counts anew would be heard far later than the 6 s after which its news counts as told. Five times now, a second or two. Not at once: an agent that lags would bring back who drains. The log said nothing of changed limits, settings or listen; now one line names them.

--- a/cmd/lilacbend/charter.go
+++ b/cmd/lilacbend/charter.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"lilacbend/control"
@@ -25,6 +26,21 @@
 	provision               control.Provision
 }
 
+// differs names what a new configuration says otherwise and only the next start takes over.
+func (c charter) differs(n charter) (fields []string) {
+	n.provision.Seed = c.provision.Seed // new with each start
+	for _, f := range []struct {
+		name string
+		same bool
+	}{{"listen", c.listen == n.listen}, {"limits", c.memory == n.memory && c.descriptors == n.descriptors},
+		{"settings", reflect.DeepEqual(c.provision, n.provision) && reflect.DeepEqual(c.names, n.names)}} {
+		if !f.same {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields
+}
+
 // told is what the command line and the environment say; what is set there goes before the file.
 type told struct{ name, listen, discovery, file string }
 
--- a/cmd/lilacbend/charter_test.go
+++ b/cmd/lilacbend/charter_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,6 +17,13 @@
 	if err != nil || c.listen != "127.0.0.1:9" || c.seed == 0 || len(c.names.Groups) != len(c.provision.Groups) || !c.known.Whole {
 		t.Errorf("%+v %v", c, err)
 	}
+	for _, w := range [][3]string{{"", "", "[]"}, {`"seed": "8`, `"seed": "9`, "[]"}, {`"memory_mb": `, `"memory_mb": 1`, "[limits]"},
+		{`"push_rate": `, `"push_rate": 1`, "[settings]"}, {`"listen": "`, `"listen": "x`, "[]"}} { // the flag says otherwise
+		n, err := parseCharter([]byte(strings.Replace(string(good), w[0], w[1], 1)), told{listen: "127.0.0.1:9"})
+		if err != nil || fmt.Sprint(c.differs(n)) != w[2] {
+			t.Errorf("%s: %v differs, %v", w[1], c.differs(n), err)
+		}
+	}
 	for _, w := range [][3]string{
 		{`"listen"`, `"listens"`, `listen="" is no address`},
 		{`"discovery"`, `"disco"`, `discovery="" is no address`},
--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -70,7 +70,7 @@
 	})
 	client := registry.New(c.discovery, c.known.Revision, x, log, base.now, c.seed)
 	all.Go(func() { client.Run(ctx) })
-	all.Go(func() { again.follow(ctx, client, x, log) })
+	all.Go(func() { again.follow(ctx, c, client, x, log) })
 	drive(ctx, core, x, base, asked, log)
 	report(log, core, x)
 	ended := make(chan struct{})
@@ -86,7 +86,7 @@
 
 // follow reads the configuration again whenever that is asked for, until ctx ends. Discovery moves; all else
 // that a configuration holds is for the next start.
-func (r reload) follow(ctx context.Context, client *registry.Client, x *exchange.Exchange, log *slog.Logger) {
+func (r reload) follow(ctx context.Context, running charter, client *registry.Client, x *exchange.Exchange, log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -102,6 +102,9 @@
 		x.Tally.Reloads.Add(1)
 		log.Info("read again", "discovery", c.discovery)
 		client.Move(c.discovery)
+		if fields := running.differs(c); len(fields) > 0 {
+			log.Warn("some of the new configuration waits for the next start", "fields", fields)
+		}
 	}
 }
 
--- a/cmd/lilacbend/serve_test.go
+++ b/cmd/lilacbend/serve_test.go
@@ -138,7 +138,7 @@
 	defer stop()
 	client := registry.New(c.discovery, 0, x, log, func() int64 { return 1 }, 1)
 	go client.Run(ctx)
-	go reload{asked, told{discovery: c.discovery, file: file}}.follow(ctx, client, x, log)
+	go reload{asked, told{discovery: c.discovery, file: file}}.follow(ctx, c, client, x, log)
 	moved := bytes.Replace(good, []byte("127.0.0.1:8500"), []byte(l.Addr().String()), 1)
 	for _, raw := range [][]byte{good[:100], moved} {
 		if err := os.WriteFile(file, raw, 0o600); err != nil {
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -38,6 +38,9 @@
 	// A list older than ours is a stale copy, and changes nothing; after so many in a row, which take some
 	// fifteen seconds, discovery has lost its count and begun anew.
 	olderMost = 20
+	// At a new address it may count anew from the start: so few, which take a second or two, tell that it does.
+	// Less would let an agent that is only behind bring back who drains.
+	olderMoved = 5
 )
 
 // Failure says how far a call came.
@@ -94,7 +97,7 @@
 		}
 		hangUp()
 		<-ended
-		c.address, c.whole, c.older = address, false, 0
+		c.address, c.whole, c.older = address, false, olderMost-olderMoved
 	}
 }
 
--- a/internal/registry/client_test.go
+++ b/internal/registry/client_test.go
@@ -63,6 +63,13 @@
 	answer := func(revision int, whole bool) []byte {
 		return fmt.Appendf(nil, `{"revision":%d,"complete":%v,"members":[]}`, revision, whole)
 	}
+	moved, _ := client(41)
+	moved.older = olderMost - olderMoved
+	for k := range olderMoved {
+		if _, err := moved.take(answer(3, true)); (err != nil) != (k+1 < olderMoved) {
+			t.Errorf("answer %d of a new discovery that counts anew: %v", k, err)
+		}
+	}
 	for name, c := range map[string]struct {
 		answers [][]byte
 		known   int64 // after the last
