--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,6 +35,7 @@
 	missedOnce, shareSteps, guestSteps    = 0.08, 20, 10         // one try only; steps of levels and guests
 	lineFirst, lineDown, lineUp           = 0.9, 0.9, 0.01       // the line: first of the served, later, up
 	demandSpan, priorSpan, surge          = 8 * second, 4.0, 1.5 // flows of a proxy; a sudden rise
+	faithMost, faithLeft, doubtMost       = 16.0, 0.5, 0.4       // tries of a memory; left by a sum; out by it
 )
 
 var spares = [...]float64{spareGuest, spareGuest, spareIdler} // by control.Pick
@@ -64,13 +65,18 @@
 	case control.Entry:
 		if n.Start != r.entry.Start && n.State == control.Ready {
 			r.met, r.resting, r.trial, r.relapse, r.heard = nil, 0, 0, 0, r.now
+			r.faith, r.evidence, r.doubt = 0, 0, false
 		}
 		r.entry = n
 	case control.Met:
 		answer := float64(n.Answer) / float64(second)
 		r.met = append(r.met, sample{r.now, float64(n.Tries), float64(n.Missed), answer})
 		r.met = r.met[max(0, len(r.met)-samplesKept):]
+		r.faith, r.evidence = r.faith*faithLeft, math.Min(faithMost, r.evidence+float64(n.Tries))
+		r.proof = r.now
 		return
+	case control.Recalled:
+		r.recall(n)
 	case norm:
 		r.fleet = n
 		r.judge()
@@ -80,7 +86,21 @@
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
 	sick := r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
 	r.post(thePlanner, offer{r.entry, r.box, size * r.speed, size * r.fleet.goal, r.ticket, tries, bad, answer,
-		r.cold(), sick, r.trial > 0})
+		r.prior, r.faith, r.cold(), sick, r.trial > 0, r.doubt})
+}
+
+// recall believes what an earlier governor knew as far as its age leaves it; the first sums overrule its speed.
+// Who was sick rests once more, then is on trial: it harms for that long where all have healed meanwhile.
+// Nothing remembered makes the cold warm.
+func (r *replica) recall(n control.Recalled) {
+	r.ticket, r.evidence, r.proof = cmp.Or(n.Ticket, r.ticket), n.Weight*n.Evidence, r.now-n.Age
+	r.prior, r.faith = math.Pow(n.Speed, n.Weight), n.Weight*math.Min(n.Evidence, faithMost)
+	r.speed, r.fleet.goal = r.prior, r.prior
+	r.relapse = int(math.Round(n.Weight * float64(n.Relapses)))
+	if r.doubt = n.Rest > 0 || n.Trial; r.doubt {
+		r.resting = r.now + int64(n.Weight*float64(min(max(n.Rest, restSpan), restSpan<<mostRelapses)))
+		r.say("replica %d remembered as sick: rests %dms", r.entry.Replica, (r.resting-r.now)*1000/second)
+	}
 }
 
 // lately sums the samples still worth judging; answer is a mean in seconds.
@@ -107,7 +127,7 @@
 	switch {
 	case r.resting > r.now:
 	case r.resting > 0:
-		r.resting, r.trial = 0, r.now+r.ReportEvery // sums of before the trial come late
+		r.resting, r.trial, r.doubt = 0, r.now+r.ReportEvery, false // sums of before the trial come late
 		r.say("replica %d on trial after rest %d", r.entry.Replica, r.relapse)
 	case r.fleet.bad > lostBad || r.trial > 0 && tries < trialTries || tries < sickTries && r.trial == 0:
 	case bad/math.Max(1, tries) > r.fleet.bad+sickPart*(1-r.fleet.bad) &&
@@ -153,8 +173,18 @@
 	case forget:
 		delete(p.offers, n.id)
 		delete(p.own, n.id)
+		delete(p.laid, n.id)
 	case chair:
 		p.crowd[n.Proxy] = n
+	case control.Recalled:
+		p.laid[n.Replica] = n.Table
+	case control.RecalledFleet:
+		p.before = n.Tables
+		for kind, calm := range n.Calm {
+			if left := int(math.Round(n.Weight * float64(len(calm)))); left > 0 {
+				p.calm[kind] = slices.Clone(calm[len(calm)-left:])
+			}
+		}
 	case redraw:
 		if !p.same {
 			p.redraw()
@@ -227,6 +257,13 @@
 			}
 			n.goal = math.Max(slowest*kind, n.goal)
 		}
+		if o.faith > 0 { // what is remembered counts beside what is seen
+			seen := good
+			if k.able > 0 {
+				seen += shrink
+			}
+			n.goal = (n.goal*seen + o.prior*o.faith) / (seen + o.faith)
+		}
 		p.post(o.box, n)
 	}
 	f := fleet{tries: tries * float64(second) / float64(recent), bad: bad, serves: serves,
@@ -325,6 +362,14 @@
 		p.tables = row * max(1, min(most/row, int(math.Round(float64(len(ids)/row)/linesTable))))
 	}
 	held := make([]float64, p.tables)
+	for _, id := range ids { // as an earlier governor dealt, while there are as many tables
+		row := p.rows(p.tables)
+		table, ok := p.laid[id]
+		if ok && p.before == p.tables && table < p.tables && table%row == p.offers[id].Zone%row {
+			p.own[id] = table
+		}
+		delete(p.laid, id)
+	}
 	for _, id := range ids {
 		if table, ok := p.own[id]; ok && p.offers[id].State == control.Ready {
 			held[table] += p.offers[id].Weight
@@ -352,15 +397,18 @@
 		zone := p.crowd[proxy].table % row
 		usual[zone], newest[zone] = usual[zone]+p.demand.flows[proxy], newest[zone]+p.demand.fresh[proxy]
 	}
-	may := warm * sickMost
+	may, believed := warm*sickMost, warm*doubtMost
 	for _, id := range ids {
 		switch o := p.offers[id]; {
 		case o.State != control.Ready,
 			o.cold && warm > 0 && (o.sick || newest[p.own[id]%row] > surge*math.Max(1, usual[p.own[id]%row])):
 			out[id] = true
-		case o.sick && !o.cold && may >= 1:
+		case o.sick && !o.cold && may >= 1 && (!o.doubt || believed >= 1):
 			out[id] = true
 			may--
+			if o.doubt { // a memory of most being sick tells of something that has passed, or of us
+				believed--
+			}
 		}
 		if out[id] && !p.out[id] {
 			p.post(thePacer, control.Withdraw{Replica: id, Out: true})
@@ -386,6 +434,11 @@
 		for _, proxy := range sorted(r.here) {
 			if c := r.here[proxy]; c.table < 0 {
 				c.table = r.least(c.Zone, load)
+				if sat, ok := r.sat[proxy]; ok && r.past.Tables == len(n) && sat < len(n) &&
+					sat%r.rows(len(n)) == c.Zone%r.rows(len(n)) {
+					c.table = sat // as its connections are
+				}
+				delete(r.sat, proxy)
 				load[c.table] += c.Rate
 				r.post(thePlanner, *c)
 				r.post(thePacer, control.Bind{Proxy: proxy, Table: n[c.table]})
@@ -394,7 +447,18 @@
 		r.sits = n
 	case control.Joined:
 		r.strike(n.Proxy, math.MaxUint64)
+		if came, ok := r.came[n.Proxy]; ok { // a hello tells a rough figure
+			n.Rate += (came - n.Rate) * r.past.Weight
+		}
 		r.here[n.Proxy] = &chair{n, r.now, -1}
+	case control.RecalledFleet:
+		r.past, r.sat, r.came = n, map[int]int{}, map[int]float64{}
+		for _, s := range n.Seats {
+			r.sat[s.Proxy] = s.Table
+		}
+		for _, u := range n.Usage {
+			r.came[u.Proxy] += u.Rate
+		}
 	case control.Left:
 		r.strike(n.Proxy, math.MaxUint64)
 		delete(r.here, n.Proxy)
@@ -426,6 +490,9 @@
 	switch n := n.(type) {
 	case control.Demand:
 		l.came = append(l.came, sums{n, l.now})
+	case control.RecalledFleet:
+		l.past, l.since, l.served = n, l.now, append(l.served, n.Weight*n.Served)
+		l.once, l.turned = n.Once && n.Weight >= faithLeft, l.now
 	case fleet:
 		l.came = slices.DeleteFunc(l.came, func(d sums) bool { return d.at <= l.now-demandSpan })
 		flows, by, fresh, all, missed := map[int]float64{}, map[int]float64{}, map[int]float64{}, 0, 0
@@ -438,6 +505,15 @@
 				all, missed = all+d.Flows, missed+d.Missed
 			}
 		}
+		if l.now-l.since < recent { // the first sums tell of few of the flows
+			were := map[int]float64{}
+			for _, u := range l.past.Usage {
+				were[u.Group] += u.Rate * l.past.Weight
+			}
+			for g, rate := range were {
+				flows[g] = math.Max(flows[g], rate)
+			}
+		}
 		l.post(thePlanner, demand{float64(missed) / math.Max(1, float64(all)), by, fresh})
 		l.judge(n, flows)
 	}
@@ -454,7 +530,7 @@
 			x, y := l.Groups[a], l.Groups[b]
 			return cmp.Or(cmp.Compare(y.Utility, x.Utility), cmp.Compare(x.LatencyBudget, y.LatencyBudget))
 		})
-		l.line = float64(len(l.groups))
+		l.line = float64(len(l.groups)) * (1 - l.past.Weight*(1-l.past.Line))
 	}
 	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
 	press := f.answer / strained / budget
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -78,7 +78,7 @@
 	d.boxes = []*inbox{
 		theRoll: {part: &roll{desk: d, here: map[int]*chair{}, wait: map[uint64]map[int]bool{}}},
 		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{},
-			own: map[uint32]int{}, offers: map[uint32]offer{}, crowd: map[int]chair{}}},
+			own: map[uint32]int{}, laid: map[uint32]int{}, offers: map[uint32]offer{}, crowd: map[int]chair{}}},
 		theLevels: {part: &levels{desk: d, set: map[int]control.Level{}}},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
@@ -91,7 +91,10 @@
 // Turn tells the governor what has come in and returns what it orders.
 func (g *Governor) Turn(now int64, events []control.Event) []control.Order {
 	g.now, g.out = now, nil
-	woken := !g.started
+	woken, keep := !g.started, false
+	if woken {
+		g.born = now
+	}
 	for _, ev := range events {
 		switch e := ev.(type) {
 		case control.Listed:
@@ -100,6 +103,13 @@
 			if r := g.replicas[e.Replica]; r != nil && e.Tries > 0 {
 				g.post(r.box, e)
 			}
+		case control.Recalled:
+			if r := g.replicas[e.Replica]; r != nil && e.Weight > 0 && e.Speed > 0 {
+				g.post(r.box, e)
+				g.post(thePlanner, e)
+			}
+		case control.Keep:
+			keep = true
 		case control.Woken:
 			woken = true
 		default:
@@ -118,6 +128,9 @@
 	g.settle()
 	g.post(thePacer, closing{})
 	g.settle()
+	if keep {
+		g.out = append(g.out, g.learned())
+	}
 	return g.out
 }
 
@@ -151,7 +164,7 @@
 			} else {
 				g.boxes = append(g.boxes, &inbox{})
 			}
-			r = &replica{desk: &g.desk, box: box, entry: e, heard: g.now, speed: 1, fleet: norm{goal: 1}}
+			r = &replica{desk: &g.desk, box: box, entry: e, heard: g.now, proof: g.now, speed: 1, fleet: norm{goal: 1}}
 			r.ticket = g.draw(e.Weight)
 			g.replicas[e.Replica] = r
 			g.boxes[box].part = r
--- a/brain/types.go
+++ b/brain/types.go
@@ -17,7 +17,8 @@
 		control.Entry
 		box                                      int
 		weight, size, ticket, tries, bad, answer float64
-		cold, sick, trial                        bool
+		prior, faith                             float64 // remembered speed, and how many tries it counts for
+		cold, sick, trial, doubt                 bool    // doubt: sick by memory alone
 	}
 	fleet struct { // planner to levels: tries a second, parts missed, of all and of most, answer times
 		tries, bad, most, answer, serves, calm float64
@@ -68,6 +69,11 @@
 	relapse int
 	judged  int64
 	changed int64 // when it was last seen not to be gone
+
+	prior, faith float64 // as offer
+	doubt        bool
+	evidence     float64 // tries behind its speed
+	proof        int64   // when the last of them was told
 }
 
 // chair is a proxy that is here, since when, and its table; below 0: none yet.
@@ -88,12 +94,17 @@
 	same   bool           // nothing has changed since the last draw
 	tables int            // how many, once the first list has come
 	demand demand         // of the last few seconds
+	laid   map[uint32]int // tables of an earlier governor, of so many
+	before int
 }
 
 type roll struct {
 	*desk
 	here map[int]*chair
 	sits []int // where each table's proxies are bound
+	past control.RecalledFleet
+	sat  map[int]int     // tables of proxies at an earlier governor
+	came map[int]float64 // flows a second of each there
 	wait map[uint64]map[int]bool
 	last uint64
 }
@@ -113,6 +124,8 @@
 	set          map[int]control.Level
 	strain, once bool
 	turned       int64 // when further tries were last stopped or let on
+	past         control.RecalledFleet
+	since        int64 // when it was told
 }
 
 type sequence struct {
@@ -153,6 +166,7 @@
 type Governor struct {
 	desk
 	replicas map[uint32]*replica
+	born     int64
 	free     []int // inboxes of replicas that were forgotten
 	started  bool
 }
--- a/cmd/lilacbend/charter.go
+++ b/cmd/lilacbend/charter.go
@@ -11,6 +11,7 @@
 
 	"lilacbend/control"
 	"lilacbend/internal/governor"
+	"lilacbend/internal/operator"
 	"lilacbend/internal/registry"
 	"lilacbend/provision"
 )
@@ -24,6 +25,7 @@
 	known                   governor.Listing
 	names                   provision.Names
 	provision               control.Provision
+	rules                   operator.Rulebook
 }
 
 // differs names what a new configuration says otherwise and only the next start takes over.
@@ -38,11 +40,11 @@
 			fields = append(fields, f.name)
 		}
 	}
-	return fields
+	return append(fields, c.rules.Differs(n.rules)...)
 }
 
 // told is what the command line and the environment say; what is set there goes before the file.
-type told struct{ name, listen, discovery, file string }
+type told struct{ name, listen, discovery, file, operator string }
 
 // reload says when the configuration is to be read again, and where it is.
 type reload struct {
@@ -74,6 +76,9 @@
 	if err != nil {
 		return charter{}, fmt.Errorf("configuration %s: %w", t.file, err)
 	}
+	if c.rules, err = operator.Read(t.operator); err != nil {
+		return charter{}, fmt.Errorf("operator file %w", err)
+	}
 	return c, nil
 }
 
--- a/cmd/lilacbend/main.go
+++ b/cmd/lilacbend/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -33,11 +34,12 @@
 		flag("config", "PROXY_CONFIG", "the configuration, as JSON", &t.file),
 		flag("name", "PROXY_NAME", "this governor's name, before the configuration's", &t.name),
 		flag("listen", "PROXY_LISTEN", "where proxies and collectors connect", &t.listen),
+		flag("operator", "LILACBEND_OPERATOR", "what this installation switches on, as YAML; without it nothing", &t.operator),
 		flag("discovery", "PROXY_DISCOVERY", "where the list of replicas is", &t.discovery),
 	}
 	run := func(ctx context.Context, cmd *cli.Command) error {
 		if cmd.Args().Present() {
-			return fmt.Errorf("no command %q: serve, check or version", cmd.Args().First())
+			return fmt.Errorf("no command %q: serve, check, state or version", cmd.Args().First())
 		}
 		c, err := readCharter(t)
 		if err != nil {
@@ -61,19 +63,23 @@
 					t.file = or(cmd.Args().First(), t.file)
 					c, err := readCharter(t)
 					if err == nil {
+						if c.rules.State.Folder != "" {
+							fmt.Printf("%s: state is kept in %s every %v, %d generations\n", t.operator, c.rules.State.Folder, c.rules.State.Every, c.rules.State.Keep)
+						}
 						fmt.Printf("%s would start: %s listens on %s, discovery at %s, %d replicas known, %d proxies, "+
 							"%d traffic groups\n", t.file, or(c.name, "it"), c.listen, c.discovery, len(c.known.Members),
 							c.provision.Proxies, len(c.names.Groups))
 					}
 					return err
 				}},
+			stateCommand(&t, os.Stdout),
 			{Name: "version", Usage: "say what was built", Action: func(context.Context, *cli.Command) error {
 				fmt.Println(version())
 				return nil
 			}},
 		},
 	}
-	for _, c := range append(root.Commands, root) { // what is wrong is said in one line, without a page of help
+	for _, c := range slices.Concat(root.Commands, root.Commands[2].Commands, []*cli.Command{root}) { // what is wrong is said in one line, without a page of help
 		c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
 	}
 	return root
--- a/cmd/lilacbend/report.go
+++ b/cmd/lilacbend/report.go
@@ -9,7 +9,7 @@
 )
 
 // report prints the counters.
-func report(log *slog.Logger, core *governor.Core, x *exchange.Exchange) {
+func report(log *slog.Logger, core *governor.Core, x *exchange.Exchange, kept *archive) {
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
 	n, t := core.Count, &x.Tally
@@ -25,6 +25,7 @@
 			"refused", t.Refused.Load(), "strangers", t.Strangers.Load(), "late", t.Late.Load(), "evicted", t.Evicted.Load()),
 		slog.Group("errors", "unreadable", t.Unreadable.Load(), "skipped", t.Skipped.Load(), "strange", n.Strange,
 			"writes", t.WriteErrors.Load(), "discovery", t.CallErrors.Load(), "odd", t.Odd.Load(),
-			"timeouts", t.Timeouts.Load(), "misread", t.Misread.Load(), "panics", t.Panics.Load(), "renewed", n.Renewed),
+			"timeouts", t.Timeouts.Load(), "misread", t.Misread.Load(), "panics", t.Panics.Load(), "renewed", n.Renewed, "renewed_bare", n.Bare),
+		kept.figures(),
 		slog.Group("now", "proxies", n.Seats, "names", n.Names, "heap", mem.HeapAlloc, "goroutines", runtime.NumGoroutine()))
 }
--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -56,6 +56,7 @@
 	base, x := clock{time.Now()}, exchange.New()
 	census := governor.NewCensus(c.names, c.provision)
 	core := governor.New(func() governor.Module { return brain.New(c.provision) }, census)
+	kept := openArchive(c.rules.State, &c, core, x, base, log)
 	c.known.At, c.known.Wall = base.now(), base.start.UnixNano()
 	x.Tell(c.known)
 	log.Info("serving", "listen", c.listen, "discovery", c.discovery, "revision", c.known.Revision,
@@ -71,8 +72,10 @@
 	client := registry.New(c.discovery, c.known.Revision, x, log, base.now, c.seed)
 	all.Go(func() { client.Run(ctx) })
 	all.Go(func() { again.follow(ctx, c, client, x, log) })
-	drive(ctx, core, x, base, asked, log)
-	report(log, core, x)
+	drive(ctx, core, x, base, asked, kept, log)
+	kept.put(core.Last(base.now()))
+	kept.close()
+	report(log, core, x, kept)
 	ended := make(chan struct{})
 	go func() { all.Wait(); close(ended) }()
 	select {
@@ -119,7 +122,7 @@
 
 // drive is the one goroutine in which the core runs.
 func drive(ctx context.Context, core *governor.Core, x *exchange.Exchange, base clock,
-	asked <-chan os.Signal, log *slog.Logger) {
+	asked <-chan os.Signal, kept *archive, log *slog.Logger) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -127,7 +130,7 @@
 		case <-ctx.Done():
 			return
 		case <-asked:
-			report(log, core, x)
+			report(log, core, x, kept)
 			continue
 		case <-timer.C: // after a stall it is late, and much waits to be read
 		case <-x.Bell():
@@ -143,6 +146,7 @@
 		for _, text := range o.Logs {
 			log.Info(text)
 		}
+		kept.put(o.Learned)
 		if o.Failed != "" {
 			log.Error("the module failed, a fresh one goes on", "panic", o.Failed)
 		}
--- /dev/null
+++ b/cmd/lilacbend/state.go
@@ -0,0 +1,316 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"lilacbend/internal/exchange"
+	"lilacbend/internal/governor"
+	"lilacbend/internal/memory"
+	"lilacbend/internal/operator"
+	"lilacbend/internal/vault"
+)
+
+// lastWrite is how long the last state may take to be written at the end: with the parting of connections and
+// of the log it stays within 0.7 s.
+const lastWrite = 150 * time.Millisecond
+
+// archive keeps what a governor has learned, as its operator file says; a nil one keeps nothing.
+type archive struct {
+	name   string
+	keeper *vault.Keeper
+	lock   *vault.Lock
+	stop   context.CancelFunc
+	log    *slog.Logger
+	read   string // the generation that the start began with
+	age    time.Duration
+	refuse int // files refused at the start
+}
+
+// openArchive holds the folder, tells the core of the newest whole generation that fits, and begins to keep. What
+// goes wrong with the folder is logged, and the governor goes on without. The list is the one to start with.
+func openArchive(r operator.Retention, c *charter, core *governor.Core, x *exchange.Exchange, base clock, log *slog.Logger) *archive {
+	if r.Folder == "" {
+		return nil
+	}
+	folder := vault.Folder(r.Folder)
+	lock, err := folder.Take(or(c.name, "a governor"))
+	if err != nil {
+		log.Warn("state is neither read nor kept", "folder", r.Folder, "error", err)
+		return nil
+	}
+	a := &archive{name: c.name, lock: lock, log: log}
+	a.recall(folder, r, c, core, x, base)
+	core.Remember(r.Every.Nanoseconds(), r.HalfLife.Nanoseconds())
+	again := func() error { // the folder had vanished, and its lock with it
+		lock, err := folder.Take(or(c.name, "a governor"))
+		if err == nil {
+			a.lock.Release()
+			a.lock = lock
+		}
+		return err
+	}
+	a.keeper = vault.NewKeeper(folder, r.Keep, r.Every, again, log)
+	ctx, stop := context.WithCancel(context.Background())
+	a.stop = stop
+	go a.keeper.Run(ctx)
+	return a
+}
+
+func (a *archive) recall(folder vault.Folder, r operator.Retention, c *charter, core *governor.Core, x *exchange.Exchange, base clock) {
+	g, found, refused, err := vault.Latest(folder)
+	if a.refuse = len(refused); err != nil {
+		a.log.Warn("state cannot be read", "folder", r.Folder, "error", err)
+		return
+	}
+	for _, f := range refused {
+		a.log.Warn("state refused", "file", filepath.Join(r.Folder, f.Name), "error", f.Err)
+	}
+	if !found {
+		a.log.Info("no state to begin with", "folder", r.Folder)
+		return
+	}
+	if g.Memory.Governor != c.name {
+		a.log.Warn("state refused", "file", filepath.Join(r.Folder, g.Name), "error", fmt.Sprintf("it is %q's", g.Memory.Governor))
+		a.refuse++
+		return
+	}
+	age := g.Memory.Taken.Age(vault.Now())
+	m, dropped := memory.Fit(g.Memory, governor.NewCensus(c.names, c.provision).Place(), age, r.HalfLife.Nanoseconds())
+	if m.Lists(c.known.Revision, age) {
+		c.known = governor.ListFrom(m)
+	}
+	a.read, a.age = g.Name, time.Duration(age)
+	x.Tell(governor.Recall{Past: memory.NewPast(m, base.now(), age, r.HalfLife.Nanoseconds())})
+	a.log.Info("state read", "file", g.Name, "age", a.age.Round(time.Millisecond), "weight", fmt.Sprintf("%.2f", memory.Weight(age, r.HalfLife.Nanoseconds())),
+		"replicas", len(m.Replicas), "list", c.known.Revision, "unfit", dropped.Replicas, "too_old", dropped.Old, "usage_dropped", dropped.Usage, "groups_changed", dropped.Groups)
+}
+
+// put hands over what was learned.
+func (a *archive) put(m *memory.Memory) {
+	if a != nil && m != nil {
+		kept := *m
+		kept.Governor, kept.Taken = a.name, vault.Now()
+		a.keeper.Offer(kept)
+	}
+}
+
+// close writes what was offered last, if the disk takes it soon.
+func (a *archive) close() {
+	if a == nil {
+		return
+	}
+	a.stop()
+	select {
+	case <-a.keeper.Ended():
+		a.lock.Release()
+	case <-time.After(lastWrite):
+		a.log.Warn("the last state was not written in time")
+	}
+}
+
+// figures are for the counters.
+func (a *archive) figures() slog.Attr {
+	if a == nil {
+		return slog.Group("state", "on", false)
+	}
+	t := &a.keeper.Tally
+	return slog.Group("state", "on", true, "read", a.read, "age_at_start", a.age.Round(time.Millisecond), "refused", a.refuse,
+		"offered", t.Offered.Load(), "written", t.Written.Load(), "bytes", t.Bytes.Load(), "failed", t.Failed.Load(),
+		"skipped", t.Skipped.Load(), "generation", t.Generation.Load(), "last_took", time.Duration(t.Took.Load()))
+}
+
+// stateCommand shows, checks and moves what was kept.
+func stateCommand(t *told, out io.Writer) *cli.Command {
+	where := func(cmd *cli.Command, k int) (string, error) {
+		if at := cmd.Args().Get(k); at != "" {
+			return at, nil
+		}
+		book, err := operator.Read(t.operator)
+		if err == nil && book.State.Folder == "" {
+			err = errors.New("no folder: name one, or the operator file that sets state.folder (--operator)")
+		}
+		return book.State.Folder, err
+	}
+	newest := func(cmd *cli.Command) (vault.Generation, error) {
+		at, err := where(cmd, 0)
+		if err != nil {
+			return vault.Generation{}, err
+		}
+		return readState(at)
+	}
+	asJSON := &cli.BoolFlag{Name: "json", Usage: "as JSON"}
+	return &cli.Command{Name: "state", Usage: "show, check and move what governors have learned", Commands: []*cli.Command{
+		{Name: "show", Usage: "show the newest whole generation: show [FOLDER|FILE]", ArgsUsage: "[FOLDER|FILE]", Flags: []cli.Flag{asJSON},
+			Action: func(_ context.Context, cmd *cli.Command) error {
+				g, err := newest(cmd)
+				if err != nil {
+					return err
+				}
+				if cmd.Bool("json") {
+					return export(out, g.Memory)
+				}
+				return show(out, g)
+			}},
+		{Name: "verify", Usage: "say whether a file, or all of a folder, is whole: verify [FILE|FOLDER]", ArgsUsage: "[FILE|FOLDER]",
+			Action: func(_ context.Context, cmd *cli.Command) error {
+				at, err := where(cmd, 0)
+				if err != nil {
+					return err
+				}
+				return verify(out, at)
+			}},
+		{Name: "export", Usage: "write the newest whole generation as JSON: export [FOLDER|FILE]", ArgsUsage: "[FOLDER|FILE]",
+			Action: func(_ context.Context, cmd *cli.Command) error {
+				g, err := newest(cmd)
+				if err != nil {
+					return err
+				}
+				return export(out, g.Memory)
+			}},
+		{Name: "import", Usage: "write exported JSON as the next generation: import FILE [FOLDER]", ArgsUsage: "FILE [FOLDER]",
+			Action: func(_ context.Context, cmd *cli.Command) error {
+				at, err := where(cmd, 1)
+				if err != nil {
+					return err
+				}
+				return importState(out, cmd.Args().First(), at)
+			}},
+		{Name: "prune", Usage: "remove all but the newest generations: prune [--keep N] [FOLDER]", ArgsUsage: "[FOLDER]",
+			Flags: []cli.Flag{&cli.IntFlag{Name: "keep", Value: 1, Usage: "whole generations that stay"}},
+			Action: func(_ context.Context, cmd *cli.Command) error {
+				at, err := where(cmd, 0)
+				if err != nil {
+					return err
+				}
+				return prune(out, at, cmd.Int("keep"))
+			}},
+	}}
+}
+
+// readState reads a file, or the newest whole generation of a folder.
+func readState(at string) (vault.Generation, error) {
+	info, err := os.Stat(at)
+	if err != nil {
+		return vault.Generation{}, err
+	}
+	if !info.IsDir() {
+		return vault.Read(vault.Folder(filepath.Dir(at)), filepath.Base(at))
+	}
+	g, found, refused, err := vault.Latest(vault.Folder(at))
+	if err == nil && !found {
+		err = fmt.Errorf("%s: no whole generation among %d files", at, len(refused))
+		if len(refused) > 0 {
+			err = fmt.Errorf("%w: %w", err, refused[0])
+		}
+	}
+	return g, err
+}
+
+func export(out io.Writer, m memory.Memory) error {
+	raw, err := vault.Export(m)
+	if err == nil {
+		_, err = out.Write(raw)
+	}
+	return err
+}
+
+func verify(out io.Writer, at string) error {
+	info, err := os.Stat(at)
+	if err != nil {
+		return err
+	}
+	if !info.IsDir() {
+		g, err := readState(at)
+		if err == nil {
+			fmt.Fprintf(out, "%s is whole: generation %d, format %d, %d bytes\n", at, g.Number, g.Format, g.Bytes)
+		}
+		return err
+	}
+	whole, refused, err := vault.Survey(vault.Folder(at))
+	switch {
+	case err != nil:
+		return err
+	case len(refused) > 0:
+		return fmt.Errorf("%s: %d of %d files refused, the newest: %w", at, len(refused), len(refused)+len(whole), refused[0])
+	case len(whole) == 0:
+		return fmt.Errorf("%s: no generation", at)
+	}
+	fmt.Fprintf(out, "%s is whole: %d generations, the newest %d\n", at, len(whole), whole[0].Number)
+	return nil
+}
+
+func importState(out io.Writer, from, at string) error {
+	if from == "" {
+		return errors.New("name the exported file: import FILE [FOLDER]")
+	}
+	file, err := os.Open(from)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	m, err := vault.Import(file)
+	if err != nil {
+		return fmt.Errorf("%s: %w", from, err)
+	}
+	lock, err := vault.Folder(at).Take("import")
+	if err != nil {
+		return fmt.Errorf("%s: %w: end it first", at, err)
+	}
+	defer lock.Release()
+	g, err := vault.Write(vault.Folder(at), m, 1<<20)
+	if err == nil {
+		fmt.Fprintf(out, "%s: generation %d, %d replicas\n", filepath.Join(at, g.Name), g.Number, len(m.Replicas))
+	}
+	return err
+}
+
+func prune(out io.Writer, at string, keep int) error {
+	if keep < 1 {
+		return fmt.Errorf("--keep is %d, want 1 or more", keep)
+	}
+	if _, err := os.Stat(at); err != nil {
+		return err
+	}
+	lock, err := vault.Folder(at).Take("prune")
+	if err != nil {
+		return fmt.Errorf("%s: %w: a governor prunes its own folder", at, err)
+	}
+	defer lock.Release()
+	removed, err := vault.Prune(vault.Folder(at), keep)
+	fmt.Fprintf(out, "%s: removed %d files\n", at, len(removed))
+	return err
+}
+
+// show prints a generation for a person; ages are as of now.
+func show(out io.Writer, g vault.Generation) error {
+	m, age := g.Memory, time.Duration(g.Memory.Taken.Age(vault.Now()))
+	fmt.Fprintf(out, "%s: generation %d, format %d, %d bytes\n", g.Name, g.Number, g.Format, g.Bytes)
+	fmt.Fprintf(out, "governor %s, taken %s, %v ago; list %d\n", m.Governor, time.Unix(0, m.Taken.Wall).UTC().Format(time.RFC3339), age.Round(time.Second), m.Revision)
+	fmt.Fprintf(out, "traffic groups %s; let in %.0f%%; one try only %v; %d tables, %d proxies bound, %d flows of proxies\n\n",
+		strings.Join(m.Groups, ", "), 100*m.Line, m.Once, m.Tables, len(m.Seats), len(m.Usage))
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "replica\tzone\tkind\tlisted\tverdict\trelapses\tspeed\ttries\tage")
+	for _, r := range m.Replicas {
+		listed, verdict := [...]string{"ready", "draining", "gone"}[max(0, min(2, int(r.State)))], "well"
+		switch {
+		case r.Rest > 0:
+			verdict = fmt.Sprintf("sick, %v left", time.Duration(r.Rest).Round(100*time.Millisecond))
+		case r.Trial:
+			verdict = "on trial"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.2f\t%.0f\t%v\n", r.ID, r.Zone, r.Kind, listed, verdict, r.Relapses, r.Speed, r.Evidence,
+			(age + time.Duration(r.Idle)).Round(time.Second))
+	}
+	return w.Flush()
+}
--- a/control/control.go
+++ b/control/control.go
@@ -185,8 +185,56 @@
 	}
 	// Woken ends a Wake.
 	Woken struct{ Label uint64 }
+	// Keep asks for Learned with this turn's orders.
+	Keep struct{}
+	// Recalled tells what an earlier governor knew of a replica that was listed just now, and that has not
+	// started since. Weight is what is left of it by its age, above 0 to 1; Age is that of its last evidence.
+	Recalled struct {
+		Known
+		Weight float64
+		Age    int64
+	}
+	// RecalledFleet tells what an earlier governor knew of the fleet as a whole; Weight as for Recalled. It comes
+	// before the first list.
+	RecalledFleet struct {
+		Fleet
+		Weight float64
+	}
 )
 
+// Known is what a governor has learned of one replica.
+type Known struct {
+	Replica  uint32
+	Table    int     // it is dealt to
+	Ticket   float64 // in the draw of tables
+	Speed    float64 // its worth against the fleet's mean, above 0
+	Evidence float64 // tries behind it
+	Rest     int64   // out for so much longer, as sick; 0: it is not
+	Trial    bool    // was sick; let in again, or about to be, and not judged yet
+	Relapses int
+	Idle     int64 // since the last evidence
+}
+
+// Fleet is what a governor has learned of all together.
+type Fleet struct {
+	Tables int         // how many there are; 0: none yet
+	Calm   [][]float64 // the last answer times of each kind, in seconds; the last kind stands for all
+	Usage  []Usage
+	Seats  []Seat
+	Line   float64 // part of the traffic groups that is let in, by utility: 0 to 1
+	Served float64 // most good answers a second of a replica, lately
+	Once   bool    // further tries are stopped
+}
+
+// Usage is how many flows of a traffic group came to a proxy lately.
+type Usage struct {
+	Proxy, Group int
+	Rate         float64 // a second
+}
+
+// Seat is the table that a proxy is bound to.
+type Seat struct{ Proxy, Table int }
+
 // Order is anything a governor asks for.
 type Order interface{}
 
@@ -225,4 +273,9 @@
 	}
 	// Log writes one line for those on call.
 	Log struct{ Text string }
+	// Learned answers Keep: all that is worth having after a restart.
+	Learned struct {
+		Replicas []Known
+		Fleet
+	}
 )
--- a/internal/governor/census.go
+++ b/internal/governor/census.go
@@ -21,12 +21,13 @@
 type Census struct {
 	names   provision.Names
 	proxies int
+	kinds   int   // of the provision, those that it does not name among them
 	answer  int64 // the longest mean time that can be
 }
 
 // NewCensus makes a census of what the provision names.
 func NewCensus(names provision.Names, p control.Provision) Census {
-	c := Census{names: names, proxies: p.Proxies}
+	c := Census{names: names, proxies: p.Proxies, kinds: p.Kinds}
 	for _, g := range p.Groups {
 		c.answer = max(c.answer, expiriesMost*g.Expiry)
 	}
--- a/internal/governor/core.go
+++ b/internal/governor/core.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"lilacbend/control"
+	"lilacbend/internal/memory"
 )
 
 const (
@@ -34,17 +35,21 @@
 	Count Count
 	start func() Module
 	Census
-	module  Module
-	roster  roster
-	seats   map[int]*stream // by proxy
-	streams map[Stream]*stream
-	tables  map[int]map[uint32]float64
-	out     map[uint32]bool // withdrawn
-	levels  map[tableGroup]control.Level
-	wakes   map[uint64]int64
-	fresh   bool  // the module has had no turn yet
-	rest    int64 // no turns until then
-	swept   int64
+	module                 Module
+	roster                 roster
+	seats                  map[int]*stream // by proxy
+	streams                map[Stream]*stream
+	tables                 map[int]map[uint32]float64
+	out                    map[uint32]bool // withdrawn
+	levels                 map[tableGroup]control.Level
+	wakes                  map[uint64]int64
+	fresh                  bool         // the module has had no turn yet
+	brought                *memory.Past // by an earlier governor
+	last                   *memory.Past // what the module here had learned when it was last asked
+	every, halfLife, asked int64
+	revision               int64
+	rest                   int64 // no turns until then
+	swept                  int64
 }
 
 type tableGroup struct{ table, group int }
@@ -67,7 +72,7 @@
 // New makes a core whose modules are started by start.
 func New(start func() Module, census Census) *Core {
 	c := &Core{start: start, Census: census, roster: newRoster(),
-		seats: map[int]*stream{}, streams: map[Stream]*stream{}}
+		seats: map[int]*stream{}, streams: map[Stream]*stream{}, every: keepEvery, halfLife: halfLifeUsual}
 	c.renew()
 	return c
 }
@@ -95,7 +100,15 @@
 		c.renew()
 		c.Count.Renewed++
 		o = Outcome{Failed: failed, End: o.End}
-		if c.turn(now, nil, &o) != "" {
+		again := c.turn(now, nil, &o) != ""
+		if again && c.past() != nil { // what was learned may be what it fails by
+			c.last, c.brought = nil, nil
+			c.renew()
+			c.Count.Bare++
+			o = Outcome{Failed: failed, End: o.End}
+			again = c.turn(now, nil, &o) != ""
+		}
+		if again {
 			c.renew()
 			o, c.rest = Outcome{Failed: failed, End: o.End}, now+renewPause
 		}
@@ -133,7 +146,13 @@
 		return ""
 	}
 	if c.fresh {
-		events = c.present()
+		events = c.present(now)
+	}
+	if c.asked == 0 {
+		c.asked = now
+	}
+	if now-c.asked >= c.every {
+		c.asked, events = now, append(events, control.Keep{})
 	}
 	orders := c.module.Turn(now, events)
 	c.fresh = false
@@ -145,9 +164,10 @@
 	return ""
 }
 
-// present tells a fresh module of the last list and of who is joined.
-func (c *Core) present() []control.Event {
-	events := []control.Event{c.standing()}
+// present tells a fresh module of the last list, of who is joined, and of what was learned before it.
+func (c *Core) present(now int64) []control.Event {
+	list := c.standing()
+	events := append(append(c.fleet(c.past(), now), list), c.recalled(c.past(), list.Entries, now)...)
 	for _, proxy := range slices.Sorted(maps.Keys(c.seats)) {
 		if s := c.seats[proxy]; !s.away {
 			events = append(events, s.joined)
@@ -234,9 +254,11 @@
 		return append(back, n.Demand)
 	case Listing:
 		c.Count.Listings++
-		ev, odd := c.listed(n, now)
+		ev, fresh, odd := c.listed(n, now)
 		c.Count.Strange += int64(odd)
-		return []control.Event{ev}
+		return append([]control.Event{ev}, c.recalled(c.brought, fresh, now)...)
+	case Recall:
+		c.brought = n.Past
 	case Spoke:
 		if s := c.streams[n.Stream]; s != nil {
 			return s.heard()
--- a/internal/governor/core_test.go
+++ b/internal/governor/core_test.go
@@ -18,7 +18,12 @@
 }
 
 func (s *script) Turn(_ int64, events []control.Event) []control.Order {
-	s.told = events
+	s.told = nil
+	for _, e := range events {
+		if _, asked := e.(control.Keep); !asked {
+			s.told = append(s.told, e)
+		}
+	}
 	if len(s.turns) == 0 {
 		return nil
 	}
--- a/internal/governor/notes.go
+++ b/internal/governor/notes.go
@@ -1,6 +1,9 @@
 package governor
 
-import "lilacbend/control"
+import (
+	"lilacbend/control"
+	"lilacbend/internal/memory"
+)
 
 // This file holds what comes in and what goes out, with names as the peers write them.
 
@@ -93,6 +96,8 @@
 	Wake   int64    // when the next turn is due at the latest, if above 0
 	Logs   []string
 	Failed string // the module panicked: what it said
+	// What the module has learned, now and then. Not to be changed; Governor and Taken are for the caller to fill.
+	Learned *memory.Memory
 }
 
 // Count is what the core has counted so far.
@@ -100,4 +105,6 @@
 	Turns, Joins, Leaves, Answers, Met, Demands, Listings   int64 // taken in
 	Pushes, LinesOrdered, LinesSent, Marks, Whole           int64 // sent; Whole: full tables, as binds or once more
 	Strange, Stale, Silent, Replaced, Renewed, Names, Seats int64
+	Recalled                                                int64 // replicas of which something was remembered
+	Bare                                                    int64 // modules renewed once more, without what was learned
 }
--- a/internal/governor/push.go
+++ b/internal/governor/push.go
@@ -79,6 +79,9 @@
 			if due := now + max(0, w.After); !set || due < at { // one label wakes once, however late
 				c.wakes[w.Label] = due
 			}
+		case control.Learned:
+			m := c.learned(w, now)
+			o.Learned = &m
 		case control.Log:
 			o.Logs = append(o.Logs, c.named(w.Text))
 		default:
--- /dev/null
+++ b/internal/governor/remember.go
@@ -0,0 +1,137 @@
+package governor
+
+import (
+	"slices"
+	"strings"
+
+	"lilacbend/control"
+	"lilacbend/internal/memory"
+)
+
+// This file turns what the module has learned into a memory by names, and a memory into what a module is told.
+
+// keepEvery is how often the module is asked what it has learned where nothing else is said: a fresh module
+// after a panic starts from there, and a few seconds cost it little of what it knows.
+const keepEvery = int64(5 * 1e9)
+
+// halfLifeUsual is that of what was learned where nothing else is said: most troubles of a replica pass in minutes.
+const halfLifeUsual = int64(60 * 1e9)
+
+// Recall is a note: what an earlier governor had learned, fitted to this place. It comes before the first list.
+type Recall struct{ Past *memory.Past }
+
+// Place is what a memory has to fit.
+func (c Census) Place() memory.Place {
+	return memory.Place{Groups: c.names.Groups, Kinds: c.names.Kinds, Proxies: c.proxies}
+}
+
+// Remember has the module asked for what it has learned every so long; halfLife is that of what is learned.
+func (c *Core) Remember(every, halfLife int64) { c.every, c.halfLife = every, halfLife }
+
+// past is what a fresh module is told: what its predecessor here had learned, or what was brought.
+func (c *Core) past() *memory.Past {
+	if c.last != nil {
+		return c.last
+	}
+	return c.brought
+}
+
+// recalled tells what is known of the replicas of a list.
+func (c *Core) recalled(past *memory.Past, entries []control.Entry, now int64) (all []control.Event) {
+	if past == nil {
+		return nil
+	}
+	for _, e := range entries {
+		m := c.roster.known[e.Replica]
+		if m == nil || e.State == control.Gone {
+			continue
+		}
+		r, age, weight := past.Of(m.name, m.zone, m.kind, m.upSince, now)
+		if weight == 0 {
+			continue
+		}
+		c.Count.Recalled++
+		all = append(all, control.Recalled{Weight: weight, Age: age, Known: control.Known{Replica: e.Replica, Table: r.Table,
+			Ticket: r.Ticket, Speed: r.Speed, Evidence: r.Evidence, Rest: r.Rest, Trial: r.Trial, Relapses: r.Relapses, Idle: r.Idle}})
+	}
+	return all
+}
+
+// fleet tells what is known of all together.
+func (c *Core) fleet(past *memory.Past, now int64) []control.Event {
+	if past == nil || past.Weight(now) == 0 {
+		return nil
+	}
+	f := control.Fleet{Tables: past.Tables, Seats: past.Seats, Line: past.Line, Served: past.Served, Once: past.Once,
+		Calm: make([][]float64, c.kinds+1)}
+	for _, calm := range past.Calm {
+		if k := c.kind(calm.Kind); k >= 0 {
+			f.Calm[k] = calm.Answers
+		}
+	}
+	for _, u := range past.Usage {
+		if g := slices.Index(c.names.Groups, u.Group); g >= 0 {
+			f.Usage = append(f.Usage, control.Usage{Proxy: u.Proxy, Group: g, Rate: u.Rate})
+		}
+	}
+	return []control.Event{control.RecalledFleet{Fleet: f, Weight: past.Weight(now)}}
+}
+
+// kind is the number of a kind in the order of Fleet.Calm, below 0 where there is no such kind.
+func (c Census) kind(name string) int {
+	if name == "" {
+		return c.kinds
+	}
+	return slices.Index(c.names.Kinds, name)
+}
+
+// learned turns what the module has learned into a memory, adds what was brought of replicas that are not
+// listed, and keeps it for a fresh module.
+func (c *Core) learned(l control.Learned, now int64) memory.Memory {
+	m := memory.Memory{Revision: c.revision, Groups: c.names.Groups, Tables: l.Tables, Seats: l.Seats, Line: l.Line,
+		Served: l.Served, Once: l.Once}
+	for _, k := range l.Replicas {
+		r := c.roster.known[k.Replica]
+		if r == nil || r.State == control.Gone {
+			continue
+		}
+		m.Replicas = append(m.Replicas, memory.Replica{ID: r.name, Zone: r.zone, Kind: r.kind, UpSince: r.upSince, State: r.State,
+			Size: r.Weight, Speed: k.Speed, Evidence: k.Evidence, Ticket: k.Ticket, Table: k.Table, Rest: k.Rest, Trial: k.Trial,
+			Relapses: k.Relapses, Idle: k.Idle})
+	}
+	slices.SortFunc(m.Replicas, func(a, b memory.Replica) int { return strings.Compare(a.ID, b.ID) })
+	for k, answers := range l.Calm {
+		if len(answers) > 0 && k == c.kinds {
+			m.Calm = append(m.Calm, memory.Calm{Answers: answers})
+		} else if len(answers) > 0 && k < len(c.names.Kinds) {
+			m.Calm = append(m.Calm, memory.Calm{Kind: c.names.Kinds[k], Answers: answers})
+		}
+	}
+	for _, u := range l.Usage {
+		if u.Group >= 0 && u.Group < len(c.names.Groups) {
+			m.Usage = append(m.Usage, memory.Usage{Proxy: u.Proxy, Group: c.names.Groups[u.Group], Rate: u.Rate})
+		}
+	}
+	if c.brought != nil {
+		m = memory.Merge(m, c.brought.Memory, c.brought.Age(now), c.halfLife)
+	}
+	c.last = memory.NewPast(m, now, 0, c.halfLife)
+	return m
+}
+
+// ListFrom makes a listing of the members of a memory, for a start at which discovery may not answer.
+func ListFrom(m memory.Memory) Listing {
+	l := Listing{Revision: m.Revision, Whole: true}
+	for _, r := range m.Replicas {
+		if r.State != control.Gone {
+			l.Members = append(l.Members, Member{ID: r.ID, Zone: r.Zone, Kind: r.Kind, State: r.State, Weight: r.Size, UpSince: r.UpSince})
+		}
+	}
+	return l
+}
+
+// Last is what the module has learned, asked for once more at the end; nil where it fails.
+func (c *Core) Last(now int64) *memory.Memory {
+	c.asked = now - c.every
+	return c.Turn(now, nil).Learned
+}
--- a/internal/governor/roster.go
+++ b/internal/governor/roster.go
@@ -30,6 +30,8 @@
 type member struct {
 	control.Entry
 	name    string
+	zone    string // as listed
+	kind    string
 	upSince int64
 	seen    int64 // when it was last listed and not gone
 }
@@ -46,8 +48,9 @@
 }
 
 // listed reads an answer of discovery as an event, and says how many of its members it could not use.
-func (c *Core) listed(l Listing, now int64) (control.Listed, int) {
-	ev, odd := control.Listed{Full: l.Whole}, 0
+// New are those that were not known, or have started or moved since.
+func (c *Core) listed(l Listing, now int64) (ev control.Listed, fresh []control.Entry, odd int) {
+	ev, c.revision = control.Listed{Full: l.Whole}, l.Revision
 	for _, m := range l.Members {
 		id, ok := c.roster.numbers[m.ID]
 		if !ok && (m.ID == "" || m.Odd || len(c.roster.known) >= namesMost) {
@@ -67,6 +70,8 @@
 		if m.Odd {
 			odd++
 		} else {
+			another := m.UpSince != r.upSince || m.Zone != r.zone || m.Kind != r.kind
+			r.zone, r.kind = m.Zone, m.Kind
 			if m.UpSince != r.upSince { // worked out once, so that steps of the wall clock start nobody anew
 				r.upSince, r.Start = m.UpSince, 0
 				if m.UpSince > 0 {
@@ -75,6 +80,9 @@
 			}
 			r.Entry = control.Entry{Replica: id, Zone: index(c.names.Zones, m.Zone),
 				Kind: index(c.names.Kinds, m.Kind), State: m.State, Weight: m.Weight, Start: r.Start}
+			if another {
+				fresh = append(fresh, r.Entry)
+			}
 		}
 		r.seen = now
 		ev.Entries = append(ev.Entries, r.Entry)
@@ -86,7 +94,7 @@
 			}
 		}
 	}
-	return ev, odd
+	return ev, fresh, odd
 }
 
 // standing is the last list, for a module that starts over.
--- /dev/null
+++ b/internal/memory/memory.go
@@ -0,0 +1,225 @@
+// Package memory is what a governor has learned, as a value that outlives it: by the names of replicas, zones,
+// kinds and traffic groups, since their numbers are new with each start. Here it is merged, aged and judged for
+// fitness; whether and how far a remembered thing is believed the decision module says. No I/O, no clock.
+package memory
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"lilacbend/control"
+)
+
+const (
+	// What is left of an entry after six half-lives changes no decision and is dropped.
+	LeastWeight = 1.0 / 64
+	// Bounds of one memory: four times the largest site we know of.
+	ReplicasMost, UsageMost, NamesMost = 1 << 14, 1 << 18, 1 << 10
+	// Calm answer times kept of a kind, and the longest name of anything.
+	CalmMost, NameMost = 32, 128
+	// The module's own figures lie far within these; what lies outside was not written by it.
+	speedLeast, speedMost, rateMost, answerMost = 1.0 / 1024, 1024.0, 1e6, 600.0
+	relapsesMost, restMost                      = 1 << 10, int64(60 * 1e9)
+	tablesMost, evidenceMost                    = 1 << 14, 1e9
+	// A list that is older is no better than the one in the configuration, whatever its revision says:
+	// discovery may have begun to count anew since.
+	listSpan = int64(15 * 60 * 1e9)
+)
+
+// Moment is a time as a machine shows it. The wall clock may step; Up, the time since the machine's start Boot,
+// does not, but says nothing to another start.
+type Moment struct {
+	Wall int64
+	Boot string // empty: not known
+	Up   int64
+}
+
+// Age is how long then lies before now, never less than either clock shows. Where the wall clock lies behind
+// then, it has stepped back, and how much time has passed is not known: the step itself counts as age, so that
+// no step makes anything look younger than the clock that did not step says.
+func (then Moment) Age(now Moment) int64 {
+	wall := now.Wall - then.Wall
+	if wall < 0 {
+		wall = -max(wall, -math.MaxInt64)
+	}
+	if then.Boot != "" && then.Boot == now.Boot {
+		return max(wall, now.Up-then.Up)
+	}
+	return wall
+}
+
+// Weight is what an age leaves of what was learned: half after each half-life, nothing under LeastWeight.
+func Weight(age, halfLife int64) float64 {
+	w := math.Exp2(-float64(max(0, age)) / float64(max(1, halfLife)))
+	if w < LeastWeight {
+		return 0
+	}
+	return w
+}
+
+// Replica is what was learned of one replica, and how discovery listed it.
+type Replica struct {
+	ID, Zone, Kind string
+	UpSince        int64 // by the wall clock, as listed: one that started since is another
+	State          control.State
+	Size           float64 // as listed
+	Speed          float64 // as control.Known
+	Evidence       float64
+	Ticket         float64
+	Table          int
+	Rest           int64
+	Trial          bool
+	Relapses       int
+	Idle           int64 // between its last evidence and Taken
+}
+
+// Calm is the answer times of a kind when it was not busy, in seconds. The empty name is all kinds together.
+type Calm struct {
+	Kind    string
+	Answers []float64
+}
+
+// Usage is the flows a second of a traffic group that came to a proxy.
+type Usage struct {
+	Proxy int
+	Group string
+	Rate  float64
+}
+
+// Memory is all that one governor had learned at a moment.
+type Memory struct {
+	Governor string
+	Taken    Moment
+	Revision int64 // of the list
+	Groups   []string
+	Replicas []Replica // by ID
+	Calm     []Calm
+	Usage    []Usage
+	Seats    []control.Seat
+	Tables   int
+	Line     float64
+	Served   float64
+	Once     bool
+}
+
+// Merge adds to what was learned now what was learned earlier of replicas that now says nothing of: those that
+// are not listed just now, or not yet. Earlier ones of less than LeastWeight are left out. Since is the time
+// from earlier to now.
+func Merge(now, earlier Memory, since, halfLife int64) Memory {
+	has := make(map[string]bool, len(now.Replicas))
+	for _, r := range now.Replicas {
+		has[r.ID] = true
+	}
+	all := slices.Clone(now.Replicas)
+	for _, r := range earlier.Replicas {
+		r.Idle = addSpans(r.Idle, since)
+		if r.Rest > 0 && r.Rest <= since {
+			r.Trial = true
+		}
+		r.Rest = max(0, r.Rest-max(0, since))
+		if !has[r.ID] && len(all) < ReplicasMost && Weight(r.Idle, halfLife) > 0 {
+			r.State = control.Gone // it is no member of the list
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
+	now.Replicas = all
+	return now
+}
+
+func addSpans(a, b int64) int64 {
+	if a, b = max(0, a), max(0, b); a > math.MaxInt64-b {
+		return math.MaxInt64
+	}
+	return a + b
+}
+
+// Place is the installation that a memory is to serve in.
+type Place struct {
+	Groups, Kinds []string
+	Proxies       int
+}
+
+// Dropped counts what a memory held that does not fit, by reason.
+type Dropped struct {
+	Replicas int // whose figures cannot be
+	Old      int // replicas whose evidence counts for nothing any more
+	Usage    int // of traffic groups or proxies that there are not
+	Groups   bool
+}
+
+// Any says whether anything was dropped.
+func (d Dropped) Any() bool { return d != Dropped{} }
+
+// Fit keeps of a memory what fits the place and is not too old, and says what it has dropped. Levels are by the
+// order of the traffic groups: where these have changed they are dropped as a whole.
+func Fit(m Memory, p Place, age, halfLife int64) (Memory, Dropped) {
+	var d Dropped
+	whole := Weight(age, halfLife) > 0
+	keep := m.Replicas[:0:0]
+	for _, r := range m.Replicas {
+		switch {
+		case !sound(r): // zone and kind are held to the list when it names the replica
+			d.Replicas++
+		case Weight(addSpans(r.Idle, age), halfLife) == 0:
+			d.Old++
+		default:
+			keep = append(keep, r)
+		}
+	}
+	m.Replicas = keep
+	usage := m.Usage[:0:0]
+	for _, u := range m.Usage {
+		if u.Proxy >= 0 && u.Proxy < p.Proxies && slices.Contains(p.Groups, u.Group) && within(u.Rate, 0, rateMost) {
+			usage = append(usage, u)
+		} else {
+			d.Usage++
+		}
+	}
+	m.Usage = usage
+	m.Seats = slices.DeleteFunc(slices.Clone(m.Seats), func(s control.Seat) bool {
+		return s.Proxy < 0 || s.Proxy >= p.Proxies || s.Table < 0 || s.Table >= m.Tables
+	})
+	calm := m.Calm[:0:0]
+	for _, c := range m.Calm {
+		if slices.Contains(p.Kinds, c.Kind) || c.Kind == "" {
+			c.Answers = slices.DeleteFunc(slices.Clone(c.Answers), func(a float64) bool {
+				return !within(a, 1e-9, answerMost)
+			})
+			c.Answers = c.Answers[max(0, len(c.Answers)-CalmMost):]
+			calm = append(calm, c)
+		}
+	}
+	m.Calm = calm
+	if d.Groups = !slices.Equal(m.Groups, p.Groups); d.Groups || !within(m.Line, 0, 1) {
+		m.Line, m.Once = 1, false
+	}
+	if !within(m.Served, 0, rateMost) {
+		m.Served = 0
+	}
+	if m.Tables < 0 || m.Tables > tablesMost {
+		m.Tables, m.Seats = 0, nil
+	}
+	if !whole { // nothing of the fleet is left
+		d.Usage += len(m.Usage)
+		m.Usage, m.Seats, m.Calm, m.Tables, m.Line, m.Served, m.Once = nil, nil, nil, 0, 1, 0, false
+	}
+	return m, d
+}
+
+func within(v, least, most float64) bool { return v >= least && v <= most } // false for what is no number
+
+// sound says whether the figures of a replica can be.
+func sound(r Replica) bool {
+	return r.ID != "" && len(r.ID) <= NameMost && within(r.Speed, speedLeast, speedMost) &&
+		within(r.Evidence, 0, evidenceMost) && within(r.Ticket, 0, 1) && within(r.Size, 0, math.MaxFloat64) &&
+		r.Table >= 0 && r.Table <= tablesMost && r.Rest >= 0 && r.Rest <= restMost &&
+		r.Relapses >= 0 && r.Relapses <= relapsesMost && r.Idle >= 0 && r.UpSince >= 0 &&
+		r.State >= control.Ready && r.State <= control.Gone
+}
+
+// Lists says whether the memory's list is to serve until discovery answers, instead of one of this revision.
+func (m Memory) Lists(revision, age int64) bool {
+	return m.Revision > revision && age <= listSpan && len(m.Replicas) > 0
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,84 @@
+// Package operator reads the operator file: what an installation switches on beyond what its platform asks for.
+// Without a file, or for what a file leaves out, everything is off.
+package operator
+
+import (
+	"path/filepath"
+	"strings"
+	"time"
+
+	"lilacbend/internal/form"
+)
+
+// Rulebook is what an operator file sets.
+type Rulebook struct {
+	File  string
+	State Retention
+}
+
+// Retention says how what was learned is kept.
+type Retention struct {
+	Folder   string        // one governor's own; empty: nothing is kept
+	Every    time.Duration // between two writes
+	HalfLife time.Duration // in which what was learned counts half
+	Keep     int           // generations
+}
+
+// What holds where a file does not say otherwise: a write costs some ms of a disk, most troubles of a replica
+// pass in minutes, and three generations outlast two damaged ones.
+var usual = Retention{Every: 5 * time.Second, HalfLife: time.Minute, Keep: 3}
+
+// Read reads an operator file; no name is no file. The error names file, line and key of all that is wrong.
+func Read(file string) (Rulebook, error) {
+	if file == "" {
+		return Rulebook{}, nil
+	}
+	raw, err := form.Open(file)
+	if err != nil {
+		return Rulebook{}, err
+	}
+	return Parse(file, raw)
+}
+
+// Parse reads the bytes of an operator file.
+func Parse(file string, raw []byte) (Rulebook, error) {
+	f, top, err := form.Parse(file, raw)
+	if err != nil {
+		return Rulebook{}, err
+	}
+	book := Rulebook{File: file}
+	if s := top.Section("state"); s != nil {
+		book.State = retention(file, s)
+	}
+	top.Done()
+	if err := f.Err(); err != nil {
+		return Rulebook{}, err
+	}
+	return book, nil
+}
+
+func retention(file string, s *form.Section) Retention {
+	r := usual
+	s.Text("folder", &r.Folder)
+	s.Duration("every", &r.Every, 100*time.Millisecond, time.Hour)
+	s.Duration("half_life", &r.HalfLife, time.Second, 24*time.Hour)
+	s.Whole("keep", &r.Keep, 1, 100)
+	switch {
+	case !s.Has("folder"):
+		s.Fault("", "lacks folder: name one that lasts, for this governor alone")
+	case strings.TrimSpace(r.Folder) == "":
+		s.Fault("folder", "is empty: name a folder that lasts, for this governor alone")
+	case !filepath.IsAbs(r.Folder):
+		r.Folder = filepath.Join(filepath.Dir(file), r.Folder)
+	}
+	s.Done()
+	return r
+}
+
+// Differs names the sections that another rulebook sets otherwise.
+func (b Rulebook) Differs(other Rulebook) (sections []string) {
+	if b.State != other.State {
+		sections = append(sections, "state")
+	}
+	return sections
+}
--- /dev/null
+++ b/internal/vault/codec.go
@@ -0,0 +1,283 @@
+package vault
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"lilacbend/control"
+	"lilacbend/internal/memory"
+)
+
+// A generation is a head of 40 bytes, whose layout holds for all formats, and a body in CBOR:
+//
+//	0  magic "LILACST\n"     8  format     12  length of the body    16  generation
+//	24 xxhash64 of the body  32 xxhash64 of bytes 0 to 31            (numbers big-endian)
+//
+// The head has a sum of its own, so that a flipped byte is never taken for a newer format.
+const (
+	magic    = "LILACST\n"
+	headSize = 40
+	// Format is what is written; from oldest on all are read.
+	Format, oldest = 2, 1
+	// A site of 1,000 replicas and 10,000 proxies takes 0.7 MB. More than this is nobody's, and would
+	// have to be held beside a governor that may have 32 MB in all.
+	fileMost = 4 << 20
+)
+
+var (
+	// ErrDamaged: the file is not as it was written: torn, or a byte of it has changed.
+	ErrDamaged = errors.New("damaged")
+	// ErrNewer: a newer program wrote it.
+	ErrNewer = errors.New("of a newer format")
+	// ErrStrange: it is no file of ours.
+	ErrStrange = errors.New("no state of a governor")
+	// ErrTooLarge: it is larger than any that was written.
+	ErrTooLarge = errors.New("too large")
+)
+
+// body1 is format 1: flows by proxy alone, no seats, verdicts as a word.
+type body1 struct {
+	Governor string             `cbor:"1,keyasint"`
+	Wall     int64              `cbor:"2,keyasint"`
+	Revision int64              `cbor:"3,keyasint"`
+	Replicas []replica1         `cbor:"4,keyasint"`
+	Rates    map[int]float64    `cbor:"5,keyasint"`
+	Calm     map[string]float64 `cbor:"6,keyasint"`
+	Groups   []string           `cbor:"7,keyasint"`
+	Line     float64            `cbor:"8,keyasint"`
+}
+
+type replica1 struct {
+	ID       string  `cbor:"1,keyasint"`
+	Zone     string  `cbor:"2,keyasint"`
+	Kind     string  `cbor:"3,keyasint"`
+	UpSince  int64   `cbor:"4,keyasint"`
+	Size     float64 `cbor:"5,keyasint"`
+	Draining bool    `cbor:"6,keyasint,omitempty"`
+	Speed    float64 `cbor:"7,keyasint"`
+	Evidence float64 `cbor:"8,keyasint"`
+	Verdict  string  `cbor:"9,keyasint,omitempty"` // empty, sick or trial
+	Relapses int     `cbor:"10,keyasint,omitempty"`
+	Idle     int64   `cbor:"11,keyasint,omitempty"`
+}
+
+// body2 is format 2.
+type body2 struct {
+	Governor string            `cbor:"1,keyasint" json:"governor"`
+	Wall     int64             `cbor:"2,keyasint" json:"taken_ns"`
+	Boot     string            `cbor:"3,keyasint,omitempty" json:"boot"`
+	Up       int64             `cbor:"4,keyasint,omitempty" json:"up_ns"`
+	Revision int64             `cbor:"5,keyasint" json:"revision"`
+	Groups   []string          `cbor:"6,keyasint" json:"groups"`
+	Replicas []replica2        `cbor:"7,keyasint" json:"replicas"`
+	Calm     []calm2           `cbor:"8,keyasint" json:"calm"`
+	Usage    map[int][]float64 `cbor:"9,keyasint" json:"flows"` // flows a second by proxy, in the order of Groups
+	Seats    map[int]int       `cbor:"10,keyasint" json:"seats"`
+	Tables   int               `cbor:"11,keyasint" json:"tables"`
+	Line     float64           `cbor:"12,keyasint" json:"line"`
+	Served   float64           `cbor:"13,keyasint" json:"served"`
+	Once     bool              `cbor:"14,keyasint,omitempty" json:"once"`
+}
+
+type replica2 struct {
+	ID       string  `cbor:"1,keyasint" json:"id"`
+	Zone     string  `cbor:"2,keyasint" json:"zone"`
+	Kind     string  `cbor:"3,keyasint" json:"kind"`
+	UpSince  int64   `cbor:"4,keyasint,omitempty" json:"up_since_ns"`
+	State    int     `cbor:"5,keyasint,omitempty" json:"state"`
+	Size     float64 `cbor:"6,keyasint" json:"size"`
+	Speed    float64 `cbor:"7,keyasint" json:"speed"`
+	Evidence float64 `cbor:"8,keyasint" json:"evidence"`
+	Ticket   float64 `cbor:"9,keyasint" json:"ticket"`
+	Table    int     `cbor:"10,keyasint,omitempty" json:"table"`
+	Rest     int64   `cbor:"11,keyasint,omitempty" json:"rest_ns"`
+	Trial    bool    `cbor:"12,keyasint,omitempty" json:"trial"`
+	Relapses int     `cbor:"13,keyasint,omitempty" json:"relapses"`
+	Idle     int64   `cbor:"14,keyasint,omitempty" json:"idle_ns"`
+}
+
+type calm2 struct {
+	Kind    string    `cbor:"1,keyasint" json:"kind"`
+	Answers []float64 `cbor:"2,keyasint" json:"answers_s"`
+}
+
+var (
+	writes = must(cbor.EncOptions{Sort: cbor.SortCoreDeterministic, ShortestFloat: cbor.ShortestFloat16}.EncMode())
+	// A body may name no more than a memory may hold, so that a crafted length asks for nothing.
+	reads = must(cbor.DecOptions{MaxArrayElements: memory.UsageMost, MaxMapPairs: memory.UsageMost, MaxNestedLevels: 8,
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode())
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return v
+}
+
+// Encode writes a memory as a generation.
+func Encode(m memory.Memory, generation uint64) ([]byte, error) {
+	return seal(bodyOf(m), Format, generation)
+}
+
+func bodyOf(m memory.Memory) body2 {
+	b := body2{Governor: m.Governor, Wall: m.Taken.Wall, Boot: m.Taken.Boot, Up: m.Taken.Up, Revision: m.Revision,
+		Groups: m.Groups, Tables: m.Tables, Line: m.Line, Served: m.Served, Once: m.Once,
+		Replicas: make([]replica2, 0, len(m.Replicas)), Usage: map[int][]float64{}, Seats: map[int]int{}}
+	for _, r := range m.Replicas {
+		b.Replicas = append(b.Replicas, replica2{r.ID, r.Zone, r.Kind, r.UpSince, int(r.State), r.Size, r.Speed,
+			r.Evidence, r.Ticket, r.Table, r.Rest, r.Trial, r.Relapses, r.Idle})
+	}
+	for _, c := range m.Calm {
+		b.Calm = append(b.Calm, calm2(c))
+	}
+	order := map[string]int{}
+	for k, g := range m.Groups {
+		order[g] = k
+	}
+	for _, u := range m.Usage {
+		if k, ok := order[u.Group]; ok {
+			if b.Usage[u.Proxy] == nil {
+				b.Usage[u.Proxy] = make([]float64, len(m.Groups))
+			}
+			b.Usage[u.Proxy][k] = float64(float32(u.Rate)) // more digits say nothing of a rate
+		}
+	}
+	for _, s := range m.Seats {
+		b.Seats[s.Proxy] = s.Table
+	}
+	return b
+}
+
+func seal(b any, format uint32, generation uint64) ([]byte, error) {
+	raw, err := writes.Marshal(b)
+	if err != nil {
+		return nil, fmt.Errorf("encoding generation %d: %w", generation, err)
+	}
+	if len(raw)+headSize > fileMost {
+		return nil, fmt.Errorf("generation %d has %d bytes: %w", generation, len(raw), ErrTooLarge)
+	}
+	head := make([]byte, 0, headSize+len(raw))
+	head = append(head, magic...)
+	head = binary.BigEndian.AppendUint32(head, format)
+	head = binary.BigEndian.AppendUint32(head, uint32(len(raw)))
+	head = binary.BigEndian.AppendUint64(head, generation)
+	head = binary.BigEndian.AppendUint64(head, xxhash.Sum64(raw))
+	head = binary.BigEndian.AppendUint64(head, xxhash.Sum64(head))
+	return append(head, raw...), nil
+}
+
+// Decode reads a generation that is whole, or says what it is instead: ErrStrange, ErrDamaged, ErrNewer or
+// ErrTooLarge.
+func Decode(raw []byte) (m memory.Memory, generation uint64, format int, err error) {
+	switch {
+	case len(raw) > fileMost:
+		return m, 0, 0, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, len(raw), fileMost)
+	case len(raw) < len(magic) || string(raw[:len(magic)]) != magic:
+		return m, 0, 0, fmt.Errorf("%w: it does not begin as one", ErrStrange)
+	case len(raw) < headSize:
+		return m, 0, 0, fmt.Errorf("%w: ends after %d of %d bytes of its head", ErrDamaged, len(raw), headSize)
+	case xxhash.Sum64(raw[:headSize-8]) != binary.BigEndian.Uint64(raw[headSize-8:]):
+		return m, 0, 0, fmt.Errorf("%w: the sum of its head does not hold", ErrDamaged)
+	}
+	format, length := int(binary.BigEndian.Uint32(raw[8:])), int(binary.BigEndian.Uint32(raw[12:]))
+	generation = binary.BigEndian.Uint64(raw[16:])
+	body := raw[headSize:]
+	switch {
+	case length != len(body):
+		return m, generation, format, fmt.Errorf("%w: %d bytes where the head tells %d", ErrDamaged, len(body), length)
+	case xxhash.Sum64(body) != binary.BigEndian.Uint64(raw[24:]):
+		return m, generation, format, fmt.Errorf("%w: the sum of its body does not hold", ErrDamaged)
+	case format > Format:
+		return m, generation, format, fmt.Errorf("%w: %d, this program reads %d to %d", ErrNewer, format, oldest, Format)
+	case format < oldest:
+		return m, generation, format, fmt.Errorf("%w: format %d", ErrStrange, format)
+	}
+	if format == 1 {
+		m, err = first(body)
+	} else {
+		m, err = second(body)
+	}
+	if err != nil {
+		return memory.Memory{}, generation, format, fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	return m, generation, format, nil
+}
+
+func second(body []byte) (m memory.Memory, err error) {
+	var b body2
+	if err := reads.Unmarshal(body, &b); err != nil {
+		return m, err
+	}
+	return b.memory()
+}
+
+func (b body2) memory() (memory.Memory, error) {
+	m := memory.Memory{Governor: b.Governor, Taken: memory.Moment{Wall: b.Wall, Boot: b.Boot, Up: b.Up}, Revision: b.Revision,
+		Groups: b.Groups, Tables: b.Tables, Line: b.Line, Served: b.Served, Once: b.Once}
+	for _, r := range b.Replicas {
+		m.Replicas = append(m.Replicas, memory.Replica{ID: r.ID, Zone: r.Zone, Kind: r.Kind, UpSince: r.UpSince,
+			State: control.State(r.State), Size: r.Size, Speed: r.Speed, Evidence: r.Evidence, Ticket: r.Ticket, Table: r.Table,
+			Rest: r.Rest, Trial: r.Trial, Relapses: r.Relapses, Idle: r.Idle})
+	}
+	for _, c := range b.Calm {
+		m.Calm = append(m.Calm, memory.Calm(c))
+	}
+	for _, proxy := range sortedKeys(b.Usage) {
+		for k, rate := range b.Usage[proxy] {
+			if k < len(b.Groups) && rate != 0 {
+				m.Usage = append(m.Usage, memory.Usage{Proxy: proxy, Group: b.Groups[k], Rate: rate})
+			}
+		}
+	}
+	for _, proxy := range sortedKeys(b.Seats) {
+		m.Seats = append(m.Seats, control.Seat{Proxy: proxy, Table: b.Seats[proxy]})
+	}
+	return m, bounded(m)
+}
+
+// first reads format 1. It had one rate a proxy, which is taken as shared evenly by the groups; a rest left was
+// not told, and a sick replica gets the shortest; tickets were not told, so that tables are drawn anew.
+func first(body []byte) (m memory.Memory, err error) {
+	var b body1
+	if err := reads.Unmarshal(body, &b); err != nil {
+		return m, err
+	}
+	m = memory.Memory{Governor: b.Governor, Taken: memory.Moment{Wall: b.Wall}, Revision: b.Revision, Groups: b.Groups, Line: b.Line}
+	for _, r := range b.Replicas {
+		n := memory.Replica{ID: r.ID, Zone: r.Zone, Kind: r.Kind, UpSince: r.UpSince, Size: r.Size, Speed: r.Speed,
+			Evidence: r.Evidence, Relapses: r.Relapses, Idle: r.Idle, Trial: r.Verdict == "trial"}
+		if r.Draining {
+			n.State = control.Draining
+		}
+		if r.Verdict == "sick" {
+			n.Rest = firstRest
+		}
+		m.Replicas = append(m.Replicas, n)
+	}
+	for _, kind := range sortedKeys(b.Calm) {
+		m.Calm = append(m.Calm, memory.Calm{Kind: kind, Answers: []float64{b.Calm[kind]}})
+	}
+	for _, proxy := range sortedKeys(b.Rates) {
+		for _, g := range b.Groups {
+			m.Usage = append(m.Usage, memory.Usage{Proxy: proxy, Group: g, Rate: b.Rates[proxy] / float64(len(b.Groups))})
+		}
+	}
+	return m, bounded(m)
+}
+
+// firstRest stands for the rest that format 1 did not tell.
+const firstRest = int64(3 * 1e9)
+
+func bounded(m memory.Memory) error {
+	if len(m.Replicas) > memory.ReplicasMost || len(m.Usage) > memory.UsageMost || len(m.Calm) > memory.NamesMost ||
+		len(m.Groups) > memory.NamesMost || m.Taken.Wall < math.MinInt64/2 || m.Taken.Wall > math.MaxInt64/2 {
+		return fmt.Errorf("%d replicas, %d flows of proxies, %d groups: more than there can be", len(m.Replicas), len(m.Usage), len(m.Groups))
+	}
+	return nil
+}
