--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,7 +35,8 @@
 	missedOnce, shareSteps, guestSteps    = 0.08, 20, 10         // one try only; steps of levels and guests
 	lineFirst, lineDown, lineUp           = 0.9, 0.9, 0.01       // the line: first of the served, later, up
 	demandSpan, priorSpan, surge          = 8 * second, 4.0, 1.5 // flows of a proxy; a sudden rise
-	faithMost, faithLeft, doubtMost       = 16.0, 0.5, 0.4       // tries of a memory; left by a sum; out by it
+	faithMost, faithLeft                  = 16.0, 0.5            // tries that a memory counts for; left by a sum
+	doubtPart, doubtMost                  = 0.125, 0.4           // weight of who was sick; of more, none is
 )
 
 var spares = [...]float64{spareGuest, spareGuest, spareIdler} // by control.Pick
@@ -65,7 +66,7 @@
 	case control.Entry:
 		if n.Start != r.entry.Start && n.State == control.Ready {
 			r.met, r.resting, r.trial, r.relapse, r.heard = nil, 0, 0, 0, r.now
-			r.faith, r.evidence, r.doubt = 0, 0, false
+			r.faith, r.evidence, r.doubt = 0, 0, 0
 		}
 		r.entry = n
 	case control.Met:
@@ -86,20 +87,20 @@
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
 	sick := r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
 	r.post(thePlanner, offer{r.entry, r.box, size * r.speed, size * r.fleet.goal, r.ticket, tries, bad, answer,
-		r.prior, r.faith, r.cold(), sick, r.trial > 0, r.doubt})
+		r.prior, r.faith, r.doubt, r.cold(), sick, r.trial > 0 && r.doubt == 0})
 }
 
-// recall believes what an earlier governor knew as far as its age leaves it; the first sums overrule its speed.
-// Who was sick rests once more, then is on trial: it harms for that long where all have healed meanwhile.
+// recall believes what an earlier governor knew as far as its age leaves it; first sums overrule its speed.
+// The sick are on trial with little weight: to withdraw them would harm for longer where they have healed.
 // Nothing remembered makes the cold warm.
 func (r *replica) recall(n control.Recalled) {
 	r.ticket, r.evidence, r.proof = cmp.Or(n.Ticket, r.ticket), n.Weight*n.Evidence, r.now-n.Age
 	r.prior, r.faith = math.Pow(n.Speed, n.Weight), n.Weight*math.Min(n.Evidence, faithMost)
 	r.speed, r.fleet.goal = r.prior, r.prior
 	r.relapse = int(math.Round(n.Weight * float64(n.Relapses)))
-	if r.doubt = n.Rest > 0 || n.Trial; r.doubt {
-		r.resting = r.now + int64(n.Weight*float64(min(max(n.Rest, restSpan), restSpan<<mostRelapses)))
-		r.say("replica %d remembered as sick: rests %dms", r.entry.Replica, (r.resting-r.now)*1000/second)
+	if n.Rest > 0 || n.Trial {
+		r.trial, r.doubt = r.now, 1-math.Pow(doubtPart, n.Weight) // it was shut out: no sums of before come late
+		r.say("replica %d remembered as sick: on trial with %.2f of its weight", r.entry.Replica, 1-r.doubt)
 	}
 }
 
@@ -127,17 +128,18 @@
 	switch {
 	case r.resting > r.now:
 	case r.resting > 0:
-		r.resting, r.trial, r.doubt = 0, r.now+r.ReportEvery, false // sums of before the trial come late
+		r.resting, r.trial = 0, r.now+r.ReportEvery // sums of before the trial come late
 		r.say("replica %d on trial after rest %d", r.entry.Replica, r.relapse)
-	case r.fleet.bad > lostBad || r.trial > 0 && tries < trialTries || tries < sickTries && r.trial == 0:
+	case r.fleet.bad > lostBad && r.doubt == 0 || r.trial > 0 && tries < trialTries,
+		tries < sickTries && r.trial == 0:
 	case bad/math.Max(1, tries) > r.fleet.bad+sickPart*(1-r.fleet.bad) &&
 		(r.trial > 0 || tries-bad < fewGood*r.fleet.good && answer < r.fleet.late):
 		rest := restSpan << min(r.relapse, mostRelapses)
-		r.resting, r.trial, r.relapse, r.met = r.now+rest, 0, r.relapse+1, nil
+		r.resting, r.trial, r.relapse, r.met, r.doubt = r.now+rest, 0, r.relapse+1, nil, 0
 		r.say("replica %d sick: %.0f of %.0f missed, fleet %.2f, rests %ds", r.entry.Replica, bad, tries,
 			r.fleet.bad, rest/second)
 	case r.trial > 0:
-		r.trial = 0
+		r.trial, r.doubt = 0, 0
 		r.say("replica %d well again: %.0f of %.0f missed", r.entry.Replica, bad, tries)
 	}
 }
@@ -291,13 +293,19 @@
 	tables, row, total, all := p.tables, p.rows(p.tables), 1e-9, 1e-9
 	t := target{map[line]float64{}, p.shutOut(ids, row)}
 	need, home, serves := make([]float64, tables), make([]float64, tables), make([]float64, tables)
+	doubts := 0.0
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
 			if home[p.own[id]] += o.size; !t.out[id] {
 				serves[p.own[id]] += o.size
 			}
+			if o.doubt > 0 {
+				doubts++
+			}
 		}
 	}
+	// That most were sick tells of what has passed, or of us.
+	doubted := doubts < doubtMost*float64(len(ids))
 	for table := range home { // a few sick are their zones' trouble; when most are, guests must come
 		if serves[table]*spares[p.Pick] < deadPart*home[table] {
 			home[table] = serves[table]
@@ -316,7 +324,11 @@
 	size := max(3, p.ChannelLimit/2*max(1, p.Governors)/max(1, p.Proxies)-p.MessageHead-2)
 	seats, drawn := make([]int, tables), make([]int, tables) // who serves its proxies; its lines
 	lay := func(table int, id uint32, part float64) {
-		if w := part * p.offers[id].weight; p.offers[id].State == control.Ready && w > 0 {
+		w := part * p.offers[id].weight
+		if doubted {
+			w *= 1 - p.offers[id].doubt
+		}
+		if p.offers[id].State == control.Ready && w > 0 {
 			if drawn[table]++; t.out[id] { // who is withdrawn takes no guest's room
 				w, drawn[table] = -1, drawn[table]-1
 			}
@@ -397,18 +409,15 @@
 		zone := p.crowd[proxy].table % row
 		usual[zone], newest[zone] = usual[zone]+p.demand.flows[proxy], newest[zone]+p.demand.fresh[proxy]
 	}
-	may, believed := warm*sickMost, warm*doubtMost
+	may := warm * sickMost
 	for _, id := range ids {
 		switch o := p.offers[id]; {
 		case o.State != control.Ready,
 			o.cold && warm > 0 && (o.sick || newest[p.own[id]%row] > surge*math.Max(1, usual[p.own[id]%row])):
 			out[id] = true
-		case o.sick && !o.cold && may >= 1 && (!o.doubt || believed >= 1):
+		case o.sick && !o.cold && may >= 1:
 			out[id] = true
 			may--
-			if o.doubt { // a memory of most being sick tells of something that has passed, or of us
-				believed--
-			}
 		}
 		if out[id] && !p.out[id] {
 			p.post(thePacer, control.Withdraw{Replica: id, Out: true})
@@ -491,7 +500,7 @@
 	case control.Demand:
 		l.came = append(l.came, sums{n, l.now})
 	case control.RecalledFleet:
-		l.past, l.since, l.served = n, l.now, append(l.served, n.Weight*n.Served)
+		l.past, l.since, l.judged, l.served = n, l.now, l.now, append(l.served, n.Weight*n.Served)
 		l.once, l.turned = n.Once && n.Weight >= faithLeft, l.now
 	case fleet:
 		l.came = slices.DeleteFunc(l.came, func(d sums) bool { return d.at <= l.now-demandSpan })
@@ -679,9 +688,10 @@
 	case control.Bind, control.Level:
 		p.urgent = append(p.urgent, n)
 	case control.Joined:
-		p.bound[n.Proxy], p.wrote[n.Proxy] = -1, nil
+		p.seat(n.Proxy, -1)
+		p.wrote[n.Proxy] = nil
 	case control.Left:
-		delete(p.bound, n.Proxy)
+		p.unseat(n.Proxy)
 	case step:
 		p.step = n
 	case caught: // messages leave in order: an answer clears all that was written before its own
@@ -710,9 +720,15 @@
 	case control.Bind:
 		return []int{o.Proxy}, 2*len(p.laid[o.Table]) + len(p.Groups) + 1 // all of its lines may be withdrawn
 	case control.SetLine:
-		return slices.DeleteFunc(sorted(p.bound), func(proxy int) bool { return p.bound[proxy] != o.Table }), 1
+		return p.seated[o.Table], 1
 	case control.Withdraw:
-		return slices.DeleteFunc(sorted(p.bound), func(q int) bool { return !p.laid[p.bound[q]][o.Replica] }), 1
+		for table, lines := range p.laid {
+			if lines[o.Replica] {
+				to = append(to, p.seated[table]...)
+			}
+		}
+		slices.Sort(to)
+		return to, 1
 	}
 	return sorted(p.bound), 1
 }
@@ -738,7 +754,7 @@
 		if _, joined := p.bound[o.Proxy]; len(p.laid[o.Table]) == 0 || !joined { // not before its table is laid
 			return !joined
 		}
-		p.bound[o.Proxy] = o.Table
+		p.seat(o.Proxy, o.Table)
 	case control.SetLine:
 		if p.laid[o.Table] == nil {
 			p.laid[o.Table] = map[uint32]bool{}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -352,7 +352,7 @@
 func pacing(g *Governor, proxies int) *pacer {
 	p := g.boxes[thePacer].part.(*pacer)
 	for proxy := range proxies {
-		p.bound[proxy] = 0
+		p.seat(proxy, 0)
 	}
 	p.laid[0] = map[uint32]bool{}
 	for id := range uint32(20) {
@@ -385,7 +385,8 @@
 	g := at(0)
 	g.MessagesMost = 4
 	p := pacing(g, 2)
-	p.bound[1], p.laid[1], p.wrote[0] = 1, map[uint32]bool{}, []int64{0, 0, 0}
+	p.laid[1], p.wrote[0] = map[uint32]bool{}, []int64{0, 0, 0}
+	p.seat(1, 1)
 	p.take(step{2, []control.Order{control.SetLine{Replica: 1, Weight: 1},
 		control.SetLine{Table: 1, Replica: 1, Weight: 1}}})
 	p.send()
@@ -424,7 +425,8 @@
 func TestAWithdrawalWaitsOnlyForThoseWhoHoldALine(t *testing.T) {
 	g := at(0)
 	p := pacing(g, 2)
-	p.bound[1], p.laid[1] = 1, map[uint32]bool{99: true}
+	p.laid[1] = map[uint32]bool{99: true}
+	p.seat(1, 1)
 	p.take(control.Withdraw{Replica: 99, Out: true})
 	p.send()
 	m := mail[marked](g, theRoll)[0]
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -82,7 +82,7 @@
 		theLevels: {part: &levels{desk: d, set: map[int]control.Level{}}},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
-		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, laid: map[int]map[uint32]bool{},
+		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, seated: map[int][]int{}, laid: map[int]map[uint32]bool{},
 			wrote: map[int][]int64{}}},
 	}
 	return g
@@ -187,6 +187,22 @@
 	}
 }
 
+// seat puts a joined proxy on a table.
+func (p *pacer) seat(proxy, table int) {
+	p.unseat(proxy)
+	p.bound[proxy] = table
+	k, _ := slices.BinarySearch(p.seated[table], proxy)
+	p.seated[table] = slices.Insert(p.seated[table], k, proxy)
+}
+
+func (p *pacer) unseat(proxy int) {
+	if table, here := p.bound[proxy]; here {
+		k, _ := slices.BinarySearch(p.seated[table], proxy)
+		p.seated[table] = slices.Delete(p.seated[table], k, k+1)
+		delete(p.bound, proxy)
+	}
+}
+
 // note keeps what has gone out of the step: lines laid, lifts and moves done, marks to wait for.
 func (s *sequence) note(m marked) {
 	for _, o := range m.orders {
--- a/brain/types.go
+++ b/brain/types.go
@@ -18,7 +18,8 @@
 		box                                      int
 		weight, size, ticket, tries, bad, answer float64
 		prior, faith                             float64 // remembered speed, and how many tries it counts for
-		cold, sick, trial, doubt                 bool    // doubt: sick by memory alone
+		doubt                                    float64 // part of its weight that it lacks as it was sick by memory alone
+		cold, sick, trial                        bool
 	}
 	fleet struct { // planner to levels: tries a second, parts missed, of all and of most, answer times
 		tries, bad, most, answer, serves, calm float64
@@ -71,7 +72,7 @@
 	changed int64 // when it was last seen not to be gone
 
 	prior, faith float64 // as offer
-	doubt        bool
+	doubt        float64
 	evidence     float64 // tries behind its speed
 	proof        int64   // when the last of them was told
 }
@@ -151,6 +152,7 @@
 	urgent []control.Order // withdrawals, binds and levels wait here
 	step   step
 	bound  map[int]int             // joined proxies; -1 holds its standing table
+	seated map[int][]int           // the same by table, in order
 	laid   map[int]map[uint32]bool // the lines of each table
 	wrote  map[int][]int64
 	under  []batch // sent, and no answer tells that it has left the channel
--- /dev/null
+++ b/cmd/lab/main.go
@@ -0,0 +1,19 @@
+// Command lab measures what a change of the governor does, in virtual time or on loopback. All of its figures
+// are simulated. It is no part of the product.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	root := &cli.Command{Name: "lab", Usage: "measure what a change does", Commands: []*cli.Command{restartCommand()}}
+	if err := root.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "lab:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/lab/restart.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"lilacbend/lab/emulator"
+	"lilacbend/lab/restart"
+)
+
+func restartCommand() *cli.Command {
+	return &cli.Command{Name: "restart", Usage: "flows lost and late in the 10 s after a governor's restart, with and without state",
+		Flags: []cli.Flag{&cli.IntFlag{Name: "replicas", Value: 30}, &cli.IntFlag{Name: "proxies", Value: 150},
+			&cli.IntFlag{Name: "seeds", Value: 8}, &cli.FloatFlag{Name: "load", Value: 0.5, Usage: "of what all replicas can serve when well"}},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			site := emulator.NewSite(cmd.Int("replicas"), cmd.Int("proxies"), cmd.Float("load"))
+			return restartTable(site, cmd.Int("seeds"))
+		}}
+}
+
+// restartTable prints the mean share of flows that were not answered in their budget, and its spread over seeds.
+func restartTable(site emulator.Site, seeds int) error {
+	memories := []restart.Memory{restart.NoRestart, restart.None, restart.Kept, restart.Old, restart.Wrong}
+	fmt.Printf("%d replicas, %d proxies, load %.2f, %d seeds: percent of the flows of 10 s not answered in their budget (standard error)\n",
+		site.Replicas, site.Proxies, site.Load, seeds)
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(out, "trouble\t")
+	for _, m := range memories {
+		fmt.Fprintf(out, "%v\t", m)
+	}
+	fmt.Fprintln(out, "lost by the restart: with / without\t")
+	for _, t := range restart.Troubles {
+		bad, err := restartRow(site, t, memories, seeds)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s\t", t.Name)
+		for _, of := range bad {
+			mean, spread := meanAndError(of)
+			fmt.Fprintf(out, "%.2f (%.2f)\t", 100*mean, 100*spread)
+		}
+		base, _ := meanAndError(bad[0])
+		without, _ := meanAndError(bad[1])
+		with, _ := meanAndError(bad[2])
+		fmt.Fprintf(out, "%.2f / %.2f\t\n", 100*(with-base), 100*(without-base))
+	}
+	return out.Flush()
+}
+
+// restartRow plays all seeds with each memory, as many at a time as there are cores.
+func restartRow(site emulator.Site, t restart.Trouble, memories []restart.Memory, seeds int) ([][]float64, error) {
+	bad, failed := make([][]float64, len(memories)), make(chan error, seeds*len(memories))
+	places, all := make(chan struct{}, runtime.GOMAXPROCS(0)), sync.WaitGroup{}
+	for k, m := range memories {
+		bad[k] = make([]float64, seeds)
+		for seed := range seeds {
+			places <- struct{}{}
+			all.Go(func() {
+				defer func() { <-places }()
+				o, err := restart.Run(site, t, m, int64(seed+1))
+				if bad[k][seed] = o.Bad(); err != nil {
+					failed <- fmt.Errorf("%s, %v, seed %d: %w", t.Name, m, seed+1, err)
+				}
+			})
+		}
+	}
+	all.Wait()
+	select {
+	case err := <-failed:
+		return nil, err
+	default:
+		return bad, nil
+	}
+}
+
+func meanAndError(of []float64) (mean, spread float64) {
+	for _, v := range of {
+		mean += v / float64(len(of))
+	}
+	for _, v := range of {
+		spread += (v - mean) * (v - mean)
+	}
+	return mean, math.Sqrt(spread/math.Max(1, float64(len(of)-1))) / math.Sqrt(float64(len(of)))
+}
--- /dev/null
+++ b/cmd/lilacbend/state_test.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"lilacbend/internal/memory"
+	"lilacbend/internal/operator"
+	"lilacbend/internal/resp"
+	"lilacbend/internal/vault"
+)
+
+func stateful(t *testing.T, folder string) charter {
+	c := exampleCharter(t, free(t))
+	c.rules = operator.Rulebook{State: operator.Retention{Folder: folder, Every: 20 * time.Millisecond, HalfLife: time.Minute, Keep: 2}}
+	return c
+}
+
+// start serves until stop is called, which waits for the end.
+func start(t *testing.T, c charter) (out *lines, stop func()) {
+	out = &lines{}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- serve(ctx, c, reload{}, slog.New(slog.NewTextHandler(out, nil))) }()
+	for range 500 {
+		if conn, err := net.Dial("tcp", c.listen); err == nil {
+			conn.Close()
+			return out, func() {
+				begun := time.Now()
+				cancel()
+				if err := <-ended; err != nil || time.Since(begun) > 700*time.Millisecond {
+					t.Errorf("ended after %v: %v", time.Since(begun), err)
+				}
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("nobody listens")
+	return nil, nil
+}
+
+// reports sends sums by which one replica answers nothing, until it is called sick.
+func reports(t *testing.T, at, sick string, out *lines) {
+	pool := resp.NewPool(1 << 20)
+	conn, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	for _, says := range []string{"agent site a"} {
+		resp.Write(conn, pool, strings.Fields(says)...)
+	}
+	for range 100 {
+		for k := 1; k <= 6; k++ {
+			failed := 0
+			if fmt.Sprint("box-", k) == sick {
+				failed = 10
+			}
+			resp.Write(conn, pool, strings.Fields(fmt.Sprintf("outcomes site a target box-%d count 10 fail %d mean 100 over 500", k, failed))...)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if out.has("replica " + sick + " sick") {
+			return
+		}
+	}
+	t.Fatal("not called sick: ", out.String())
+}
+
+func TestARestartRemembersWhoIsSick(t *testing.T) {
+	c := stateful(t, filepath.Join(t.TempDir(), "state"))
+	out, stop := start(t, c)
+	reports(t, c.listen, "box-2", out)
+	stop()
+	if !out.has("no state to begin with") || !out.has("state.failed=0") {
+		t.Errorf("first: %s", out)
+	}
+	c.listen = free(t)
+	out, stop = start(t, c)
+	conn, err := net.Dial("tcp", c.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	pool := resp.NewPool(1 << 20)
+	resp.Write(conn, pool, strings.Fields("hello id 3 site a rps 20 new 0")...)
+	var heard string
+	for r := resp.NewReader(conn, pool); !strings.Contains(heard, "box-2:0."); { // let in, with less than the others
+		words, err := r.Next()
+		if heard += strings.Join(words, " ") + "\n"; err != nil || strings.Count(heard, "\n") > 9 {
+			t.Fatalf("told %q %v", heard, err)
+		}
+	}
+	other, end := start(t, func() charter { second := c; second.listen = free(t); return second }())
+	if end(); !other.has("state is neither read nor kept") || !other.has(fmt.Sprintf("held by n0, process %d", os.Getpid())) {
+		t.Errorf("two on one folder: %s", other)
+	}
+	if stop(); !out.has("state read") || !out.has("replica box-2 remembered as sick") {
+		t.Errorf("second: %s", out)
+	}
+}
+
+// Whatever is found in the folder, a governor serves; what it could not use it names, and leaves.
+func TestAGovernorServesWhateverItFinds(t *testing.T) {
+	whole, _ := vault.Encode(memory.Memory{Governor: "n9", Taken: vault.Now()}, 1)
+	for name, c := range map[string]struct{ raw, says string }{
+		"state-0000000000000001.lbs": {string(whole), `it is \"n9\"'s`},
+		"state-0000000000000002.lbs": {string(whole), "it holds generation 1"},
+		"state-0000000000000003.lbs": {"", "does not begin as one"},
+		"state-0000000000000004.lbs": {string(whole[:60]), "damaged"},
+		"unrelated":                  {"x", "no state to begin with"},
+	} {
+		ch := stateful(t, t.TempDir())
+		os.Chmod(ch.rules.State.Folder, 0o700)
+		file := filepath.Join(ch.rules.State.Folder, name)
+		os.WriteFile(file, []byte(c.raw), 0o600)
+		out, stop := start(t, ch)
+		stop()
+		if !out.has(c.says) || c.raw != "x" && !out.has(name) {
+			t.Errorf("%s: %s", name, out)
+		}
+		if left, _ := os.ReadFile(file); name == "unrelated" && string(left) != "x" {
+			t.Error("a file that is not ours is touched")
+		}
+	}
+}
+
+// Written while asked for counters, to read its file again and to end: nothing is torn, and the end comes in time.
+func TestSignalsDuringWrites(t *testing.T) {
+	for range 2 {
+		c := stateful(t, t.TempDir())
+		os.Chmod(c.rules.State.Folder, 0o700)
+		c.rules.State.Every = time.Millisecond
+		_, stop := start(t, c)
+		for range 20 {
+			syscall.Kill(os.Getpid(), syscall.SIGUSR1)
+			time.Sleep(25 * time.Millisecond)
+		}
+		stop()
+		whole, refused, err := vault.Survey(vault.Folder(c.rules.State.Folder))
+		if len(whole) != 2 || len(refused) != 0 || err != nil {
+			t.Errorf("%d whole, refused %v, %v", len(whole), refused, err)
+		}
+	}
+}
+
+func TestStateCommands(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "s")
+	m := memory.Memory{Governor: "n0", Taken: vault.Now(), Groups: []string{"read"}, Line: 1, Replicas: []memory.Replica{{ID: "box-2", Zone: "a", Speed: 0.5, Rest: 3e9, Relapses: 1}}}
+	paper, err := vault.Export(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "s.json")
+	os.WriteFile(file, paper, 0o600)
+	run := func(args ...string) (string, error) {
+		var out bytes.Buffer
+		cmd := stateCommand(&told{}, &out)
+		err := cmd.Run(context.Background(), append([]string{"state"}, args...))
+		return out.String(), err
+	}
+	for _, c := range []struct {
+		args      string
+		out, fail string
+	}{
+		{"show " + folder, "", "no such file"},
+		{"import " + file + " " + folder, "generation 1, 1 replicas", ""},
+		{"import " + file + " " + folder, "generation 2, 1 replicas", ""},
+		{"import " + folder, "", "no folder: name one"},
+		{"import " + filepath.Join(folder, "lock") + " " + folder, "", "no exported state"},
+		{"show " + folder, "sick, 3s left", ""},
+		{"show " + filepath.Join(folder, "state-0000000000000001.lbs"), "generation 1, format 2", ""},
+		{"show --json " + folder, string(paper), ""},
+		{"export " + folder, string(paper), ""},
+		{"verify " + folder, "whole: 2 generations, the newest 2", ""},
+		{"prune --keep 0 " + folder, "", "--keep is 0"},
+		{"prune " + folder, "removed 1 files", ""},
+		{"verify " + filepath.Join(folder, "state-0000000000000002.lbs"), "is whole: generation 2", ""},
+		{"verify " + file, "", "no state of a governor"},
+		{"verify", "", "no folder: name one"},
+	} {
+		out, err := run(strings.Fields(c.args)...)
+		if !strings.Contains(out, c.out) || (err != nil) != (c.fail != "") || err != nil && !strings.Contains(err.Error(), c.fail) {
+			t.Errorf("%s: %q %v", c.args, out, err)
+		}
+	}
+	os.WriteFile(filepath.Join(folder, "state-0000000000000003.lbs"), []byte("LILACST\nx"), 0o600)
+	if _, err := run("verify", folder); err == nil || !strings.Contains(err.Error(), "1 of 2 files refused") {
+		t.Errorf("a damaged one: %v", err)
+	}
+	if out, err := run("export", folder); err != nil || out != string(paper) {
+		t.Errorf("the newest whole one: %v", err)
+	}
+	lock, err := vault.Folder(folder).Take("n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lock.Release()
+	if _, err := run("prune", folder); err == nil || !strings.Contains(err.Error(), "held by n0") {
+		t.Errorf("pruned while held: %v", err)
+	}
+}
--- a/internal/form/form.go
+++ b/internal/form/form.go
@@ -189,7 +189,6 @@
 	node  *yaml.Node
 	path  string
 	known []string
-	twice map[string]bool
 }
 
 func (f *Form) section(n *yaml.Node, path string) *Section {
@@ -197,7 +196,7 @@
 		f.note(n, path, "is %s, want keys with values", shape(n))
 		return nil
 	}
-	s := &Section{form: f, node: n, path: path, twice: map[string]bool{}}
+	s := &Section{form: f, node: n, path: path}
 	seen := map[string]int{}
 	for k := 0; k < len(n.Content); k += 2 {
 		key := n.Content[k]
@@ -206,7 +205,6 @@
 			continue
 		}
 		if first, again := seen[key.Value]; again {
-			s.twice[key.Value] = true
 			f.note(key, under(path, key.Value), "given twice, first in line %d", first)
 			continue
 		}
@@ -269,13 +267,16 @@
 	return all
 }
 
-// Fault notes that the value of a key, or the section where there is none, does not hold.
+// Fault notes that the value of a key does not hold; with no key it is the section.
 func (s *Section) Fault(key, reason string, args ...any) {
-	n := s.node
-	if v := s.find(key); v != nil {
-		n = v
+	n, path := s.node, s.path
+	if key != "" {
+		path = under(path, key)
+		if v := s.find(key); v != nil {
+			n = v
+		}
 	}
-	s.form.note(n, under(s.path, key), reason, args...)
+	s.form.note(n, path, reason, args...)
 }
 
 // Text reads a word into v, which keeps its value where the key is not given.
@@ -288,7 +289,7 @@
 // scalar is the plain value of a key.
 func (s *Section) scalar(key, want string) *yaml.Node {
 	n := s.find(key)
-	if n == nil || s.twice[key] {
+	if n == nil {
 		return nil
 	}
 	if n.Kind != yaml.ScalarNode || n.Tag == "!!null" {
--- /dev/null
+++ b/internal/governor/remember_test.go
@@ -0,0 +1,99 @@
+package governor
+
+import (
+	"reflect"
+	"testing"
+
+	"lilacbend/control"
+	"lilacbend/internal/memory"
+)
+
+func past(at, age int64, replicas ...memory.Replica) *memory.Past {
+	m := memory.Memory{Tables: 2, Line: 0.5, Replicas: replicas, Calm: []memory.Calm{{Kind: "m2", Answers: []float64{0.1}}, {Answers: []float64{0.2}}, {Kind: "m9", Answers: []float64{9}}},
+		Usage: []memory.Usage{{Proxy: 4, Group: "order", Rate: 3}}, Seats: []control.Seat{{Proxy: 4, Table: 1}}}
+	return memory.NewPast(m, at, age, halfLifeUsual)
+}
+
+func learned(speed float64) orders {
+	return orders{control.Learned{Replicas: []control.Known{{Replica: 1, Speed: speed, Evidence: 3}, {Replica: 99, Speed: 1}},
+		Fleet: control.Fleet{Calm: [][]float64{nil, {0.3}, {7}, {0.4}}, Usage: []control.Usage{{Proxy: 4, Group: 1, Rate: 2}, {Proxy: 4, Group: 7}}, Line: 1}}}
+}
+
+func remembering(turns ...[]control.Order) (*Core, *script) {
+	c, s := core(turns...)
+	c.kinds = 3 // two named, and one for all others
+	return c, s
+}
+
+func recalledIn(events []control.Event) (all []control.Recalled, fleet []control.RecalledFleet) {
+	for _, e := range events {
+		switch e := e.(type) {
+		case control.Recalled:
+			all = append(all, e)
+		case control.RecalledFleet:
+			fleet = append(fleet, e)
+		}
+	}
+	return all, fleet
+}
+
+func TestWhatWasBroughtIsToldOnceAReplicaIsListed(t *testing.T) {
+	c, s := remembering()
+	x := memory.Replica{ID: "x", Zone: "b", Kind: "m2", Speed: 0.5, Evidence: 9, Table: 1}
+	c.Turn(100e9, []any{Recall{past(100e9, halfLifeUsual, x)}, list(true, "yr")})
+	all, fleet := recalledIn(s.told)
+	if _, first := s.told[0].(control.RecalledFleet); !first || len(all) != 0 || len(fleet) != 1 || fleet[0].Weight != 0.5 ||
+		!reflect.DeepEqual(fleet[0].Calm, [][]float64{nil, {0.1}, nil, {0.2}}) || !reflect.DeepEqual(fleet[0].Usage, []control.Usage{{Proxy: 4, Group: 1, Rate: 3}}) {
+		t.Errorf("told %+v", s.told)
+	}
+	c.Turn(100e9+halfLifeUsual, []any{list(false, "xr")}) // ages meanwhile
+	all, _ = recalledIn(s.told)
+	want := []control.Recalled{{Known: control.Known{Replica: 2, Speed: 0.5, Evidence: 9, Table: 1}, Weight: 0.25, Age: 2 * halfLifeUsual}}
+	if !reflect.DeepEqual(all, want) {
+		t.Errorf("told %+v", s.told)
+	}
+	again := list(false, "xt")
+	if c.Turn(100e9+halfLifeUsual, []any{again}); len(s.told) != 1 {
+		t.Errorf("told once more: %+v", s.told)
+	}
+	again.Members[0].UpSince = 999e9 // it has started since
+	if c.Turn(100e9+halfLifeUsual, []any{again}); len(s.told) != 1 || c.Count.Recalled != 1 {
+		t.Errorf("another start is taken for the remembered one: %+v", s.told)
+	}
+}
+
+func TestAFreshModuleStartsFromWhatWasLearnedHere(t *testing.T) {
+	c, s := remembering(nil, learned(0.25), panics)
+	x := memory.Replica{ID: "x", Zone: "b", Kind: "m2", Speed: 0.5, Evidence: 9}
+	z := memory.Replica{ID: "z", Zone: "b", Kind: "m2", Speed: 4, Evidence: 9}
+	c.Turn(100e9, []any{Recall{past(100e9, 0, x, z)}, list(true, "xr", "yr")})
+	o := c.Turn(100e9+keepEvery, nil)
+	if o.Learned == nil || len(o.Learned.Replicas) != 2 || o.Learned.Replicas[0].Speed != 0.25 || o.Learned.Replicas[1].ID != "z" ||
+		o.Learned.Replicas[1].Idle != keepEvery || len(o.Learned.Usage) != 1 || len(o.Learned.Calm) != 2 {
+		t.Fatalf("learned %+v", o.Learned)
+	}
+	o = c.Turn(100e9+keepEvery+halfLifeUsual, nil)
+	all, fleet := recalledIn(s.told)
+	if o.Failed == "" || len(all) != 1 || all[0].Speed != 0.25 || all[0].Weight != 0.5 || len(fleet) != 1 {
+		t.Errorf("told %+v after %.20q", s.told, o.Failed)
+	}
+}
+
+// What was learned may be what a module fails by: it is left out before the module rests.
+func TestAModuleThatFailsByWhatItIsToldStartsBare(t *testing.T) {
+	c, s := remembering(nil, panics, panics, nil)
+	x := memory.Replica{ID: "x", Zone: "b", Kind: "m2", Speed: 0.5, Evidence: 9}
+	c.Turn(100e9, []any{Recall{past(100e9, 0, x)}, list(true, "xr")})
+	o := c.Turn(101e9, nil)
+	if all, fleet := recalledIn(s.told); len(all)+len(fleet) != 0 || len(s.told) != 1 || c.Count.Bare != 1 || o.Wake != 0 {
+		t.Errorf("told %+v, %d bare, due %d", s.told, c.Count.Bare, o.Wake)
+	}
+}
+
+func TestTheListOfAMemory(t *testing.T) {
+	m := memory.Memory{Revision: 7, Replicas: []memory.Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, Size: 2, State: control.Draining}, {ID: "y", State: control.Gone}}}
+	want := Listing{Revision: 7, Whole: true, Members: []Member{{ID: "x", Zone: "a", Kind: "m1", State: control.Draining, Weight: 2, UpSince: 5}}}
+	if got := ListFrom(m); !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v", got)
+	}
+}
--- /dev/null
+++ b/internal/memory/memory_test.go
@@ -0,0 +1,139 @@
+package memory
+
+import (
+	"math"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lilacbend/control"
+)
+
+const second, minute = int64(1e9), int64(60 * 1e9)
+
+func TestAgeIsNeverLessThanAClockSays(t *testing.T) {
+	for _, c := range []struct {
+		what      string
+		then, now Moment
+		want      int64
+	}{
+		{"the wall clock alone", Moment{Wall: 100 * minute}, Moment{Wall: 101 * minute}, minute},
+		{"it stepped back by an hour", Moment{Wall: 100 * minute}, Moment{Wall: 41 * minute}, 59 * minute},
+		{"a little, and the other clock tells", Moment{100 * minute, "b", minute}, Moment{99 * minute, "b", 11 * minute}, 10 * minute},
+		{"it stepped on", Moment{100 * minute, "b", minute}, Moment{200 * minute, "b", 2 * minute}, 100 * minute},
+		{"the machine started anew", Moment{100 * minute, "b", 50 * minute}, Moment{101 * minute, "c", 51 * minute}, minute},
+		{"a machine put back to an earlier time", Moment{100 * minute, "b", 50 * minute}, Moment{130 * minute, "b", 10 * minute}, 30 * minute},
+		{"of the far future", Moment{Wall: math.MaxInt64}, Moment{Wall: 0}, math.MaxInt64},
+		{"of the far past", Moment{Wall: math.MinInt64 / 2}, Moment{Wall: 0}, -(math.MinInt64 / 2)},
+	} {
+		if got := c.then.Age(c.now); got != c.want {
+			t.Errorf("%s: %d, want %d", c.what, got, c.want)
+		}
+	}
+	// Whatever the wall clock was set to meanwhile, an entry counts no more than the true time leaves it.
+	rapid.Check(t, func(t *rapid.T) {
+		wall, up := rapid.Int64Range(0, 1<<60).Draw(t, "wall"), rapid.Int64Range(0, 1<<50).Draw(t, "up")
+		passed, step := rapid.Int64Range(0, 1<<50).Draw(t, "passed"), rapid.Int64Range(-1<<52, 1<<52).Draw(t, "step")
+		age := Moment{wall, "b", up}.Age(Moment{wall + passed + step, "b", up + passed})
+		if age < passed || Weight(age, minute) > Weight(passed, minute) {
+			t.Fatalf("%d has passed, the age is %d", passed, age)
+		}
+	})
+}
+
+func TestWeightHalves(t *testing.T) {
+	for age, want := range map[int64]float64{-minute: 1, 0: 1, minute: 0.5, 2 * minute: 0.25, 6 * minute: LeastWeight, 7 * minute: 0, math.MaxInt64: 0} {
+		if got := Weight(age, minute); math.Abs(got-want) > 1e-12 {
+			t.Errorf("%d: %v, want %v", age, got, want)
+		}
+	}
+}
+
+func sample() Memory {
+	return Memory{Governor: "n0", Taken: Moment{Wall: 100 * minute}, Revision: 9, Groups: []string{"read", "order"},
+		Replicas: []Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, Size: 1, Speed: 0.5, Evidence: 12, Ticket: 0.3, Table: 1, Rest: 2 * second, Relapses: 2, Idle: second},
+			{ID: "y", Zone: "b", Kind: "m2", Size: 1, Speed: 2, Evidence: 16, Ticket: 0.4}},
+		Calm:  []Calm{{"m1", []float64{0.1, 0.2}}, {"", []float64{0.15}}},
+		Usage: []Usage{{1, "read", 20}, {2, "order", 0.5}}, Seats: []control.Seat{{Proxy: 1, Table: 1}, {Proxy: 2}},
+		Tables: 2, Line: 0.7, Served: 40, Once: true}
+}
+
+var place = Place{Groups: []string{"read", "order"}, Kinds: []string{"m1", "m2"}, Proxies: 3}
+
+func TestWhatFitsIsKept(t *testing.T) {
+	for _, c := range []struct {
+		what   string
+		change func(*Memory, *Place)
+		age    int64
+		kept   func(Memory) bool
+		gone   Dropped
+	}{
+		{"all of it", func(*Memory, *Place) {}, 0, func(m Memory) bool { return reflect.DeepEqual(m, sample()) }, Dropped{}},
+		{"half of its weight", func(*Memory, *Place) {}, minute, func(m Memory) bool { return reflect.DeepEqual(m, sample()) }, Dropped{}},
+		{"a day old", func(*Memory, *Place) {}, 1440 * minute, func(m Memory) bool {
+			return len(m.Replicas)+len(m.Usage)+len(m.Seats)+len(m.Calm) == 0 && m.Line == 1 && !m.Once && m.Served == 0
+		}, Dropped{Old: 2, Usage: 2}},
+		{"one evidence is too old", func(m *Memory, _ *Place) { m.Replicas[0].Idle = 6 * minute }, minute, func(m Memory) bool { return len(m.Replicas) == 1 }, Dropped{Old: 1}},
+		{"a group less", func(_ *Memory, p *Place) { p.Groups = p.Groups[:1] }, 0, func(m Memory) bool { return m.Line == 1 && !m.Once && len(m.Usage) == 1 }, Dropped{Usage: 1, Groups: true}},
+		{"groups in another order", func(_ *Memory, p *Place) { p.Groups = []string{"order", "read"} }, 0, func(m Memory) bool { return m.Line == 1 && len(m.Usage) == 2 }, Dropped{Groups: true}},
+		{"fewer proxies", func(_ *Memory, p *Place) { p.Proxies = 2 }, 0, func(m Memory) bool { return len(m.Seats) == 1 }, Dropped{Usage: 1}},
+		{"a kind less", func(_ *Memory, p *Place) { p.Kinds = []string{"m2"} }, 0, func(m Memory) bool { return len(m.Calm) == 1 && m.Calm[0].Kind == "" }, Dropped{}},
+		{"no number", func(m *Memory, _ *Place) { m.Replicas[0].Speed = math.NaN() }, 0, func(m Memory) bool { return len(m.Replicas) == 1 }, Dropped{Replicas: 1}},
+		{"a speed that cannot be", func(m *Memory, _ *Place) { m.Replicas[1].Speed = 0 }, 0, func(m Memory) bool { return m.Replicas[0].ID == "x" }, Dropped{Replicas: 1}},
+		{"a rest without end", func(m *Memory, _ *Place) { m.Replicas[0].Rest = math.MaxInt64 }, 0, func(m Memory) bool { return len(m.Replicas) == 1 }, Dropped{Replicas: 1}},
+		{"a line that cannot be", func(m *Memory, _ *Place) { m.Line = -3 }, 0, func(m Memory) bool { return m.Line == 1 }, Dropped{}},
+		{"tables that cannot be", func(m *Memory, _ *Place) { m.Tables = 1 << 30 }, 0, func(m Memory) bool { return m.Tables == 0 && m.Seats == nil }, Dropped{}},
+		{"answers that cannot be", func(m *Memory, _ *Place) { m.Calm[0].Answers = []float64{-1, math.Inf(1), 0.2} }, 0, func(m Memory) bool { return len(m.Calm[0].Answers) == 1 }, Dropped{}},
+	} {
+		m, p := sample(), place
+		c.change(&m, &p)
+		if got, gone := Fit(m, p, c.age, minute); !c.kept(got) || gone != c.gone {
+			t.Errorf("%s: kept %+v, dropped %+v", c.what, got, gone)
+		}
+	}
+}
+
+func TestMergingKeepsWhoIsNotListedJustNow(t *testing.T) {
+	now := Memory{Replicas: []Replica{{ID: "y", Speed: 3}}}
+	m := Merge(now, sample(), 4*second, minute)
+	if len(m.Replicas) != 2 || m.Replicas[1].Speed != 3 {
+		t.Fatalf("%+v", m.Replicas)
+	}
+	if x := m.Replicas[0]; x.ID != "x" || x.Idle != 5*second || x.Rest != 0 || !x.Trial || x.State != control.Gone {
+		t.Errorf("%+v", x)
+	}
+	if m = Merge(now, sample(), 10*minute, minute); len(m.Replicas) != 1 {
+		t.Errorf("who counts for nothing is kept: %+v", m.Replicas)
+	}
+	if len(now.Replicas) != 1 || sample().Replicas[0].Rest == 0 {
+		t.Error("merging has changed its sources")
+	}
+}
+
+func TestAReplicaIsRememberedWhileItIsTheSame(t *testing.T) {
+	p := NewPast(sample(), 1000*second, 10*second, minute)
+	r, age, weight := p.Of("x", "a", "m1", 5, 1001*second)
+	if age != 12*second || math.Abs(weight-math.Exp2(-0.2)) > 1e-9 || r.Rest != 0 || !r.Trial || r.Speed != 0.5 {
+		t.Errorf("%+v, age %d, weight %v", r, age, weight)
+	}
+	for _, who := range [][4]any{{"x", "a", "m1", int64(6)}, {"x", "b", "m1", int64(5)}, {"x", "a", "m2", int64(5)}, {"z", "a", "m1", int64(5)}} {
+		if _, _, w := p.Of(who[0].(string), who[1].(string), who[2].(string), who[3].(int64), 1001*second); w != 0 {
+			t.Errorf("%v is taken for the remembered one", who)
+		}
+	}
+	if _, _, w := p.Of("x", "a", "m1", 5, 2000*second); w != 0 {
+		t.Errorf("weight %v after all that time", w)
+	}
+	var none *Past
+	if _, _, w := none.Of("x", "a", "m1", 5, 0); w != 0 {
+		t.Error("nothing remembers something")
+	}
+}
+
+func TestTheNewerListServes(t *testing.T) {
+	m := sample()
+	if !m.Lists(8, minute) || m.Lists(9, minute) || m.Lists(8, listSpan+1) || (Memory{Revision: 9}).Lists(8, 0) {
+		t.Error("the wrong list serves")
+	}
+}
--- /dev/null
+++ b/internal/vault/bench_test.go
@@ -0,0 +1,60 @@
+package vault
+
+import (
+	"fmt"
+	"testing"
+
+	"lilacbend/control"
+	"lilacbend/internal/memory"
+)
+
+// large is the memory of 1,000 replicas and 10,000 proxies with three traffic groups.
+func large() memory.Memory {
+	m := memory.Memory{Governor: "n0", Groups: []string{"read", "order", "payout"}, Tables: 40, Line: 1}
+	for k := range 1000 {
+		m.Replicas = append(m.Replicas, memory.Replica{ID: fmt.Sprintf("s-%08x", k*2654435761), Zone: "a", Kind: "m1", UpSince: 1_700_000_000e9 + int64(k),
+			Size: 1, Speed: 0.7 + float64(k)/3e3, Evidence: 16, Ticket: float64(k) / 1001, Table: k % 40, Idle: int64(k) * 1e6})
+	}
+	for k := range 10000 {
+		for g, name := range m.Groups {
+			m.Usage = append(m.Usage, memory.Usage{Proxy: k, Group: name, Rate: float64(k%97)/8.1 + float64(g)})
+		}
+		m.Seats = append(m.Seats, control.Seat{Proxy: k, Table: k % 40})
+	}
+	return m
+}
+
+func BenchmarkEncode(b *testing.B) {
+	m := large()
+	b.ReportAllocs()
+	for b.Loop() {
+		raw, err := Encode(m, 1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(raw)), "bytes")
+	}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	raw, err := Encode(large(), 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, _, err := Decode(raw); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// A write to a folder, synced, with the generations before it read and pruned.
+func BenchmarkWrite(b *testing.B) {
+	m, dir := large(), Folder(b.TempDir())
+	for b.Loop() {
+		if _, err := Write(dir, m, 3); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/vault/codec.go
+++ b/internal/vault/codec.go
@@ -25,8 +25,8 @@
 	// Format is what is written; from oldest on all are read.
 	Format, oldest = 2, 1
 	// A site of 1,000 replicas and 10,000 proxies takes 0.7 MB. More than this is nobody's, and would
-	// have to be held beside a governor that may have 32 MB in all.
-	fileMost = 4 << 20
+	// have to be held, up to eight times as large, beside a governor that may have 32 MB in all.
+	fileMost = 2 << 20
 )
 
 var (
@@ -108,8 +108,8 @@
 
 var (
 	writes = must(cbor.EncOptions{Sort: cbor.SortCoreDeterministic, ShortestFloat: cbor.ShortestFloat16}.EncMode())
-	// A body may name no more than a memory may hold, so that a crafted length asks for nothing.
-	reads = must(cbor.DecOptions{MaxArrayElements: memory.UsageMost, MaxMapPairs: memory.UsageMost, MaxNestedLevels: 8,
+	// A body may name little more than a memory may hold, so that a crafted length asks for nothing.
+	reads = must(cbor.DecOptions{MaxArrayElements: 2 * memory.ReplicasMost, MaxMapPairs: 4 * memory.ReplicasMost, MaxNestedLevels: 8,
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode())
 )
 
@@ -175,38 +175,47 @@
 // Decode reads a generation that is whole, or says what it is instead: ErrStrange, ErrDamaged, ErrNewer or
 // ErrTooLarge.
 func Decode(raw []byte) (m memory.Memory, generation uint64, format int, err error) {
+	body, generation, format, err := open(raw)
+	if err != nil {
+		return m, generation, format, err
+	}
+	if format == 1 {
+		m, err = first(body)
+	} else {
+		m, err = second(body)
+	}
+	if err != nil {
+		return memory.Memory{}, generation, format, fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	return m, generation, format, nil
+}
+
+// open checks that a file is as it was written, and does not read its body.
+func open(raw []byte) (body []byte, generation uint64, format int, err error) {
 	switch {
 	case len(raw) > fileMost:
-		return m, 0, 0, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, len(raw), fileMost)
+		return nil, 0, 0, fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, len(raw), fileMost)
 	case len(raw) < len(magic) || string(raw[:len(magic)]) != magic:
-		return m, 0, 0, fmt.Errorf("%w: it does not begin as one", ErrStrange)
+		return nil, 0, 0, fmt.Errorf("%w: it does not begin as one", ErrStrange)
 	case len(raw) < headSize:
-		return m, 0, 0, fmt.Errorf("%w: ends after %d of %d bytes of its head", ErrDamaged, len(raw), headSize)
+		return nil, 0, 0, fmt.Errorf("%w: ends after %d of %d bytes of its head", ErrDamaged, len(raw), headSize)
 	case xxhash.Sum64(raw[:headSize-8]) != binary.BigEndian.Uint64(raw[headSize-8:]):
-		return m, 0, 0, fmt.Errorf("%w: the sum of its head does not hold", ErrDamaged)
+		return nil, 0, 0, fmt.Errorf("%w: the sum of its head does not hold", ErrDamaged)
 	}
 	format, length := int(binary.BigEndian.Uint32(raw[8:])), int(binary.BigEndian.Uint32(raw[12:]))
 	generation = binary.BigEndian.Uint64(raw[16:])
-	body := raw[headSize:]
+	body = raw[headSize:]
 	switch {
 	case length != len(body):
-		return m, generation, format, fmt.Errorf("%w: %d bytes where the head tells %d", ErrDamaged, len(body), length)
+		return nil, generation, format, fmt.Errorf("%w: %d bytes where the head tells %d", ErrDamaged, len(body), length)
 	case xxhash.Sum64(body) != binary.BigEndian.Uint64(raw[24:]):
-		return m, generation, format, fmt.Errorf("%w: the sum of its body does not hold", ErrDamaged)
+		return nil, generation, format, fmt.Errorf("%w: the sum of its body does not hold", ErrDamaged)
 	case format > Format:
-		return m, generation, format, fmt.Errorf("%w: %d, this program reads %d to %d", ErrNewer, format, oldest, Format)
+		return nil, generation, format, fmt.Errorf("%w: %d, this program reads %d to %d", ErrNewer, format, oldest, Format)
 	case format < oldest:
-		return m, generation, format, fmt.Errorf("%w: format %d", ErrStrange, format)
+		return nil, generation, format, fmt.Errorf("%w: format %d", ErrStrange, format)
 	}
-	if format == 1 {
-		m, err = first(body)
-	} else {
-		m, err = second(body)
-	}
-	if err != nil {
-		return memory.Memory{}, generation, format, fmt.Errorf("%w: %w", ErrDamaged, err)
-	}
-	return m, generation, format, nil
+	return body, generation, format, nil
 }
 
 func second(body []byte) (m memory.Memory, err error) {
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -155,6 +155,7 @@
 }
 
 func (r Refused) Error() string { return r.Name + ": " + r.Err.Error() }
+func (r Refused) Unwrap() error { return r.Err }
 
 // Generation is a whole file.
 type Generation struct {
@@ -271,7 +272,11 @@
 	}
 	whole := 0
 	for _, name := range all {
-		if _, err := Read(d, name); err == nil {
+		raw, err := d.Read(name, fileMost)
+		if err == nil {
+			_, _, _, err = open(raw)
+		}
+		if err == nil {
 			whole++
 		} else if errors.Is(err, ErrNewer) {
 			continue
--- /dev/null
+++ b/internal/vault/vault_test.go
@@ -0,0 +1,422 @@
+package vault
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"math/rand"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"lilacbend/control"
+	"lilacbend/internal/memory"
+)
+
+func sample(k int) memory.Memory {
+	m := memory.Memory{Governor: "n0", Taken: memory.Moment{Wall: 1_700_000_000e9 + int64(k), Boot: "b", Up: 5e9}, Revision: int64(k),
+		Groups: []string{"read", "order"}, Tables: 2, Line: 0.7, Served: 40, Once: true,
+		Replicas: []memory.Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, State: control.Draining, Size: 1, Speed: 0.5, Evidence: 12, Ticket: 0.3, Table: 1,
+			Rest: 2e9, Relapses: 2, Idle: 1e9}, {ID: "y", Zone: "b", Kind: "m2", Size: 1, Speed: 2, Evidence: 16, Ticket: 0.4, Trial: true}},
+		Calm:  []memory.Calm{{Kind: "m1", Answers: []float64{0.125, 0.25}}, {Answers: []float64{0.15}}},
+		Usage: []memory.Usage{{Proxy: 1, Group: "read", Rate: 20}, {Proxy: 2, Group: "order", Rate: 0.5}},
+		Seats: []control.Seat{{Proxy: 1, Table: 1}, {Proxy: 2, Table: 0}}}
+	return m
+}
+
+func TestWhatIsWrittenIsReadAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := sample(rapid.IntRange(0, 1<<40).Draw(t, "k"))
+		for k := range rapid.IntRange(0, 50).Draw(t, "replicas") {
+			m.Replicas = append(m.Replicas, memory.Replica{ID: fmt.Sprint("r", k), Zone: rapid.String().Draw(t, "zone"),
+				Speed: rapid.Float64().Draw(t, "speed"), Idle: rapid.Int64().Draw(t, "idle"), Trial: rapid.Bool().Draw(t, "trial")})
+		}
+		raw, err := Encode(m, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, generation, format, err := Decode(raw); err != nil || generation != 7 || format != Format || !reflect.DeepEqual(got, m) {
+			t.Fatalf("generation %d, format %d, %v:\n%+v\n%+v", generation, format, err, got, m)
+		}
+		paper, err := Export(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := Import(strings.NewReader(string(paper))); err != nil || !reflect.DeepEqual(got, m) {
+			t.Fatalf("%v:\n%+v\n%+v", err, got, m)
+		}
+	})
+}
+
+// A power cut leaves any prefix; a disk that goes bad flips any byte. None is ever used.
+func TestNoPartAndNoFlippedByteIsUsed(t *testing.T) {
+	raw, err := Encode(sample(1), 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range raw {
+		if _, _, _, err := Decode(raw[:n]); !errors.Is(err, ErrDamaged) && !errors.Is(err, ErrStrange) {
+			t.Errorf("the first %d bytes: %v", n, err)
+		}
+		for _, bits := range []byte{1, 0x80, 0xff} {
+			bad := append([]byte(nil), raw...)
+			bad[n] ^= bits
+			if _, _, _, err := Decode(bad); !errors.Is(err, ErrDamaged) && !errors.Is(err, ErrStrange) {
+				t.Errorf("byte %d ^ %#x: %v", n, bits, err)
+			}
+		}
+	}
+	if _, _, _, err := Decode(append(raw, 0)); !errors.Is(err, ErrDamaged) {
+		t.Errorf("a byte more: %v", err)
+	}
+}
+
+// forge makes a file whose sums hold, whatever its body is.
+func forge(format uint32, body []byte) []byte {
+	head := binary.BigEndian.AppendUint32([]byte(magic), format)
+	head = binary.BigEndian.AppendUint32(head, uint32(len(body)))
+	head = binary.BigEndian.AppendUint64(head, 1)
+	head = binary.BigEndian.AppendUint64(head, xxhash.Sum64(body))
+	return append(binary.BigEndian.AppendUint64(head, xxhash.Sum64(head)), body...)
+}
+
+func TestCraftedFilesAskForNothing(t *testing.T) {
+	huge := []byte{0xa1, 0x07, 0x9b, 0, 0, 0, 1, 0, 0, 0, 0}                         // replicas: a list of 2^32
+	deep := append([]byte{0xa1, 0x07}, []byte(strings.Repeat("\x81", 1<<16))...)     // lists in lists
+	long := []byte{0xa1, 0x01, 0x7b, 0x0f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff} // a name of 2^60 bytes
+	twice := []byte{0xa2, 0x05, 0x01, 0x05, 0x02}                                    // a key given twice
+	many := append([]byte{0xa1, 0x07, 0x9a, 0, 3, 0, 0}, make([]byte, 0)...)         // 196,608 replicas, none there
+	for k := range 3 << 16 {
+		_ = k
+		many = append(many, 0xa0)
+	}
+	for name, body := range map[string][]byte{"huge": huge, "deep": deep, "long": long, "twice": twice, "many": many, "empty": nil, "text": []byte("hello")} {
+		var before, after = heap(), uint64(0)
+		_, _, _, err := Decode(forge(Format, body))
+		if after = heap(); !errors.Is(err, ErrDamaged) || after > before+64<<20 {
+			t.Errorf("%s: %v, %d bytes", name, err, after-before)
+		}
+	}
+	if _, _, _, err := Decode(forge(Format+1, []byte{0xa0})); !errors.Is(err, ErrNewer) || !strings.Contains(err.Error(), "3") {
+		t.Errorf("a newer format: %v", err)
+	}
+	if _, _, _, err := Decode(forge(0, []byte{0xa0})); !errors.Is(err, ErrStrange) {
+		t.Errorf("format 0: %v", err)
+	}
+	if _, _, _, err := Decode(make([]byte, fileMost+1)); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("a large one: %v", err)
+	}
+	dir := t.TempDir()
+	large, err := os.Create(filepath.Join(dir, fileName(9)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	large.Truncate(100 << 30) // a hundred times the usual, and more; nothing of it is read
+	large.Close()
+	if _, err := Read(Folder(dir), fileName(9)); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("a file of 100 GiB: %v", err)
+	}
+}
+
+func heap() uint64 {
+	var s syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &s)
+	return uint64(s.Maxrss) << 10
+}
+
+// Files as programs wrote them: testdata/format1.lbs and format2.lbs are never written anew.
+func TestKeptFilesOfEachFormatAreRead(t *testing.T) {
+	for format, want := range map[int]memory.Memory{1: {Governor: "n0", Taken: memory.Moment{Wall: 1_700_000_000e9}, Revision: 41, Groups: []string{"read", "order"}, Line: 0.5,
+		Replicas: []memory.Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, State: control.Draining, Size: 1, Speed: 0.5, Evidence: 12, Rest: firstRest, Relapses: 2, Idle: 1e9},
+			{ID: "y", Zone: "b", Kind: "m2", Size: 2, Speed: 2, Evidence: 16, Trial: true}},
+		Calm:  []memory.Calm{{Answers: []float64{0.125}}, {Kind: "m1", Answers: []float64{0.25}}},
+		Usage: []memory.Usage{{Proxy: 3, Group: "read", Rate: 10}, {Proxy: 3, Group: "order", Rate: 10}}}, 2: sample(41)} {
+		raw, err := os.ReadFile(fmt.Sprintf("testdata/format%d.lbs", format))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, generation, of, err := Decode(raw)
+		if err != nil || generation != 12 || of != format || !reflect.DeepEqual(got, want) {
+			t.Errorf("format %d: generation %d of %d, %v\n%+v\n%+v", format, generation, of, err, got, want)
+		}
+	}
+}
+
+// broken is a folder whose disk fails as told.
+type broken struct {
+	Disk
+	replace, list, remove error
+	slow                  chan struct{}
+}
+
+func (b *broken) Replace(name string, data []byte) error {
+	if b.slow != nil {
+		<-b.slow
+	}
+	if b.replace != nil {
+		return b.replace
+	}
+	return b.Disk.Replace(name, data)
+}
+
+func (b *broken) List() ([]string, error) {
+	if b.list != nil {
+		return nil, b.list
+	}
+	return b.Disk.List()
+}
+
+func (b *broken) Remove(name string) error {
+	if b.remove != nil {
+		return b.remove
+	}
+	return b.Disk.Remove(name)
+}
+
+func TestGenerationsFollowEachOther(t *testing.T) {
+	dir := Folder(t.TempDir())
+	for k := 1; k <= 6; k++ {
+		if g, err := Write(dir, sample(k), 3); err != nil || g.Number != uint64(k) {
+			t.Fatalf("%d: %+v %v", k, g, err)
+		}
+	}
+	want := []string{fileName(4), fileName(5), fileName(6)}
+	if got, _ := dir.List(); !reflect.DeepEqual(got, want) {
+		t.Errorf("kept %v", got)
+	}
+	path := func(k uint64) string { return filepath.Join(string(dir), fileName(k)) }
+	raw, _ := os.ReadFile(path(6))
+	os.WriteFile(path(6), raw[:len(raw)/2], 0o600)                              // torn
+	os.WriteFile(path(7), forge(Format+1, []byte{0xa0}), 0o600)                 // of a newer program
+	os.WriteFile(path(8), raw, 0o600)                                           // a copy under another name
+	os.WriteFile(filepath.Join(string(dir), "."+fileName(9)+"123"), raw, 0o600) // half a write
+	g, found, refused, err := Latest(dir)
+	if err != nil || !found || g.Number != 5 || len(refused) != 3 {
+		t.Fatalf("%d %v %v %v", g.Number, found, refused, err)
+	}
+	for k, e := range []error{ErrStrange, ErrDamaged, ErrDamaged} {
+		if k != 1 && !errors.Is(refused[k], e) {
+			t.Errorf("refused %v", refused[k])
+		}
+	}
+	if g, err = Write(dir, sample(9), 2); err != nil || g.Number != 9 {
+		t.Fatalf("%d %v", g.Number, err)
+	}
+	if got, _ := dir.List(); !reflect.DeepEqual(got, []string{fileName(5), fileName(6), fileName(7), fileName(8), fileName(9)}) {
+		t.Errorf("two whole ones, what is newer and what is damaged among them: %v", got)
+	}
+	if _, err = Write(dir, sample(10), 1); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := dir.List(); !reflect.DeepEqual(got, []string{fileName(7), fileName(10)}) {
+		t.Errorf("one, and what is newer: %v", got)
+	}
+}
+
+func TestAFailingDiskLeavesTheLastGeneration(t *testing.T) {
+	dir := Folder(t.TempDir())
+	if _, err := Write(dir, sample(1), 3); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range []*broken{{replace: syscall.ENOSPC}, {replace: syscall.EIO}, {replace: syscall.EROFS}, {replace: syscall.EACCES},
+		{list: syscall.EIO}, {list: fs.ErrNotExist}} {
+		d.Disk = dir
+		_, err := Write(d, sample(2), 3)
+		if want := errors.Join(d.replace, d.list); err == nil || !errors.Is(want, errors.Unwrap(errors.Unwrap(err))) && !strings.Contains(err.Error(), want.Error()) {
+			t.Errorf("%v: %v", want, err)
+		}
+		if g, found, _, err := Latest(dir); err != nil || !found || g.Number != 1 {
+			t.Errorf("left %d: %v", g.Number, err)
+		}
+	}
+	gone := Folder(filepath.Join(string(dir), "none"))
+	if _, err := Write(gone, sample(1), 3); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("no folder: %v", err)
+	}
+	if _, _, _, err := Latest(gone); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("no folder: %v", err)
+	}
+	full := Folder("/dev") // a real disk's word for no room
+	if n, err := os.OpenFile("/dev/full", os.O_WRONLY, 0); err == nil {
+		_, err = n.Write([]byte("x"))
+		n.Close()
+		if !errors.Is(err, syscall.ENOSPC) {
+			t.Errorf("%v on %s", err, full)
+		}
+	}
+}
+
+func TestOneGovernorAFolder(t *testing.T) {
+	dir := Folder(filepath.Join(t.TempDir(), "made", "here"))
+	first, err := dir.Take("n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var held *Held
+	if _, err := dir.Take("n1"); !errors.As(err, &held) || held.By != fmt.Sprintf("n0, process %d", os.Getpid()) {
+		t.Errorf("%v", err)
+	}
+	first.Release()
+	again, err := dir.Take("n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	again.Release()
+	os.Chmod(string(dir), 0o777)
+	if _, err := dir.Take("n0"); err == nil || !strings.Contains(err.Error(), "others may write") {
+		t.Errorf("a folder for all: %v", err)
+	}
+	os.Chmod(string(dir), 0o700)
+	file := Folder(filepath.Join(string(dir), lockName, "under"))
+	if _, err := file.Take("n0"); !errors.Is(err, syscall.ENOTDIR) {
+		t.Errorf("a file for a folder: %v", err)
+	}
+	if os.Geteuid() == 0 {
+		os.Chown(string(dir), 12345, 12345)
+		if _, err := dir.Take("n0"); err == nil || !strings.Contains(err.Error(), "belongs to user 12345") {
+			t.Errorf("somebody else's: %v", err)
+		}
+	}
+}
+
+func keeper(t *testing.T, d Disk, again func() error) (*Keeper, context.CancelFunc) {
+	k := NewKeeper(d, 3, time.Millisecond, again, slog.New(slog.DiscardHandler))
+	ctx, stop := context.WithCancel(context.Background())
+	go k.Run(ctx)
+	t.Cleanup(func() { stop(); <-k.Ended() })
+	return k, stop
+}
+
+func TestASlowDiskHoldsUpNobodyAndGetsTheNewest(t *testing.T) {
+	dir, slow := Folder(t.TempDir()), make(chan struct{})
+	k, stop := keeper(t, &broken{Disk: dir, slow: slow}, nil)
+	begun := time.Now()
+	for n := 1; n <= 1000; n++ {
+		k.Offer(sample(n))
+	}
+	if time.Since(begun) > time.Second || k.Tally.Offered.Load() != 1000 {
+		t.Errorf("%d offers took %v", k.Tally.Offered.Load(), time.Since(begun))
+	}
+	stop()
+	close(slow)
+	<-k.Ended()
+	g, found, _, err := Latest(dir)
+	if err != nil || !found || g.Memory.Revision != 1000 || k.Tally.Written.Load()+k.Tally.Skipped.Load() != 1000 {
+		t.Errorf("the newest is %d, %d written, %d skipped: %v", g.Memory.Revision, k.Tally.Written.Load(), k.Tally.Skipped.Load(), err)
+	}
+}
+
+func TestAVanishedFolderIsHeldAgain(t *testing.T) {
+	dir := Folder(filepath.Join(t.TempDir(), "s"))
+	var mu sync.Mutex
+	taken := 0
+	again := func() error {
+		mu.Lock()
+		defer mu.Unlock()
+		taken++
+		_, err := dir.Take("n0")
+		return err
+	}
+	if again() != nil {
+		t.Fatal("not taken")
+	}
+	os.RemoveAll(string(dir))
+	k, _ := keeper(t, dir, again)
+	k.Offer(sample(1))
+	for k.Tally.Written.Load() == 0 && k.Tally.Failed.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if g, found, _, _ := Latest(dir); !found || g.Number != 1 || taken != 2 {
+		t.Errorf("found %v, taken %d times", found, taken)
+	}
+}
+
+// TestMain is a writer without end when asked to be, for the test that kills it.
+func TestMain(m *testing.M) {
+	if at := os.Getenv("VAULT_TEST_WRITES"); at != "" {
+		for k := 1; ; k++ {
+			big := sample(k)
+			for n := range 2000 {
+				big.Replicas = append(big.Replicas, memory.Replica{ID: fmt.Sprint("r", n), Speed: float64(k)})
+			}
+			if _, err := Write(Folder(at), big, 2); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				os.Exit(3)
+			}
+			fmt.Println(k)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// The process is killed at random points of its writes. Each time a whole generation is found, never older than
+// the last one that was reported as written, and all of one moment.
+func TestKilledWhileWriting(t *testing.T) {
+	dir, kills := Folder(t.TempDir()), 200
+	if testing.Short() {
+		kills = 30
+	}
+	chance := rand.New(rand.NewSource(4))
+	var last uint64
+	for kill := range kills {
+		writer := exec.Command(os.Args[0])
+		writer.Env = append(os.Environ(), "VAULT_TEST_WRITES="+string(dir))
+		said := &strings.Builder{}
+		writer.Stdout = said
+		if err := writer.Start(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10*time.Millisecond + time.Duration(chance.Int63n(int64(20*time.Millisecond))))
+		writer.Process.Kill()
+		writer.Wait()
+		g, found, refused, err := Latest(dir)
+		if err != nil || len(refused) > 0 || !found && (last > 0 || said.Len() > 0) {
+			t.Fatalf("kill %d: found %v, refused %v, %v", kill, found, refused, err)
+		}
+		if written := uint64(strings.Count(said.String(), "\n")); found && (g.Number < last+written || g.Number > last+written+1) {
+			t.Fatalf("kill %d: generation %d after %d and %d more", kill, g.Number, last, written)
+		}
+		for _, r := range g.Memory.Replicas[min(2, len(g.Memory.Replicas)):] {
+			if r.Speed != float64(g.Memory.Revision) {
+				t.Fatalf("kill %d: %v of another moment than %d", kill, r.Speed, g.Memory.Revision)
+			}
+		}
+		last = g.Number
+	}
+	if last < uint64(kills) {
+		t.Errorf("%d generations in %d runs: the kills came before the writes", last, kills)
+	}
+	if _, err := Write(dir, sample(1), 2); err != nil {
+		t.Fatal(err)
+	}
+	if left, _ := dir.List(); len(left) != 2 {
+		t.Errorf("left over: %v", left)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	raw, _ := Encode(sample(1), 3)
+	f.Add(raw[headSize:])
+	f.Fuzz(func(t *testing.T, body []byte) {
+		for format := range uint32(4) { // the sums hold, so that the body is read
+			m, _, _, err := Decode(forge(format, body))
+			if err == nil {
+				if _, err := Encode(m, 1); err != nil && !errors.Is(err, ErrTooLarge) {
+					t.Errorf("read, but not to be written: %v", err)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/lab/emulator/world.go
@@ -0,0 +1,339 @@
+// Package emulator plays replicas, and proxies that follow tables, round the governor's core in virtual time: one
+// event after the other, chance from a seed. It shows what a change of the governor does to flows, at sizes that
+// sockets on one machine do not carry. All its figures are simulated.
+package emulator
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+
+	"lilacbend/control"
+	"lilacbend/internal/governor"
+	"lilacbend/internal/memory"
+	"lilacbend/provision"
+)
+
+const (
+	second, milli = int64(1e9), int64(1e6)
+	transit       = 100 * milli // of a message to a proxy, and of its answer
+	gather        = 10 * milli // of a core that is not idle
+)
+
+// Mood is what is wrong with a replica.
+type Mood int
+
+const (
+	Well    Mood = iota
+	Silent       // takes flows and answers nothing
+	Slow         // needs five times as long
+	Failing      // turns flows away at once, before they run
+)
+
+// Replica is one server: so many flows at once, the rest wait.
+type Replica struct {
+	Member  governor.Member
+	Mood    Mood
+	places  int
+	mean    float64 // seconds
+	running int
+	waiting []func()
+	met     map[string]*sum // by the zone of the proxies, since they were last told
+}
+
+type sum struct {
+	tries, missed int
+	answers       int64
+}
+
+type proxy struct {
+	id     int
+	zone   string
+	stream governor.Stream
+	lines  map[string]float64
+	shut   map[string]bool
+	levels map[string]governor.Level
+	came   []int // by group
+	missed []int
+	picks  []weighed // what may be picked; nil: to be worked out
+	total  float64
+}
+
+type weighed struct {
+	replica *Replica
+	weight  float64
+}
+
+type flow struct {
+	p     *proxy
+	group int
+	came  int64
+	again bool // a second try is under way
+	done  bool
+}
+
+// Outcome counts what became of flows that came in a span.
+type Outcome struct{ Came, Good, Late, Lost, Blocked int }
+
+// Bad is the share of flows that were not answered within their latency budget.
+func (o Outcome) Bad() float64 { return 1 - float64(o.Good)/math.Max(1, float64(o.Came)) }
+
+// Site is the size and load of an emulated installation.
+type Site struct {
+	Replicas, Proxies int
+	Load              float64 // of what all replicas can serve
+	Names             provision.Names
+	Provision         control.Provision
+}
+
+// World is one run.
+type World struct {
+	Site     Site
+	Replicas []*Replica
+	Core     *governor.Core // nil: no governor is up
+	Learned  *memory.Memory // the last that the core has told
+	Turns    []int64        // real nanoseconds of each turn, if Clock is set
+	Clock    func() int64
+
+	proxies []*proxy
+	by      map[string]*Replica
+	chance  *rand.Rand
+	now     int64
+	events  schedule
+	ordered int64
+	notes   []any
+	turn    int64 // when the next is due; 0: none
+	streams governor.Stream
+	from    int64 // flows that come from then to until are counted
+	until   int64
+	outcome Outcome
+}
+
+type event struct {
+	at, order int64
+	do        func()
+}
+
+type schedule []event
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(a, b int) bool {
+	return s[a].at < s[b].at || s[a].at == s[b].at && s[a].order < s[b].order
+}
+func (s schedule) Swap(a, b int) { s[a], s[b] = s[b], s[a] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(event)) }
+func (s *schedule) Pop() any {
+	last := len(*s) - 1
+	e := (*s)[last]
+	*s = (*s)[:last]
+	return e
+}
+
+// NewSite is an installation of two zones and two kinds, one half as fast as the other, though both are listed
+// as equal.
+func NewSite(replicas, proxies int, load float64) Site {
+	return Site{Replicas: replicas, Proxies: proxies, Load: load,
+		Names: provision.Names{Groups: []string{"read", "order"}, Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"}},
+		Provision: control.Provision{Seed: 7, Governors: 1, Zones: 2, Kinds: 3, Proxies: proxies, ChannelRate: 20000,
+			ChannelLimit: 40 * proxies, MessageHead: 4, WorstTransit: second / 2, MessagesMost: 30, MessagesSpan: 10 * second,
+			ReportEvery: second, ColdShare: 0.2, WarmAfter: 20 * second, FallMultiple: 3, Admission: control.AdmitShare,
+			TryFactor: 1.5, UsualTries: control.TryIfNeverRan, Groups: []control.TrafficGroup{
+				{Utility: 1, LatencyBudget: second, Expiry: 3 * second, Effect: control.Retriable},
+				{Utility: 3, LatencyBudget: second, Expiry: 3 * second, Effect: control.NonRetriable}}}}
+}
+
+// New makes a world in which nothing has happened yet.
+func New(site Site, seed int64) *World {
+	w := &World{Site: site, by: map[string]*Replica{}, chance: rand.New(rand.NewSource(seed))}
+	able := 0.0
+	for k := range site.Replicas {
+		kind := k / 2 % 2
+		r := &Replica{places: 8, mean: 0.1 * float64(1+kind), met: map[string]*sum{}, Member: governor.Member{
+			ID: fmt.Sprintf("s-%04d", k), Zone: site.Names.Zones[k%2], Kind: site.Names.Kinds[kind], Weight: 1}}
+		able += float64(r.places) / r.mean
+		w.Replicas, w.by[r.Member.ID] = append(w.Replicas, r), r
+	}
+	rate := able * site.Load / float64(site.Proxies)
+	for k := range site.Proxies {
+		p := &proxy{id: k, zone: site.Names.Zones[k%2], lines: map[string]float64{}, shut: map[string]bool{}, levels: map[string]governor.Level{},
+			came: make([]int, len(site.Names.Groups)), missed: make([]int, len(site.Names.Groups))}
+		w.proxies = append(w.proxies, p)
+		w.arrive(p, rate)
+		w.every(second, func() { w.usage(p) })
+	}
+	for _, zone := range site.Names.Zones {
+		w.every(second, func() { w.sums(zone) })
+	}
+	return w
+}
+
+func (w *World) at(when int64, do func()) {
+	w.ordered++
+	heap.Push(&w.events, event{max(when, w.now), w.ordered, do})
+}
+
+func (w *World) after(span int64, do func()) { w.at(w.now+span, do) }
+
+func (w *World) every(span int64, do func()) {
+	var again func()
+	again = func() { do(); w.after(span, again) }
+	w.after(w.chance.Int63n(span), again)
+}
+
+// Run plays until a time.
+func (w *World) Run(until int64) {
+	for len(w.events) > 0 && w.events[0].at <= until {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+// Now is the virtual time.
+func (w *World) Now() int64 { return w.now }
+
+// Count counts the flows that come in a span, and begins at nought.
+func (w *World) Count(from, until int64) *Outcome {
+	w.from, w.until, w.outcome = from, until, Outcome{}
+	return &w.outcome
+}
+
+// ---- flows
+
+func (w *World) arrive(p *proxy, rate float64) {
+	w.after(int64(w.chance.ExpFloat64()/rate*float64(second)), func() {
+		w.arrive(p, rate)
+		f := &flow{p: p, group: min(1, w.chance.Intn(5)/4), came: w.now} // one in five is an order
+		p.came[f.group]++
+		w.count(f, func(o *Outcome) { o.Came++ })
+		name := w.Site.Names.Groups[f.group]
+		if l, ok := p.levels[name]; ok && w.chance.Float64() >= l.Share {
+			f.done = true
+			w.count(f, func(o *Outcome) { o.Blocked++ })
+			return
+		}
+		w.at(f.came+w.Site.Provision.Groups[f.group].Expiry, func() { w.end(f, false) })
+		w.try(f, "")
+	})
+}
+
+func (w *World) count(f *flow, add func(*Outcome)) {
+	if f.came >= w.from && f.came < w.until {
+		add(&w.outcome)
+	}
+}
+
+func (w *World) end(f *flow, good bool) {
+	if f.done {
+		return
+	}
+	f.done = true
+	switch {
+	case !good:
+		f.p.missed[f.group]++
+		w.count(f, func(o *Outcome) { o.Lost++ })
+	case w.now-f.came > w.Site.Provision.Groups[f.group].LatencyBudget:
+		w.count(f, func(o *Outcome) { o.Late++ })
+	default:
+		w.count(f, func(o *Outcome) { o.Good++ })
+	}
+}
+
+// pick draws a line by weight, but not the one that was tried.
+func (w *World) pick(p *proxy, not string) *Replica {
+	if p.picks == nil {
+		p.picks, p.total = p.picks[:0], 0
+		for _, r := range w.Replicas { // in one order
+			if id := r.Member.ID; p.lines[id] > 0 && !p.shut[id] {
+				p.total += p.lines[id]
+				p.picks = append(p.picks, weighed{r, p.lines[id]})
+			}
+		}
+	}
+	total := p.total
+	if not != "" && !p.shut[not] {
+		total -= p.lines[not]
+	}
+	drawn := w.chance.Float64() * total
+	for _, l := range p.picks {
+		if l.replica.Member.ID == not {
+			continue
+		}
+		if drawn -= l.weight; drawn <= 0 {
+			return l.replica
+		}
+	}
+	return nil
+}
+
+func (w *World) try(f *flow, not string) {
+	r := w.pick(f.p, not)
+	if r == nil {
+		w.end(f, false)
+		return
+	}
+	sum, begun := r.sum(f.p.zone), w.now
+	missed := func() { sum.tries, sum.missed = sum.tries+1, sum.missed+1 }
+	switch r.Mood {
+	case Failing: // proof that it never ran: one more try
+		w.after(5*milli, func() {
+			missed()
+			if l, told := f.p.levels[w.Site.Names.Groups[f.group]]; f.again || told && l.Tries == control.TryOnce {
+				w.end(f, false)
+				return
+			}
+			f.again = true
+			w.try(f, r.Member.ID)
+		})
+		return
+	case Silent:
+		w.at(f.came+w.Site.Provision.Groups[f.group].Expiry, missed)
+		return
+	}
+	answered := false
+	w.at(f.came+w.Site.Provision.Groups[f.group].Expiry, func() {
+		if !answered {
+			answered = true
+			missed()
+		}
+	})
+	w.enter(r, func() {
+		if !answered {
+			answered = true
+			sum.tries, sum.answers = sum.tries+1, sum.answers+w.now-begun
+			w.end(f, true)
+		}
+	})
+}
+
+func (r *Replica) sum(zone string) *sum {
+	if r.met[zone] == nil {
+		r.met[zone] = &sum{}
+	}
+	return r.met[zone]
+}
+
+// enter runs a flow, or lets it wait for a place.
+func (w *World) enter(r *Replica, good func()) {
+	if r.running >= r.places {
+		r.waiting = append(r.waiting, func() { w.enter(r, good) })
+		return
+	}
+	r.running++
+	mean := r.mean
+	if r.Mood == Slow {
+		mean *= 5
+	}
+	w.after(int64(mean*(0.5+0.5*w.chance.ExpFloat64())*float64(second)), func() {
+		if r.running--; r.Mood != Silent {
+			good()
+		}
+		if len(r.waiting) > 0 {
+			next := r.waiting[0]
+			r.waiting = r.waiting[1:]
+			next()
+		}
+	})
+}
