--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -195,18 +195,31 @@
 
 // Read reads one file.
 func Read(d Disk, name string) (g Generation, err error) {
-	raw, err := d.Read(name, fileMost)
+	raw, err := sealed(d, name)
 	if err != nil {
-		return g, Refused{name, err}
+		return g, err
 	}
 	m, number, format, err := Decode(raw)
 	if err != nil {
 		return g, Refused{name, err}
 	}
+	return Generation{name, number, format, len(raw), m}, nil
+}
+
+// sealed reads the bytes of a file that is as it was written, under the name that it was written under.
+func sealed(d Disk, name string) ([]byte, error) {
+	raw, err := d.Read(name, fileMost)
+	if err != nil {
+		return nil, Refused{name, err}
+	}
+	_, number, _, err := open(raw)
+	if err != nil {
+		return nil, Refused{name, err}
+	}
 	if told, ok := numbered(name); ok && told != number {
-		return g, Refused{name, fmt.Errorf("%w: it holds generation %d", ErrStrange, number)}
+		return nil, Refused{name, fmt.Errorf("%w: it holds generation %d", ErrStrange, number)}
 	}
-	return Generation{name, number, format, len(raw), m}, nil
+	return raw, nil
 }
 
 // Latest reads the newest whole generation, and says which newer ones were refused. No generation is no error.
@@ -272,11 +285,7 @@
 	}
 	whole := 0
 	for _, name := range all {
-		raw, err := d.Read(name, fileMost)
-		if err == nil {
-			_, _, _, err = open(raw)
-		}
-		if err == nil {
+		if _, err := sealed(d, name); err == nil {
 			whole++
 		} else if errors.Is(err, ErrNewer) {
 			continue
