A sidecar forwards flows on HTTP/1.1 and HTTP/2 cleartext as governors say; a collector sums

Need: other installations have no proxies. internal/forward decides (pure), upstream and front hold the sockets, relay is where they meet, steering talks to governors and collectors. A property test of the core found a try begun after its flow's expiry and a waiting flow counted as not waiting at time 0; a table test found that chance drawn in turns for admission and picks lets 73% in for a level of one half, so each purpose has a row of its own.

--- a/cmd/lilacbend/main.go
+++ b/cmd/lilacbend/main.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"slices"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -39,7 +38,7 @@
 	}
 	run := func(ctx context.Context, cmd *cli.Command) error {
 		if cmd.Args().Present() {
-			return fmt.Errorf("no command %q: serve, check, state or version", cmd.Args().First())
+			return fmt.Errorf("no command %q: serve, check, state, sidecar, collector or version", cmd.Args().First())
 		}
 		c, err := readCharter(t)
 		if err != nil {
@@ -73,18 +72,26 @@
 					return err
 				}},
 			stateCommand(&t, os.Stdout),
+			sidecarCommand(hangups),
+			collectorCommand(),
 			{Name: "version", Usage: "say what was built", Action: func(context.Context, *cli.Command) error {
 				fmt.Println(version())
 				return nil
 			}},
 		},
 	}
-	for _, c := range slices.Concat(root.Commands, root.Commands[2].Commands, []*cli.Command{root}) { // what is wrong is said in one line, without a page of help
-		c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
-	}
+	oneLine(root)
 	return root
 }
 
+// oneLine has each command say what is wrong in one line, without a page of help.
+func oneLine(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
+	for _, in := range c.Commands {
+		oneLine(in)
+	}
+}
+
 func version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
--- /dev/null
+++ b/cmd/lilacbend/sidecar.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"lilacbend/internal/sidecar"
+	"lilacbend/internal/steering"
+)
+
+// sidecarCommand runs a sidecar, or checks its file.
+func sidecarCommand(hangups <-chan os.Signal) *cli.Command {
+	var file string
+	config := &cli.StringFlag{Name: "manifest", Usage: "the sidecar's file, as YAML", Sources: cli.EnvVars("LILACBEND_SIDECAR"), Destination: &file}
+	return &cli.Command{Name: "sidecar", Usage: "forward the flows of a client process as governors say", Flags: []cli.Flag{config},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return fmt.Errorf("no command %q: sidecar --manifest FILE, or sidecar check FILE", cmd.Args().First())
+			}
+			m, err := readManifest(file)
+			if err != nil {
+				return err
+			}
+			signal.Ignore(syscall.SIGPIPE)
+			book := newLogbook(os.Stderr)
+			defer book.close()
+			log := slog.New(slog.NewTextHandler(book, nil)).With("sidecar", m.Name)
+			s, err := sidecar.New(m, log)
+			if err != nil {
+				return err
+			}
+			go rereadManifest(ctx, file, s, hangups, log)
+			return s.Run(ctx)
+		},
+		Commands: []*cli.Command{{Name: "check", Usage: "say whether a sidecar's file would start: check FILE", ArgsUsage: "FILE",
+			Action: func(_ context.Context, cmd *cli.Command) error {
+				m, err := readManifest(or(cmd.Args().First(), file))
+				if err == nil {
+					fmt.Printf("%s would start: %s, proxy %d of zone %s, HTTP/1.1 on %s, HTTP/2 on %s, %d traffic groups, %d rules, %d governors\n",
+						m.File, m.Name, m.Proxy, m.Zone, or(m.H1, "nothing"), or(m.H2, "nothing"), len(m.Plan.Groups), len(m.Rules), len(m.Governors))
+				}
+				return err
+			}}},
+	}
+}
+
+func readManifest(file string) (sidecar.Manifest, error) {
+	if file == "" {
+		return sidecar.Manifest{}, errors.New("no file is named: --manifest or LILACBEND_SIDECAR")
+	}
+	return sidecar.Read(file)
+}
+
+// rereadManifest takes the file over once more at each SIGHUP; one that cannot be used changes nothing.
+func rereadManifest(ctx context.Context, file string, s *sidecar.Sidecar, hangups <-chan os.Signal, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		m, err := readManifest(file)
+		var waits []string
+		if err == nil {
+			waits, err = s.Reload(m)
+		}
+		switch {
+		case err != nil:
+			log.Error("the new file cannot be used, the old one goes on", "error", err)
+		case len(waits) > 0:
+			log.Warn("rules taken over, some of the file waits for the next start", "fields", waits)
+		default:
+			log.Info("rules taken over", "rules", len(m.Rules))
+		}
+	}
+}
+
+// collectorCommand runs the collector of a zone.
+func collectorCommand() *cli.Command {
+	c := &steering.Collector{}
+	var listen string
+	return &cli.Command{Name: "collector", Usage: "sum what a zone's sidecars met, and tell governors",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "zone", Usage: "whose sidecars", Required: true, Destination: &c.Zone},
+			&cli.StringFlag{Name: "listen", Usage: "where sidecars connect, as host:port", Required: true, Destination: &listen},
+			&cli.StringSliceFlag{Name: "governor", Usage: "whom to tell, as host:port; any number", Required: true, Destination: &c.Governors},
+			&cli.DurationFlag{Name: "every", Value: time.Second, Usage: "between two tellings", Destination: &c.Every},
+			&cli.IntFlag{Name: "sidecars", Value: 10000, Usage: "at the most", Destination: &c.Most},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if c.Every < 50*time.Millisecond || c.Most < 1 {
+				return fmt.Errorf("--every is %v, want 50ms or more; --sidecars is %d, want 1 or more", c.Every, c.Most)
+			}
+			for _, g := range c.Governors {
+				if _, _, err := net.SplitHostPort(g); err != nil {
+					return fmt.Errorf("--governor: %w", err)
+				}
+			}
+			l, err := net.Listen("tcp", listen)
+			if err != nil {
+				return fmt.Errorf("--listen: %w", err)
+			}
+			book := newLogbook(os.Stderr)
+			defer book.close()
+			c.Log = slog.New(slog.NewTextHandler(book, nil)).With("collector", c.Zone)
+			c.Log.Info("collector serves", "listen", listen, "governors", c.Governors)
+			c.Serve(ctx, l)
+			c.Log.Info("collector ends", "heard", c.Heard.Load(), "told", c.Told.Load(), "skipped", c.Skipped.Load())
+			return nil
+		}}
+}
--- a/internal/form/form.go
+++ b/internal/form/form.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"os"
 	"slices"
@@ -350,6 +351,59 @@
 	}
 }
 
+// Words reads a list of plain words.
+func (s *Section) Words(key string, v *[]string) {
+	n := s.find(key)
+	if n == nil {
+		return
+	}
+	if n.Kind != yaml.SequenceNode {
+		s.form.note(n, under(s.path, key), "is %s, want a list", shape(n))
+		return
+	}
+	words := make([]string, 0, len(n.Content))
+	for k, inner := range n.Content {
+		if inner.Kind != yaml.ScalarNode || inner.Tag == "!!null" {
+			s.form.note(inner, fmt.Sprintf("%s[%d]", under(s.path, key), k), "is %s, want a word", shape(inner))
+			continue
+		}
+		words = append(words, inner.Value)
+	}
+	*v = words
+}
+
+// Pairs reads a section of plain words, whatever their keys are.
+func (s *Section) Pairs(key string, v *map[string]string) {
+	in := s.Section(key)
+	if in == nil {
+		return
+	}
+	*v = map[string]string{}
+	for k := 0; k+1 < len(in.node.Content); k += 2 {
+		name, word := in.node.Content[k].Value, ""
+		in.Text(name, &word)
+		(*v)[name] = word
+	}
+}
+
+// Choice reads a word that must be one of those given.
+func Choice[T any](s *Section, key string, v *T, words map[string]T) {
+	n := s.scalar(key, "a word")
+	if n == nil {
+		return
+	}
+	if t, ok := words[n.Value]; ok {
+		*v = t
+		return
+	}
+	known := slices.Sorted(maps.Keys(words))
+	if near := Nearest(n.Value, known); near != "" {
+		s.form.note(n, under(s.path, key), "is %.40q: did you mean %s?", n.Value, near)
+		return
+	}
+	s.form.note(n, under(s.path, key), "is %.40q, want one of %s", n.Value, strings.Join(known, ", "))
+}
+
 // Switch reads true or false.
 func (s *Section) Switch(key string, v *bool) {
 	n := s.scalar(key, "true or false")
--- a/internal/forward/desk.go
+++ b/internal/forward/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -62,6 +63,9 @@
 	State               control.State
 }
 
+// row is a row of chances.
+type row struct{ seed, draws uint64 }
+
 type replica struct {
 	flows   int
 	failed  int // in a row
@@ -71,7 +75,8 @@
 // Desk is the state of one sidecar.
 type Desk struct {
 	plan       Plan
-	draws      uint64
+	admits     row
+	picks      row
 	tables     []table
 	shut       map[string]bool
 	listed     map[string]Listed
@@ -82,6 +87,8 @@
 	flows      int
 	waiting    int
 	candidates []open // reused
+	sums       map[string]*Sum
+	usage      []Usage
 	Count      Count
 }
 
@@ -91,12 +98,18 @@
 	Blocked, Dropped                                map[Reason]int64
 }
 
+// Clone is the count as of now.
+func (c Count) Clone() Count {
+	c.Blocked, c.Dropped = maps.Clone(c.Blocked), maps.Clone(c.Dropped)
+	return c
+}
+
 // New makes a desk that has no tables yet.
 func New(p Plan) (*Desk, error) {
 	if len(p.Groups) == 0 || p.Flows < 1 {
 		return nil, fmt.Errorf("a plan of %d traffic groups and %d flows at once serves nobody", len(p.Groups), p.Flows)
 	}
-	return &Desk{plan: p, tables: make([]table, len(p.Groups)), shut: map[string]bool{}, listed: map[string]Listed{},
+	return &Desk{plan: p, tables: make([]table, len(p.Groups)), picks: row{seed: 0x9e3779b97f4a7c15}, usage: make([]Usage, len(p.Groups)), sums: map[string]*Sum{}, shut: map[string]bool{}, listed: map[string]Listed{},
 		replicas: map[string]*replica{}, repeats: bucket{level: p.RepeatBurst},
 		Count: Count{Blocked: map[Reason]int64{}, Dropped: map[Reason]int64{}}}, nil
 }
@@ -121,6 +134,19 @@
 	}
 }
 
+// Even gives each listed replica one line in every table, while no governor has pushed any.
+func (d *Desk) Even(now int64) {
+	if d.steered {
+		return
+	}
+	even := Push{Full: true, Lines: map[string]float64{}}
+	for id := range d.listed {
+		even.Lines[id] = 1
+	}
+	d.apply(now, even)
+	d.steered = false
+}
+
 // Address is where a replica listens; empty: it is not listed.
 func (d *Desk) Address(id string) string { return d.listed[id].Address }
 
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -32,10 +32,13 @@
 type Flow struct {
 	group   int
 	came    int64
-	waits   int64 // since when it waits for a place; 0: it does not
+	waits   bool  // for a place
+	since   int64 // when it began to
 	in      bool  // counted among the flows at once
 	tries   []try
 	replay  bool // its bytes can be sent once more
+	spent   bool // some of them are gone
+	headed  int64
 	over    bool
 	current string
 }
@@ -58,6 +61,7 @@
 // cannot.
 func (d *Desk) Begin(now int64, group int, replay bool) (*Flow, Step) {
 	d.Count.Flows++
+	d.usage[group].Flows++
 	f := &Flow{group: group, came: now, replay: replay}
 	switch {
 	case d.draining:
@@ -78,12 +82,15 @@
 	case d.plan.Admission == control.AdmitRate:
 		return t.bucket.flow(now, t.levels.Share)
 	}
-	return t.levels.Share >= 1 || t.levels.Share > 0 && d.chance() <= t.levels.Share
+	return t.levels.Share >= 1 || t.levels.Share > 0 && d.chance(&d.admits) <= t.levels.Share
 }
 
 // enter makes the first try, if there is room among the flows at once, or waits for it.
 func (d *Desk) enter(now int64, f *Flow) Step {
 	expiry := f.came + d.plan.Groups[f.group].Expiry
+	if now >= expiry {
+		return d.block(f, Expired)
+	}
 	if !f.in && d.flows >= d.plan.Flows {
 		return d.hold(now, f, TooMany, expiry)
 	}
@@ -99,18 +106,15 @@
 
 // hold lets a flow wait for a place, while few wait and it has time.
 func (d *Desk) hold(now int64, f *Flow, why Reason, expiry int64) Step {
-	if f.waits == 0 {
+	if !f.waits {
 		if d.waiting >= d.plan.WaitMost {
 			return d.block(f, why)
 		}
 		d.waiting++
-		f.waits = now
+		f.waits, f.since = true, now
 	}
-	until := min(f.waits+d.plan.WaitSpan, expiry)
+	until := min(f.since+d.plan.WaitSpan, expiry)
 	if now >= until {
-		if now >= expiry {
-			return d.block(f, Expired)
-		}
 		return d.block(f, Waiting)
 	}
 	return Step{Wait: true, Until: until}
@@ -125,8 +129,8 @@
 }
 
 func (d *Desk) start(now int64, f *Flow, id string) Step {
-	if f.waits > 0 {
-		d.waiting, f.waits = d.waiting-1, 0
+	if f.waits {
+		d.waiting, f.waits = d.waiting-1, false
 	}
 	if !f.in {
 		f.in, d.flows = true, d.flows+1
@@ -168,7 +172,7 @@
 	case control.TryTwiceMore:
 		more = 2
 	}
-	return f.replay && len(f.tries) <= more && (ended == NeverRan || g.Effect != control.NonRetriable)
+	return (f.replay || ended == NeverRan && !f.spent) && len(f.tries) <= more && (ended == NeverRan || g.Effect != control.NonRetriable)
 }
 
 // Ended tells how the try ended, and says what is next.
@@ -241,6 +245,7 @@
 	}
 	r := d.place(f.current)
 	r.flows--
+	d.met(now, f, ended)
 	f.current = ""
 	if ended == Good {
 		r.failed = 0
@@ -255,6 +260,12 @@
 	}
 }
 
+// Spent says that bytes of a flow that cannot be sent once more have been read.
+func (d *Desk) Spent(f *Flow) { f.spent = true }
+
+// Headed says that the head of an answer has come and goes to the client: from now on no other try can follow.
+func (d *Desk) Headed(now int64, f *Flow) { f.headed, f.replay, f.spent = now, false, true }
+
 // Abandon ends a flow that nobody waits for any more. It says nothing of the replica.
 func (d *Desk) Abandon(f *Flow) {
 	if f.over {
@@ -277,6 +288,9 @@
 
 func (d *Desk) drop(f *Flow, why Reason) Step {
 	d.leave(f)
+	if why != Gone {
+		d.usage[f.group].Missed++
+	}
 	d.Count.Dropped[why]++
 	return Step{Final: true, Reason: why}
 }
@@ -292,7 +306,7 @@
 	if f.in {
 		f.in, d.flows = false, d.flows-1
 	}
-	if f.waits > 0 {
-		f.waits, d.waiting = 0, d.waiting-1
+	if f.waits {
+		f.waits, d.waiting = false, d.waiting-1
 	}
 }
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -75,7 +75,7 @@
 	for _, o := range from {
 		total += o.line.weight
 	}
-	drawn := d.chance() * total
+	drawn := d.chance(&d.picks) * total
 	for _, o := range from {
 		if drawn -= o.line.weight; drawn <= 0 {
 			return o
@@ -97,7 +97,9 @@
 	return from[best]
 }
 
-func (d *Desk) chance() float64 {
-	d.draws++
-	return control.Chance(d.plan.Seed, d.draws)
+// chance draws from above 0 to 1. Each purpose has a row of its own: neighbours of one row are alike in parts, so
+// that whoever is let in by one draw would find the next one weighted.
+func (d *Desk) chance(row *row) float64 {
+	row.draws++
+	return control.Chance(d.plan.Seed^row.seed, row.draws)
 }
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -15,7 +15,7 @@
 	"lilacbend/control"
 )
 
-// Push is one whole message of a governor, its parts put together.
+// Push is one part of a governor's message.
 type Push struct {
 	Groups []string // the traffic groups that it is for; none: all
 	Full   bool
@@ -23,8 +23,6 @@
 	Levels []Level
 	Shut   []string
 	Let    []string
-	Marked bool
-	Mark   uint64
 }
 
 // Level is what is let in of a group, and the manner of trying again.
@@ -74,10 +72,21 @@
 	}
 }
 
-// Apply applies a push whole, or nothing of it.
-func (d *Desk) Apply(now int64, p Push) error {
-	groups, err := d.groupsOf(p.Groups)
-	if err != nil {
+// Apply applies the parts of one push in their order: all of them, or nothing.
+func (d *Desk) Apply(now int64, parts ...Push) error {
+	for _, p := range parts {
+		if err := d.check(p); err != nil {
+			return err
+		}
+	}
+	for _, p := range parts {
+		d.apply(now, p)
+	}
+	return nil
+}
+
+func (d *Desk) check(p Push) error {
+	if _, err := d.groupsOf(p.Groups); err != nil {
 		return err
 	}
 	if len(p.Lines) > linesMost {
@@ -93,6 +102,11 @@
 			return fmt.Errorf("%w: level %v, manner %d", ErrUnusable, l.Share, l.Tries)
 		}
 	}
+	return nil
+}
+
+func (d *Desk) apply(now int64, p Push) {
+	groups, _ := d.groupsOf(p.Groups)
 	for _, g := range groups {
 		t := &d.tables[g]
 		if p.Full {
@@ -115,7 +129,6 @@
 		d.steered = true
 		d.forgetUnnamed(now)
 	}
-	return nil
 }
 
 func (d *Desk) groupsOf(names []string) (groups []int, err error) {
--- /dev/null
+++ b/internal/front/h1.go
@@ -0,0 +1,360 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lilacbend/internal/relay"
+)
+
+// A connection without a flow holds no buffer: ten thousand idle ones cost their goroutines and descriptors.
+var (
+	headReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, headMost) }}
+	h1Writers   = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
+)
+
+// h1 is one HTTP/1 connection: one flow at a time.
+type h1 struct {
+	server *Server
+	conn   net.Conn
+	busy   atomic.Bool // a flow is being read or answered
+	ended  atomic.Bool
+}
+
+func (c *h1) end() {
+	c.ended.Store(true)
+	c.conn.Close()
+}
+
+// part ends the connection unless a flow is in hand; that one's answer says that it was the last.
+func (c *h1) part() {
+	if !c.busy.Load() {
+		c.conn.SetReadDeadline(time.Unix(1, 0)) // a flow that comes at this moment is still read: see attend
+	}
+}
+
+func (c *h1) attend() {
+	defer c.conn.Close()
+	defer func() {
+		if v := recover(); v != nil {
+			c.server.Count.Panics.Add(1)
+			c.server.log.Error("panic on a connection", "panic", fmt.Sprint(v))
+		}
+	}()
+	var first [1]byte
+	for !c.server.parting() {
+		c.conn.SetReadDeadline(time.Now().Add(c.server.Idle))
+		if c.server.parting() {
+			return
+		}
+		if n, err := c.conn.Read(first[:]); n == 0 || err != nil {
+			return
+		}
+		c.busy.Store(true)
+		more := c.flows(first[0])
+		c.busy.Store(false)
+		if !more {
+			return
+		}
+	}
+}
+
+// flows serves what comes until nothing more waits; false: the connection is over.
+func (c *h1) flows(first byte) (more bool) {
+	r := headReaders.Get().(*bufio.Reader)
+	body := &patientReader{conn: c.conn, stall: c.server.Stall}
+	r.Reset(io.MultiReader(&oneByte{b: first}, body))
+	w := h1Writers.Get().(*bufio.Writer)
+	w.Reset(&patientWriter{conn: c.conn, stall: c.server.Stall})
+	defer func() {
+		r.Reset(nil)
+		headReaders.Put(r)
+		w.Reset(nil)
+		h1Writers.Put(w)
+	}()
+	for {
+		if !c.flow(r, w, body) {
+			return false
+		}
+		if r.Buffered() == 0 {
+			return true
+		}
+	}
+}
+
+// flow reads and answers one; false: the connection is over.
+func (c *h1) flow(r *bufio.Reader, w *bufio.Writer, p *patientReader) bool {
+	p.until = time.Now().Add(c.server.Head)
+	head, err := peekHead(r)
+	if err == nil {
+		err = checkHead(head)
+	}
+	if err != nil {
+		return c.refuse(w, err)
+	}
+	p.until = time.Time{}
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return c.refuse(w, bad("%v", err))
+	}
+	q := &relay.Request{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Length: req.ContentLength}
+	out := &h1Answer{w: w, conn: c, method: req.Method, old: req.ProtoMinor == 0, last: req.Close || c.server.parting()}
+	if req.Body != http.NoBody {
+		q.Body, q.Trailer = req.Body, func() http.Header { return req.Trailer }
+		q.Expects = httpguts100(req.Header)
+		q.Continue = func() error {
+			if _, err := w.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+				return err
+			}
+			return w.Flush()
+		}
+	}
+	relay.Clean(q.Header)
+	ctx, cancel := context.WithCancel(context.Background())
+	watched := c.watch(r, p, q.Body == nil, cancel)
+	c.server.flow(ctx, "h1", q, out)
+	cancel()
+	if !watched() || out.broken || c.ended.Load() {
+		return false
+	}
+	if w.Flush() != nil || out.last {
+		return false
+	}
+	if q.Body != nil { // what was not read of it is in front of the next one
+		if q.Expects && !out.asked(q) {
+			return false
+		}
+		n, err := io.CopyN(io.Discard, req.Body, drainMost)
+		if n == drainMost || !errors.Is(err, io.EOF) {
+			return false
+		}
+	}
+	return true
+}
+
+func httpguts100(h http.Header) bool {
+	v := h["Expect"]
+	return len(v) == 1 && (v[0] == "100-continue" || v[0] == "100-Continue")
+}
+
+// watch cancels a flow without a body when its client goes. The result ends the watching; false: it has gone.
+func (c *h1) watch(r *bufio.Reader, p *patientReader, idle bool, gone func()) func() bool {
+	if !idle || r.Buffered() > 0 {
+		return func() bool { return true }
+	}
+	done, left := make(chan struct{}), false
+	go func() {
+		defer close(done)
+		if _, err := r.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			left = true
+			gone()
+		}
+	}()
+	return func() bool {
+		p.stopped.Store(true)
+		c.conn.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		p.stopped.Store(false)
+		return !left
+	}
+}
+
+// peekHead waits for a whole head and leaves it to be read.
+func peekHead(r *bufio.Reader) ([]byte, error) {
+	for n := 1; ; n = r.Buffered() + 1 {
+		if n > headMost {
+			return nil, errLarge
+		}
+		_, err := r.Peek(n)
+		b, _ := r.Peek(r.Buffered())
+		if end := endOfHead(b); end >= 0 {
+			return b[:end], nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+var errLarge = errors.New("too large")
+
+// refuse answers what cannot be served, if it is one, and ends the connection.
+func (c *h1) refuse(w *bufio.Writer, err error) bool {
+	status, reason := 0, ""
+	switch {
+	case errors.Is(err, errLarge):
+		status, reason = http.StatusRequestHeaderFieldsTooLarge, "head-too-large"
+	case errors.Is(err, errHead):
+		status, reason = http.StatusBadRequest, "bad-request"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status, reason = http.StatusRequestTimeout, "head-too-slow"
+	default:
+		return false
+	}
+	c.server.Count.BadRequests.Add(1)
+	out := &h1Answer{w: w, conn: c, last: true}
+	if answer(out, status, reason) == nil {
+		w.Flush()
+	}
+	return false
+}
+
+type oneByte struct {
+	b    byte
+	gone bool
+}
+
+func (o *oneByte) Read(p []byte) (int, error) {
+	if o.gone || len(p) == 0 {
+		return 0, io.EOF
+	}
+	p[0], o.gone = o.b, true
+	return 1, nil
+}
+
+// patientReader gives each read so long, or all of them until a time.
+type patientReader struct {
+	conn  net.Conn
+	stall time.Duration
+	until time.Time
+
+	stopped atomic.Bool // whoever reads is to give up
+}
+
+func (p *patientReader) Read(b []byte) (int, error) {
+	until := p.until
+	if until.IsZero() {
+		until = time.Now().Add(p.stall)
+	}
+	p.conn.SetReadDeadline(until)
+	if p.stopped.Load() { // whichever came first, the deadline is over now
+		p.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return p.conn.Read(b)
+}
+
+type patientWriter struct {
+	conn  net.Conn
+	stall time.Duration
+}
+
+func (p *patientWriter) Write(b []byte) (int, error) {
+	p.conn.SetWriteDeadline(time.Now().Add(p.stall))
+	return p.conn.Write(b)
+}
+
+// h1Answer writes one answer.
+type h1Answer struct {
+	w         *bufio.Writer
+	conn      *h1
+	method    string
+	old       bool // HTTP/1.0
+	last      bool // the connection ends with it
+	begun     bool
+	continued bool
+	broken    bool
+	bodiless  bool
+	left      int64 // of a known length; below 0: not known
+	chunks    io.WriteCloser
+}
+
+func (a *h1Answer) asked(q *relay.Request) bool { return a.continued || !q.Expects }
+
+func (a *h1Answer) Inform(status int, h http.Header) {
+	if a.old || a.begun {
+		return
+	}
+	a.line(status)
+	relay.Clean(h).Write(a.w)
+	a.w.WriteString("\r\n")
+	a.w.Flush()
+}
+
+func (a *h1Answer) line(status int) {
+	a.w.WriteString("HTTP/1.1 ")
+	a.w.WriteString(strconv.Itoa(status))
+	a.w.WriteByte(' ')
+	a.w.WriteString(http.StatusText(status))
+	a.w.WriteString("\r\n")
+}
+
+func (a *h1Answer) Head(status int, h http.Header, length int64) error {
+	a.begun, a.left = true, length
+	a.line(status)
+	if err := h.Write(a.w); err != nil {
+		return err
+	}
+	a.bodiless = a.method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+	a.last = a.last || a.conn.server.parting()
+	switch {
+	case status == http.StatusNoContent:
+	case length >= 0:
+		a.w.WriteString("Content-Length: ")
+		a.w.WriteString(strconv.FormatInt(length, 10))
+		a.w.WriteString("\r\n")
+	case a.bodiless:
+	case a.old:
+		a.last = true
+	default:
+		a.w.WriteString("Transfer-Encoding: chunked\r\n")
+		a.chunks = httputil.NewChunkedWriter(a.w)
+	}
+	if a.last {
+		a.w.WriteString("Connection: close\r\n")
+	} else if a.old {
+		a.w.WriteString("Connection: keep-alive\r\n")
+	}
+	_, err := a.w.WriteString("\r\n")
+	return err
+}
+
+func (a *h1Answer) Write(p []byte) (int, error) {
+	if a.bodiless {
+		return len(p), nil
+	}
+	if a.chunks != nil {
+		n, err := a.chunks.Write(p)
+		if err == nil {
+			err = a.w.Flush() // it may be a talk
+		}
+		return n, err
+	}
+	if a.left >= 0 {
+		if a.left -= int64(len(p)); a.left < 0 {
+			return 0, errors.New("an answer longer than its length")
+		}
+	}
+	return a.w.Write(p)
+}
+
+func (a *h1Answer) End(trailer http.Header) error {
+	if a.chunks != nil {
+		if err := a.chunks.Close(); err != nil {
+			return err
+		}
+		trailer.Write(a.w)
+		a.w.WriteString("\r\n")
+	} else if a.left > 0 && !a.bodiless {
+		a.Break()
+		return errors.New("an answer shorter than its length")
+	}
+	return a.w.Flush()
+}
+
+// Break ends the connection, which is how HTTP/1 says that an answer is not whole.
+func (a *h1Answer) Break() {
+	a.broken, a.last = true, true
+	a.w.Flush()
+	a.conn.conn.Close()
+}
--- a/internal/governor/notes.go
+++ b/internal/governor/notes.go
@@ -49,6 +49,7 @@
 	// Member is one replica of a listing; Phase is the word that discovery used.
 	Member struct {
 		ID, Zone, Kind string
+		Address, Cell  string // not for the core
 		State          control.State
 		Odd            bool // its state could not be read
 		Weight         float64
--- a/internal/registry/listing.go
+++ b/internal/registry/listing.go
@@ -22,6 +22,8 @@
 
 type member struct {
 	ID       string   `json:"id"`
+	HostPort string   `json:"host_port"`
+	Cell     any      `json:"cell"`
 	Locality string   `json:"locality"`
 	Flavor   string   `json:"flavor"`
 	Phase    string   `json:"phase"`
@@ -48,6 +50,7 @@
 			weight = *m.Size
 		}
 		l.Members = append(l.Members, governor.Member{ID: m.ID, Zone: m.Locality, Kind: m.Flavor, State: state,
+			Address: m.HostPort, Cell: fmt.Sprint(m.Cell),
 			Odd: !known || !usable(m.ID) || weight < 0 || m.UpSince < 0, Weight: weight,
 			UpSince: control.Nanos(m.UpSince)})
 	}
--- /dev/null
+++ b/internal/sidecar/plan.go
@@ -0,0 +1,344 @@
+// Package sidecar is the program beside a client process: it puts fronts, relay, core, replicas' connections and the
+// conversation with governors together, as its file says.
+package sidecar
+
+import (
+	"fmt"
+	"hash/crc32"
+	"net"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+	"time"
+
+	"lilacbend/control"
+	"lilacbend/internal/form"
+	"lilacbend/internal/forward"
+	"lilacbend/internal/front"
+)
+
+// Manifest is what a sidecar's file sets.
+type Manifest struct {
+	File, Name, Zone       string
+	Proxy                  int
+	H1, H2, Local          string // addresses; empty: not served
+	Governors              []string
+	Collector, Discovery   string
+	Replicas               map[string]forward.Listed // instead of discovery
+	Rules                  []Rule
+	Plan                   forward.Plan
+	Bounds                 front.Bounds
+	Refusals               []int
+	Connections, IdleConns int // to one replica
+	IdleSpan, ReplicaStall time.Duration
+	LogEvery               int // of so many flows one is logged; 0: none
+	Report                 time.Duration
+}
+
+// Rule sends flows to a traffic group. What it does not name it does not ask for; the first that fits holds.
+type Rule struct {
+	Group, Method, Host, Path string
+	Fields                    map[string]string
+}
+
+var (
+	effects    = map[string]control.Effect{"retriable": control.Retriable, "deduped": control.Deduped, "non-retriable": control.NonRetriable}
+	scopes     = map[string]control.Scope{"cell": control.ScopeCell, "zone": control.ScopeZone, "all": control.ScopeAll}
+	picks      = map[string]control.Pick{"chance": control.PickChance, "round": control.PickRound, "idler": control.PickIdler}
+	admissions = map[string]control.Admission{"all": control.AdmitAll, "share": control.AdmitShare, "rate": control.AdmitRate}
+	manners    = map[string]control.Tries{"once": control.TryOnce, "never-ran": control.TryIfNeverRan, "again": control.TryAgain, "twice-more": control.TryTwiceMore}
+)
+
+// Read reads a sidecar's file. The error names file, line and key of all that is wrong.
+func Read(file string) (Manifest, error) {
+	raw, err := form.Open(file)
+	if err != nil {
+		return Manifest{}, err
+	}
+	return Parse(file, raw)
+}
+
+// Parse reads the bytes of a sidecar's file.
+func Parse(file string, raw []byte) (Manifest, error) {
+	f, top, err := form.Parse(file, raw)
+	if err != nil {
+		return Manifest{}, err
+	}
+	m := Manifest{File: file, Connections: 64, IdleConns: 16, IdleSpan: 30 * time.Second, ReplicaStall: 30 * time.Second, Report: time.Second,
+		Bounds: front.Bounds{Connections: 10000, Idle: time.Minute, Head: 10 * time.Second, Stall: 10 * time.Second, Streams: 100, Drain: 10 * time.Second},
+		Plan: forward.Plan{Pick: control.PickChance, Admission: control.AdmitShare, TryFactor: 1, Usual: control.TryIfNeverRan, Strikes: 5, Shun: 4e9,
+			RepeatShare: 0.1, RepeatBurst: 10, Flows: 1000, WaitMost: 200, WaitSpan: 5e8}}
+	m.identity(top)
+	m.groups(top)
+	m.rules(top)
+	m.tries(top)
+	m.limits(top)
+	top.Done()
+	if err := f.Err(); err != nil {
+		return Manifest{}, err
+	}
+	m.Plan.Seed = uint64(crc32.ChecksumIEEE([]byte(m.Name)))<<32 | uint64(m.Proxy)
+	return m, nil
+}
+
+func address(s *form.Section, key string, v *string) {
+	s.Text(key, v)
+	if *v == "" {
+		return
+	}
+	if _, port, err := net.SplitHostPort(*v); err != nil || port == "" {
+		s.Fault(key, "is %.60q, want host:port", *v)
+	}
+}
+
+func (m *Manifest) identity(top *form.Section) {
+	top.Text("name", &m.Name)
+	top.Text("zone", &m.Zone)
+	top.Whole("proxy", &m.Proxy, 0, 1<<20)
+	for _, key := range []string{"name", "zone", "proxy"} {
+		if !top.Has(key) {
+			top.Fault("", "lacks %s", key)
+		}
+	}
+	if l := top.Section("listen"); l != nil {
+		address(l, "http1", &m.H1)
+		address(l, "http2", &m.H2)
+		address(l, "local", &m.Local)
+		l.Done()
+		at := map[string]string{}
+		for key, a := range map[string]string{"http1": m.H1, "http2": m.H2, "local": m.Local} {
+			if other, twice := at[a]; a != "" && twice {
+				l.Fault(max(key, other), "is the address of %s as well", min(key, other))
+			}
+			at[a] = key
+		}
+	}
+	if m.H1 == "" && m.H2 == "" {
+		top.Fault("listen", "serves nobody: give http1 or http2 an address")
+	}
+	top.Words("governors", &m.Governors)
+	for k, g := range m.Governors {
+		if _, _, err := net.SplitHostPort(g); err != nil {
+			top.Fault("governors", "entry %d is %.60q, want host:port", k, g)
+		}
+	}
+	address(top, "collector", &m.Collector)
+	address(top, "discovery", &m.Discovery)
+	listed := top.Sections("replicas")
+	if m.Replicas = map[string]forward.Listed{}; len(listed) > 0 && m.Discovery != "" {
+		top.Fault("replicas", "are listed by discovery as well: give one of the two")
+	}
+	for _, s := range listed {
+		var id string
+		var r forward.Listed
+		s.Text("id", &id)
+		s.Text("zone", &r.Zone)
+		s.Text("cell", &r.Cell)
+		address(s, "address", &r.Address)
+		if _, twice := m.Replicas[id]; twice || id == "" || r.Address == "" {
+			s.Fault("", "wants an id of its own and an address")
+		}
+		m.Replicas[id] = r
+		s.Done()
+	}
+	if len(listed) == 0 && m.Discovery == "" {
+		top.Fault("", "lacks discovery, or replicas: where are they?")
+	}
+}
+
+func (m *Manifest) groups(top *form.Section) {
+	sections := top.Sections("groups")
+	for _, s := range sections {
+		g := forward.Group{}
+		var budget, expiry, window time.Duration
+		s.Text("name", &g.Name)
+		form.Choice(s, "effect", &g.Effect, effects)
+		form.Choice(s, "scope", &g.Scope, scopes)
+		s.Duration("window", &window, time.Millisecond, 24*time.Hour)
+		s.Duration("latency_budget", &budget, time.Millisecond, time.Hour)
+		s.Duration("expiry", &expiry, time.Millisecond, time.Hour)
+		for _, key := range []string{"name", "effect", "latency_budget", "expiry"} {
+			if !s.Has(key) {
+				s.Fault("", "lacks %s", key)
+			}
+		}
+		deduped := g.Effect == control.Deduped && s.Has("effect")
+		switch {
+		case slices.ContainsFunc(m.Plan.Groups, func(o forward.Group) bool { return o.Name == g.Name }):
+			s.Fault("name", "is %q, as an earlier group is", g.Name)
+		case strings.ContainsAny(g.Name, "+, \t") || s.Has("name") && g.Name == "":
+			s.Fault("name", "is %.40q, want a word without + and ,", g.Name)
+		case budget > expiry && s.Has("expiry"):
+			s.Fault("latency_budget", "is %v, over the expiry of %v", budget, expiry)
+		case deduped && (!s.Has("window") || !s.Has("scope")):
+			s.Fault("effect", "is deduped: give scope and window, within which replicas drop a repeat")
+		case !deduped && (s.Has("window") || s.Has("scope")) && s.Has("effect"):
+			s.Fault("effect", "has no scope and window unless it is deduped")
+		}
+		g.LatencyBudget, g.Expiry, g.Window = budget.Nanoseconds(), expiry.Nanoseconds(), window.Nanoseconds()
+		m.Plan.Groups = append(m.Plan.Groups, g)
+		s.Done()
+	}
+	if len(m.Plan.Groups) == 0 {
+		top.Fault("groups", "are none: name at least one traffic group")
+	}
+}
+
+func (m *Manifest) rules(top *form.Section) {
+	var names []string
+	for _, g := range m.Plan.Groups {
+		names = append(names, g.Name)
+	}
+	for k, s := range top.Sections("rules") {
+		var r Rule
+		s.Text("group", &r.Group)
+		s.Text("method", &r.Method)
+		s.Text("host", &r.Host)
+		s.Text("path", &r.Path)
+		s.Pairs("fields", &r.Fields)
+		if !slices.Contains(names, r.Group) {
+			if near := form.Nearest(r.Group, names); near != "" {
+				s.Fault("group", "is %q, which is no traffic group: did you mean %s?", r.Group, near)
+			} else {
+				s.Fault("group", "is %q, want one of %s", r.Group, strings.Join(names, ", "))
+			}
+		}
+		if r.Path != "" && (r.Path[0] != '/' || strings.Contains(strings.TrimSuffix(r.Path, "*"), "*")) {
+			s.Fault("path", "is %.60q, want a path, or the beginning of one and * at its end", r.Path)
+		}
+		for before, o := range m.Rules {
+			if o.hides(r) {
+				s.Fault("", "is never reached: rules[%d] takes all of its flows", before)
+				break
+			}
+		}
+		_ = k
+		m.Rules = append(m.Rules, r)
+		s.Done()
+	}
+	if len(m.Rules) == 0 {
+		top.Fault("rules", "are none: no flow would belong to a traffic group")
+	}
+}
+
+// hides says whether each flow that fits the later rule fits this one.
+func (r Rule) hides(later Rule) bool {
+	if r.Method != "" && r.Method != later.Method || r.Host != "" && !strings.EqualFold(r.Host, later.Host) {
+		return false
+	}
+	for name, value := range r.Fields {
+		if later.Fields[name] != value {
+			return false
+		}
+	}
+	prefix, open := strings.CutSuffix(r.Path, "*")
+	laterPrefix, laterOpen := strings.CutSuffix(later.Path, "*")
+	switch {
+	case r.Path == "":
+		return true
+	case later.Path == "" || laterOpen && !open:
+		return false
+	case open:
+		return strings.HasPrefix(laterPrefix, prefix)
+	}
+	return r.Path == later.Path
+}
+
+func (m *Manifest) tries(top *form.Section) {
+	form.Choice(top, "pick", &m.Plan.Pick, picks)
+	form.Choice(top, "admission", &m.Plan.Admission, admissions)
+	s := top.Section("tries")
+	if s == nil {
+		return
+	}
+	shun := time.Duration(m.Plan.Shun)
+	form.Choice(s, "usual", &m.Plan.Usual, manners)
+	s.Number("factor", &m.Plan.TryFactor, 0.1, 100)
+	s.Whole("strikes", &m.Plan.Strikes, 0, 1000)
+	s.Duration("shun", &shun, time.Millisecond, time.Hour)
+	s.Number("repeat_share", &m.Plan.RepeatShare, 0, 1)
+	s.Number("repeat_burst", &m.Plan.RepeatBurst, 0, 1e6)
+	var words []string
+	s.Words("never_ran_statuses", &words)
+	for _, w := range words {
+		var status int
+		if _, err := fmt.Sscanf(w, "%d", &status); err != nil || status < 500 || status > 599 {
+			s.Fault("never_ran_statuses", "has %.20q, want statuses from 500 to 599", w)
+		}
+		m.Refusals = append(m.Refusals, status)
+	}
+	m.Plan.Shun = shun.Nanoseconds()
+	s.Done()
+}
+
+func (m *Manifest) limits(top *form.Section) {
+	s := top.Section("limits")
+	wait := time.Duration(m.Plan.WaitSpan)
+	if s != nil {
+		s.Whole("flows", &m.Plan.Flows, 1, 1<<20)
+		s.Whole("waiting", &m.Plan.WaitMost, 0, 1<<20)
+		s.Duration("wait", &wait, 0, time.Minute)
+		s.Whole("replica_connections", &m.Connections, 1, 1<<16)
+		s.Whole("replica_idle", &m.IdleConns, 0, 1<<16)
+		s.Duration("replica_idle_time", &m.IdleSpan, time.Millisecond, time.Hour)
+		s.Duration("replica_stall", &m.ReplicaStall, time.Millisecond, time.Hour)
+		s.Whole("connections", &m.Bounds.Connections, 1, 1<<20)
+		s.Whole("streams", &m.Bounds.Streams, 1, 1<<16)
+		s.Duration("idle", &m.Bounds.Idle, time.Millisecond, 24*time.Hour)
+		s.Duration("head", &m.Bounds.Head, time.Millisecond, time.Hour)
+		s.Duration("stall", &m.Bounds.Stall, time.Millisecond, time.Hour)
+		s.Duration("drain", &m.Bounds.Drain, 0, time.Hour)
+		s.Done()
+	}
+	m.Plan.WaitSpan, m.Plan.ReplicaFlows = wait.Nanoseconds(), m.Connections
+	if l := top.Section("log"); l != nil {
+		l.Whole("every", &m.LogEvery, 0, 1<<30)
+		l.Done()
+	}
+	top.Duration("report_every", &m.Report, 100*time.Millisecond, time.Minute)
+}
+
+// Classify says which group the first rule that fits names.
+func (m Manifest) Classify() front.Classify {
+	type rule struct {
+		Rule
+		group  int
+		prefix string
+		open   bool
+	}
+	var rules []rule
+	for _, r := range m.Rules {
+		prefix, open := strings.CutSuffix(r.Path, "*")
+		fields := map[string]string{}
+		for name, value := range r.Fields {
+			fields[textproto.CanonicalMIMEHeaderKey(name)] = value
+		}
+		r.Fields = fields
+		rules = append(rules, rule{r, slices.IndexFunc(m.Plan.Groups, func(g forward.Group) bool { return g.Name == r.Group }), prefix, open})
+	}
+	return func(method, host, path string, h http.Header) int {
+		for _, r := range rules {
+			if r.Method != "" && r.Method != method || r.Host != "" && !sameHost(r.Host, host) ||
+				r.Path != "" && r.Path != path && !(r.open && strings.HasPrefix(path, r.prefix)) {
+				continue
+			}
+			fits := true
+			for name, value := range r.Fields {
+				fits = fits && slices.Contains(h[name], value)
+			}
+			if fits {
+				return r.group
+			}
+		}
+		return -1
+	}
+}
+
+// sameHost compares without the port, which a client may leave out.
+func sameHost(want, got string) bool {
+	if name, _, err := net.SplitHostPort(got); err == nil {
+		got = name
+	}
+	return strings.EqualFold(want, got)
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,279 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lilacbend/control"
+	"lilacbend/internal/exchange"
+	"lilacbend/internal/forward"
+	"lilacbend/internal/front"
+	"lilacbend/internal/governor"
+	"lilacbend/internal/registry"
+	"lilacbend/internal/relay"
+	"lilacbend/internal/steering"
+	"lilacbend/internal/upstream"
+)
+
+const sweepEvery = time.Second
+
+// Sidecar is one running sidecar.
+type Sidecar struct {
+	manifest Manifest
+	log      *slog.Logger
+	began    time.Time
+	relay    *relay.Relay
+	pool     *upstream.Pool
+	server   *front.Server
+	client   *steering.Client
+	teller   *steering.Teller
+	lists    *exchange.Exchange
+	flows    atomic.Int64
+}
+
+// New puts a sidecar together.
+func New(m Manifest, log *slog.Logger) (*Sidecar, error) {
+	desk, err := forward.New(m.Plan)
+	if err != nil {
+		return nil, err
+	}
+	s := &Sidecar{manifest: m, log: log, began: time.Now(), lists: exchange.New(),
+		pool: upstream.NewPool(m.Connections, m.IdleConns, m.IdleSpan, m.ReplicaStall)}
+	var once []bool
+	var names []string
+	for _, g := range m.Plan.Groups {
+		once, names = append(once, g.Effect == control.NonRetriable), append(names, g.Name)
+	}
+	s.relay = relay.New(desk, s.pool, s.now, m.Refusals, once)
+	s.relay.Panics = func(text string) {
+		s.server.Count.Panics.Add(1)
+		log.Error("panic in a flow", "panic", text)
+	}
+	s.server = front.New(m.Bounds, s.relay.Serve, m.Classify(), log, s.record)
+	s.client = &steering.Client{Governors: m.Governors, ID: m.Proxy, Zone: m.Zone, Groups: names, Core: core{s}, Seed: m.Plan.Seed, Log: log}
+	s.teller = &steering.Teller{To: m.Collector, Every: m.Report, Seed: m.Plan.Seed, Sums: func() (all map[string]*forward.Sum) {
+		s.relay.With(func(_ int64, d *forward.Desk) { all = d.Sums() })
+		return all
+	}}
+	if len(m.Replicas) > 0 {
+		s.list(true, m.Replicas)
+	}
+	return s, nil
+}
+
+func (s *Sidecar) now() int64 { return int64(time.Since(s.began)) + 1 }
+
+// core is the sidecar's core as the conversation with a governor sees it.
+type core struct{ *Sidecar }
+
+func (c core) Apply(parts []forward.Push) (err error) {
+	c.relay.With(func(now int64, d *forward.Desk) { err = d.Apply(now, parts...) })
+	return err
+}
+
+func (c core) Blank() (blank bool) {
+	c.relay.With(func(_ int64, d *forward.Desk) { blank = d.Blank() })
+	return blank
+}
+
+func (c core) Usage() (all []forward.Usage) {
+	c.relay.With(func(_ int64, d *forward.Desk) { all = d.Usage() })
+	return all
+}
+
+// list takes over who there is. While no governor has pushed a table, all of them have one line each: a sidecar that
+// starts while governors are away serves.
+func (s *Sidecar) list(whole bool, members map[string]forward.Listed) {
+	s.relay.With(func(now int64, d *forward.Desk) {
+		d.List(whole, members)
+		d.Even(now)
+	})
+}
+
+// Run serves until ctx ends, then lets flows in hand end.
+func (s *Sidecar) Run(ctx context.Context) error {
+	m := s.manifest
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			l.Close()
+		}
+	}()
+	listen := func(key, at string) (net.Listener, error) {
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			return nil, fmt.Errorf("%s: listen.%s: %w", m.File, key, err)
+		}
+		listeners = append(listeners, l)
+		return l, nil
+	}
+	var all sync.WaitGroup
+	talk, hangUp := context.WithCancel(context.Background()) // governors hear of the flows that end at the end
+	defer hangUp()
+	for _, p := range []struct {
+		key, at string
+		h2      bool
+	}{{"http1", m.H1, false}, {"http2", m.H2, true}} {
+		if p.at == "" {
+			continue
+		}
+		l, err := listen(p.key, p.at)
+		if err != nil {
+			return err
+		}
+		all.Go(func() { s.server.Serve(l, p.h2) })
+	}
+	if m.Local != "" {
+		l, err := listen("local", m.Local)
+		if err != nil {
+			return err
+		}
+		door := &http.Server{Handler: s.door(), ReadHeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
+		all.Go(func() { door.Serve(l) })
+		defer door.Close()
+	}
+	s.log.Info("sidecar serves", "http1", m.H1, "http2", m.H2, "governors", m.Governors, "groups", len(m.Plan.Groups))
+	all.Go(func() { s.client.Run(talk) })
+	if m.Collector != "" {
+		all.Go(func() { s.teller.Run(talk) })
+	}
+	if m.Discovery != "" {
+		r := registry.New(m.Discovery, -1, s.lists, s.log, s.now, m.Plan.Seed)
+		all.Go(func() { r.Run(talk) })
+		all.Go(func() { s.follow(talk) })
+	}
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case now := <-sweep.C:
+			s.pool.Sweep(now)
+		}
+	}
+	s.log.Info("sidecar drains", "in_hand", s.server.Count.InHand.Load())
+	for _, l := range listeners[:min(len(listeners), 2)] {
+		l.Close()
+	}
+	lost := s.server.Part()
+	hangUp()
+	s.pool.Close()
+	for _, l := range listeners {
+		l.Close()
+	}
+	all.Wait()
+	s.log.Info("sidecar ends", "lost", lost, "flows", s.server.Count.Flows.Load())
+	return nil
+}
+
+// follow takes over lists as discovery tells them.
+func (s *Sidecar) follow(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.lists.Bell():
+		}
+		for _, note := range s.lists.Take() {
+			l, ok := note.(governor.Listing)
+			if !ok {
+				continue
+			}
+			members := map[string]forward.Listed{}
+			for _, m := range l.Members {
+				if !m.Odd {
+					members[m.ID] = forward.Listed{Zone: m.Zone, Cell: m.Cell, Address: m.Address, State: m.State}
+				}
+			}
+			s.list(l.Whole, members)
+		}
+	}
+}
+
+// Reload takes over what may change while it runs: which flows belong to which group. It names the rest.
+func (s *Sidecar) Reload(m Manifest) (waits []string, err error) {
+	if !reflect.DeepEqual(m.Plan.Groups, s.manifest.Plan.Groups) {
+		return nil, errors.New("groups differ: start anew, since governors know them by their order")
+	}
+	s.server.Reclassify(m.Classify())
+	now, next := s.manifest, m
+	now.Rules, next.Rules = nil, nil
+	a, b := reflect.ValueOf(now), reflect.ValueOf(next)
+	for k := range a.NumField() {
+		if !reflect.DeepEqual(a.Field(k).Interface(), b.Field(k).Interface()) {
+			waits = append(waits, a.Type().Field(k).Name)
+		}
+	}
+	return waits, nil
+}
+
+// record is told of each flow that has ended.
+func (s *Sidecar) record(protocol, method, host, path string, group int, r relay.Result) {
+	if n := s.flows.Add(1); s.manifest.LogEvery == 0 || n%int64(s.manifest.LogEvery) != 0 {
+		return
+	}
+	name := "none"
+	if group >= 0 {
+		name = s.manifest.Plan.Groups[group].Name
+	}
+	s.log.Info("flow", "protocol", protocol, "method", method, "host", host, "path", path, "group", name, "status", r.Status,
+		"reason", r.Reason, "replica", r.Replica, "tries", r.Tries, "broken", r.Broken, "took", r.Took)
+}
+
+// Figures are the counters.
+type Figures struct {
+	Governor string
+	Tables   map[string]int
+	InHand   int
+	Core     forward.Count
+	Replicas upstream.Count
+	Clients  map[string]int64
+	Steering map[string]int64
+}
+
+// Figures tells the counters as of now.
+func (s *Sidecar) Figures() Figures {
+	f := Figures{Governor: s.client.Governor(), Replicas: s.pool.Figures()}
+	s.relay.With(func(_ int64, d *forward.Desk) {
+		f.Core, f.Tables, f.InHand = d.Count.Clone(), d.Tables(), d.InHand()
+	})
+	c, t := &s.server.Count, &s.client.Count
+	f.Clients = map[string]int64{"accepted": c.Accepted.Load(), "refused": c.Refused.Load(), "open": c.Open.Load(), "flows": c.Flows.Load(),
+		"in_hand": c.InHand.Load(), "bad_requests": c.BadRequests.Load(), "unclassified": c.Unclassified.Load(), "resets": c.Resets.Load(),
+		"floods": c.Floods.Load(), "stalls": c.Stalls.Load(), "lost": c.Lost.Load(), "panics": c.Panics.Load()}
+	f.Steering = map[string]int64{"dials": t.Dials.Load(), "streams": t.Streams.Load(), "broken": t.Broken.Load(), "pushes": t.Pushes.Load(),
+		"marks": t.Marks.Load(), "unusable": t.Unusable.Load(), "demands": t.Demands.Load(), "sums_lost": s.teller.Lost.Load()}
+	return f
+}
+
+// door is the local port: /health says 200 while flows are taken and a replica can be picked, /figures the counters.
+func (s *Sidecar) door() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		lines := 0
+		for _, n := range s.Figures().Tables {
+			lines += n
+		}
+		if lines == 0 {
+			http.Error(w, "no replica", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "serves")
+	})
+	mux.HandleFunc("GET /figures", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		e := json.NewEncoder(w)
+		e.SetIndent("", " ")
+		e.Encode(s.Figures())
+	})
+	return mux
+}
