Tests of the sidecar: every failure one answer, nothing smuggled, nothing twice, floods end alone

Found and mended: a pool forgot a replica whose last connection it had just dropped, which panicked when the next one was given back.

--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,400 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lilacbend/lab/standin"
+)
+
+func free(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+const file = `
+name: shop
+proxy: 3
+zone: a
+listen: {http1: H1, http2: H2}
+replicas: [REPLICAS]
+groups:
+- {name: stock, effect: retriable, latency_budget: 500ms, expiry: 2s}
+- {name: order, effect: deduped, scope: zone, window: 2500ms, latency_budget: 500ms, expiry: 2s}
+- {name: payout, effect: non-retriable, latency_budget: 500ms, expiry: 2s}
+rules:
+- {group: stock, method: GET}
+- {group: stock, method: HEAD}
+- {group: order, method: POST, path: /orders}
+- {group: payout, method: POST, path: /payouts}
+tries: {strikes: 0, repeat_share: 1, repeat_burst: 1000, usual: again}
+limits: {idle: 5s, head: 300ms, stall: 700ms, drain: 2s, flows: 500, replica_connections: 300, streams: 100, replica_stall: 700ms}
+`
+
+type running struct {
+	*Sidecar
+	h1, h2 string
+	stop   func()
+}
+
+// start serves until the test ends, and checks that nothing is left behind.
+func start(t testing.TB, change func(string) string, replicas ...string) running {
+	r := running{h1: free(t), h2: free(t)}
+	var rows []string
+	for k, at := range replicas {
+		rows = append(rows, fmt.Sprintf("{id: r%d, zone: a, address: %q}", k, at))
+	}
+	text := strings.NewReplacer("H1", r.h1, "H2", r.h2, "REPLICAS", strings.Join(rows, ", ")).Replace(file)
+	if change != nil {
+		text = change(text)
+	}
+	m, err := Parse("t.yaml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Sidecar, err = New(m, slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	var once sync.Once
+	r.stop = func() {
+		once.Do(func() {
+			stop()
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+			f := r.Figures()
+			if f.InHand != 0 || f.Clients["in_hand"] != 0 || f.Clients["open"] != 0 || f.Replicas.Open != 0 || f.Clients["panics"] != 0 {
+				t.Errorf("left behind: %+v", f)
+			}
+		})
+	}
+	t.Cleanup(r.stop)
+	for range 200 {
+		if conn, err := net.Dial("tcp", r.h2); err == nil {
+			conn.Close()
+			return r
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("nobody listens")
+	return r
+}
+
+func replica(t testing.TB, handler http.HandlerFunc) *standin.Replica {
+	r, err := standin.NewReplica("127.0.0.1:0", 0, handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Stop)
+	return r
+}
+
+// raw is a replica that does with each connection as it is told.
+func raw(t testing.TB, attend func(conn net.Conn, r *bufio.Reader)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				attend(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// says sends raw bytes on a new connection and reads all that comes back.
+func says(t testing.TB, at, text string) string {
+	conn, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	io.WriteString(conn, text)
+	raw, err := io.ReadAll(conn)
+	if os.IsTimeout(err) {
+		t.Errorf("%.60q: not ended", text)
+	}
+	return string(raw)
+}
+
+func TestAnswersPassThroughAsTheyAre(t *testing.T) {
+	r := replica(t, func(w http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(req.Body)
+		h := w.Header()
+		h.Set("Connection", "X-Hop")
+		h.Set("X-Hop", "1")
+		h.Set("X-Stays", "2")
+		switch req.URL.Path {
+		case "/empty":
+			w.WriteHeader(204)
+		case "/same":
+			w.WriteHeader(304)
+		case "/early":
+			w.Header().Set("Link", "x")
+			w.WriteHeader(103)
+			fmt.Fprint(w, "late")
+		case "/pieces":
+			for k := range 3 {
+				fmt.Fprint(w, k)
+				w.(http.Flusher).Flush()
+			}
+			h.Set(http.TrailerPrefix+"Sum", "9")
+		default:
+			fmt.Fprintf(w, "%s %s %s te=%v len=%d trailer=%v hop=%q", req.Method, req.RequestURI, body, req.TransferEncoding, req.ContentLength, req.Trailer, req.Header.Get("X-Mine"))
+		}
+	})
+	s := start(t, nil, r.Addr)
+	const get, tail = "GET %s HTTP/1.1\r\nHost: x\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\n\r\n", "Connection: close\r\n\r\n"
+	for _, c := range []struct{ text, want string }{
+		{fmt.Sprintf(get, "/a?b=c"), "GET /a?b=c  te=[] len=0 trailer=map[] hop=\"\""},
+		{fmt.Sprintf(get, "/empty"), "HTTP/1.1 204 No Content\r\n"},
+		{fmt.Sprintf(get, "/same"), "HTTP/1.1 304 Not Modified\r\n"},
+		{fmt.Sprintf(get, "/early"), "HTTP/1.1 103 Early Hints\r\n"},
+		{fmt.Sprintf(get, "/pieces"), "\r\n0\r\nSum: 9\r\n\r\n"},
+		{"HEAD /x HTTP/1.1\r\nHost: x\r\n" + tail, "HTTP/1.1 200 OK\r\n"},
+		{"GET /old HTTP/1.0\r\n\r\n", "GET /old  te=[]"},
+		{"POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n" + tail + "hello", "POST /orders hello te=[] len=5"},
+		{"POST /orders HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n" + tail + "5\r\nhello\r\n0\r\nSum: 4\r\n\r\n", "POST /orders hello te=[chunked] len=-1"},
+		{"POST /orders HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 5\r\n" + tail + "hello", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"},
+		{"GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n" + tail, "GET /b  te="},
+		{"DELETE /a HTTP/1.1\r\nHost: x\r\n" + tail, "HTTP/1.1 404 Not Found\r\n"},
+	} {
+		got := says(t, s.h1, c.text)
+		if !strings.Contains(got, c.want) || strings.Contains(got, "X-Hop") {
+			t.Errorf("%.50q: got %q\nwant %q", c.text, got, c.want)
+		}
+	}
+	big := strings.Repeat("x", 200_000)
+	if got := says(t, s.h1, fmt.Sprintf("POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n%s%s", len(big), tail, big)); !strings.Contains(got, "len=200000") || strings.Count(got, "x") < 200_000 {
+		t.Errorf("a long body: %d bytes came back", len(got))
+	}
+}
+
+// What two readers could understand differently is refused, and its connection ended.
+func TestNoRequestIsSmuggled(t *testing.T) {
+	r := replica(t, nil)
+	s := start(t, nil, r.Addr)
+	const get, post = "GET / HTTP/1.1\r\nHost: x\r\n", "POST /orders HTTP/1.1\r\nHost: x\r\n"
+	for _, text := range []string{
+		post + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		post + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nabcd", post + "Content-Length: 4, 4\r\n\r\nabcd", post + "Content-Length: +4\r\n\r\nabcd",
+		post + "Content-Length: 4e0\r\n\r\nabcd", post + "Content-Length: 99999999999999999999\r\n\r\n", post + "Content-Length:\r\n\r\n",
+		post + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n", post + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		post + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n", post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		post + "Transfer-Encoding:\x0bchunked\r\n\r\n0\r\n\r\n", "POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		get + " folded: 1\r\n\r\n", get + "X: 1\r\n 2\r\n\r\n", get + "X: a\rb\r\n\r\n", get + "X: a\nY: b\r\n\r\n", get + "X\x00: 1\r\n\r\n", get + "X: \x00\r\n\r\n",
+		get + "Host: y\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost: a b\r\n\r\n", "GET  / HTTP/1.1\r\nHost: x\r\n\r\n", "GET / HTTP/2.0\r\nHost: x\r\n\r\n",
+		"GET http://x/ HTTP/1.1\r\nHost: x\r\n\r\n", "CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", "GET /a\x7f HTTP/1.1\r\nHost: x\r\n\r\n", "G(T / HTTP/1.1\r\nHost: x\r\n\r\n", ": 1\r\n\r\n",
+		"GET / HTTP/1.1\nHost: x\n\n",
+	} {
+		got := says(t, s.h1, text+"GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n")
+		if !strings.HasPrefix(got, "HTTP/1.1 400 ") && !strings.HasPrefix(got, "HTTP/1.1 408 ") || strings.Count(got, "HTTP/1.1 ") != 1 {
+			t.Errorf("%q: %q", text, got)
+		}
+	}
+	if n := r.Serves.Load(); n != 0 {
+		t.Errorf("%d of them reached the replica", n)
+	}
+	if got := says(t, s.h1, get+"X: "+strings.Repeat("x", 20000)); !strings.HasPrefix(got, "HTTP/1.1 431 ") {
+		t.Errorf("a large head: %.80q", got)
+	}
+	if got := says(t, s.h1, get); !strings.HasPrefix(got, "HTTP/1.1 408 ") {
+		t.Errorf("half a head: %.80q", got)
+	}
+}
+
+// counts answers by their status and reason.
+func counts(t testing.TB, s running, n int, method, path, body string) map[string]int {
+	got := map[string]int{}
+	for k := range n {
+		text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nKey: %s%d\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", method, path, path, k, len(body), body)
+		answer := says(t, s.h1, text)
+		what := "nothing"
+		if at := strings.LastIndex(answer, "HTTP/1.1 "); at >= 0 {
+			what = answer[at+9 : at+12]
+		}
+		if _, after, ok := strings.Cut(answer, "Lilacbend-Reason: "); ok {
+			what += " " + strings.SplitN(after, "\r\n", 2)[0]
+		}
+		got[what]++
+	}
+	return got
+}
+
+// Replicas that end flows in every way: each flow gets one answer, at once, and what must not run twice does not.
+func TestEveryFailureEndsInOneAnswer(t *testing.T) {
+	closes := func(after string) func(net.Conn, *bufio.Reader) {
+		return func(conn net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				io.WriteString(conn, after)
+			}
+		}
+	}
+	for name, c := range map[string]struct {
+		attend               func(net.Conn, *bufio.Reader)
+		stock, order, payout string
+	}{
+		"ends without a word": {closes(""), "200", "200", "503 unclear"},
+		"half a head":         {closes("HTTP/1.1 200 OK\r\nContent-Le"), "200", "200", "503 unclear"},
+		"nonsense":            {closes("hello\r\n\r\n"), "200", "200", "503 unclear"},
+		"a head without end":  {closes("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 100<<10)), "200", "200", "503 unclear"},
+		"early words":         {closes(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20)), "200", "200", "503 unclear"},
+		"another protocol":    {closes("HTTP/1.1 101 Switching Protocols\r\n\r\n"), "200", "200", "503 unclear"},
+		"half a body":         {closes("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"), "200", "200", "200"}, // it has begun: broken off, not repeated
+		"its own error":       {closes("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), "200", "200", "500"},
+		"silence":             {func(conn net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) }, "200", "200", "503 expired"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			good := replica(t, nil)
+			bad := raw(t, c.attend)
+			s := start(t, nil, bad, good.Addr)
+			for path, want := range map[string]string{"/stock": c.stock, "/orders": c.order, "/payouts": c.payout} {
+				method := "POST"
+				if path == "/stock" {
+					method = "GET"
+				}
+				got := counts(t, s, 6, method, path, "")
+				n := got["200"]
+				if want != "200" {
+					n += got[want]
+				}
+				if n != 6 {
+					t.Errorf("%s: %v, want 200 or %s", path, got, want)
+				}
+			}
+			for key, n := range good.Runs() {
+				if strings.HasPrefix(key, "/payouts") && n > 1 {
+					t.Errorf("%s ran %d times", key, n)
+				}
+			}
+		})
+	}
+}
+
+// Nobody listens there: proof that nothing ran, so even a payout goes to the next one.
+func TestARefusedConnectionIsTriedElsewhere(t *testing.T) {
+	good := replica(t, nil)
+	s := start(t, func(f string) string { return strings.Replace(f, "usual: again", "usual: never-ran", 1) }, free(t), good.Addr)
+	for path, body := range map[string]string{"/payouts": "", "/orders": "small", "/orders?long": strings.Repeat("x", 50_000)} {
+		if got := counts(t, s, 10, "POST", path, body); got["200"] != 10 {
+			t.Errorf("%s: %v", path, got)
+		}
+	}
+	if n := s.Figures().Core.Repeats; n == 0 {
+		t.Error("none was tried twice")
+	}
+	for key, n := range good.Runs() {
+		if n != 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+}
+
+// Its replica closes idle connections at once: they are seen as dead, or the flow goes once more if it may.
+func TestAnIdleConnectionThatDiedCostsNoFlow(t *testing.T) {
+	at := raw(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	s := start(t, nil, at)
+	conn, err := net.Dial("tcp", s.h1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for k := range 20 {
+		io.WriteString(conn, "POST /payouts HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("flow %d: %v %v", k, resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		time.Sleep(5 * time.Millisecond)
+	}
+	if f := s.Figures().Replicas; f.Dead == 0 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// A replica that answers before it has read the body: its answer goes on at once, and nothing hangs.
+func TestAnAnswerBeforeTheBodyIsRead(t *testing.T) {
+	at := raw(t, func(conn net.Conn, r *bufio.Reader) {
+		http.ReadRequest(r)
+		io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nno\n")
+		time.Sleep(100 * time.Millisecond)
+	})
+	s := start(t, nil, at)
+	conn, err := net.Dial("tcp", s.h1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	io.WriteString(conn, "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 100000000\r\n\r\n")
+	go io.CopyN(conn, zeros{}, 100_000_000)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != 413 {
+		t.Fatalf("%v %v", resp, err)
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// Clients that send or take a byte now and then hold their own flow, for a stated time, and nobody else's.
+func TestSlowClients(t *testing.T) {
+	r := replica(t, nil)
+	r.Size.Store(50 << 20)
+	s := start(t, nil, r.Addr)
+	began := time.Now()
+	half := says(t, s.h1, "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf")
+	if took := time.Since(began); took > 3*time.Second || strings.HasPrefix(half, "HTTP/1.1 200") {
+		t.Errorf("half a body held for %v: %q", took, half)
+	}
+	conn, err := net.Dial("tcp", s.h1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	io.WriteString(conn, "GET /stock HTTP/1.1\r\nHost: x\r\n\r\n")
+	for range 100 {
+		if s.Figures().Clients["in_hand"] == 0 && s.Figures().Clients["flows"] > 1 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if f := s.Figures(); f.InHand != 0 || f.Core.Dropped["client-gone"] == 0 {
+		t.Errorf("who takes nothing is still served: %+v", f)
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -77,6 +77,7 @@
 		p.mu.Unlock()
 		return nil, ErrFull
 	}
+	p.replicas[to] = r // the last of its connections may just have been dropped
 	r.open++
 	p.count.Dials++
 	p.mu.Unlock()
--- a/lab/emulator/world.go
+++ b/lab/emulator/world.go
@@ -18,7 +18,7 @@
 const (
 	second, milli = int64(1e9), int64(1e6)
 	transit       = 100 * milli // of a message to a proxy, and of its answer
-	gather        = 10 * milli // of a core that is not idle
+	gather        = 10 * milli  // of a core that is not idle
 )
 
 // Mood is what is wrong with a replica.
--- /dev/null
+++ b/lab/standin/replica.go
@@ -0,0 +1,99 @@
+// Package standin has scripted peers for tests and the laboratory: a replica, and an HTTP/2 client that says any
+// frame. They listen on loopback alone.
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Replica is a scripted replica. It counts how often each key (the field Key) has run.
+type Replica struct {
+	Addr    string
+	Serves  atomic.Int64  // flows that have begun to run
+	Span    atomic.Int64  // nanoseconds that each takes
+	Silent  atomic.Bool   // takes flows, runs them, and answers nothing
+	Status  atomic.Int64  // answers with it; 0: 200
+	Places  chan struct{} // at once; nil: any number
+	Size    atomic.Int64  // of an answer's body
+	mu      sync.Mutex
+	runs    map[string]int
+	server  *http.Server
+	handler http.HandlerFunc
+}
+
+// NewReplica listens on an address of loopback; handler, where there is one, answers instead of the script.
+func NewReplica(addr string, places int, handler http.HandlerFunc) (*Replica, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{Addr: l.Addr().String(), runs: map[string]int{}, handler: handler}
+	if places > 0 {
+		r.Places = make(chan struct{}, places)
+	}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	go r.server.Serve(l)
+	return r, nil
+}
+
+// Stop ends it at once, as a crash does.
+func (r *Replica) Stop() { r.server.Close() }
+
+// Runs is how often each key has run.
+func (r *Replica) Runs() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := map[string]int{}
+	for k, n := range r.runs {
+		all[k] = n
+	}
+	return all
+}
+
+func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	r.Serves.Add(1)
+	if key := req.Header.Get("Key"); key != "" {
+		r.mu.Lock()
+		r.runs[key]++
+		r.mu.Unlock()
+	}
+	if r.handler != nil {
+		r.handler(w, req)
+		return
+	}
+	io.Copy(io.Discard, req.Body)
+	if r.Places != nil {
+		select {
+		case r.Places <- struct{}{}:
+			defer func() { <-r.Places }()
+		case <-req.Context().Done():
+			return
+		}
+	}
+	if r.Silent.Load() {
+		<-req.Context().Done()
+		return
+	}
+	if span := time.Duration(r.Span.Load()); span > 0 {
+		select {
+		case <-time.After(span):
+		case <-req.Context().Done():
+			return
+		}
+	}
+	if status := int(r.Status.Load()); status != 0 {
+		w.WriteHeader(status)
+	}
+	fmt.Fprint(w, r.Addr)
+	io.CopyN(w, zeros{}, r.Size.Load())
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
