--- /dev/null
+++ b/example/shop/main.go
@@ -0,0 +1,42 @@
+// Command shop starts a whole small installation on loopback: a governor, two zones with a collector and a sidecar
+// each, discovery and six replicas. It serves HTTP/1.1 on 127.0.0.1:18080 and HTTP/2 cleartext on 127.0.0.1:18081,
+// and ends on an interrupt.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"lilacbend/lab/site"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "shop:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	dir, err := os.MkdirTemp("", "lilacbend-shop-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	s, err := site.Start(ctx, site.Shape{Zones: 2, Replicas: 6, Places: 8, Sidecars: 2, Governors: 1, Span: 20 * time.Millisecond, Slow: 2,
+		H1: "127.0.0.1:18080", H2: "127.0.0.1:18081", State: true, Steered: true, Dir: dir, Log: os.Stderr})
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	fmt.Println("shop: open. HTTP/1.1 on http://127.0.0.1:18080, HTTP/2 cleartext on 127.0.0.1:18081")
+	fmt.Println("shop: GET /stock, POST /orders, POST /payouts; an interrupt ends it")
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/lab/site/site.go
@@ -0,0 +1,319 @@
+// Package site starts a whole installation on loopback: the product's own program as governors, collectors and
+// sidecars, and stand-ins for discovery and replicas. The example and the laboratory use it.
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"lilacbend/lab/standin"
+)
+
+// Shape is how large a site is, and where it listens.
+type Shape struct {
+	Zones, Replicas, Places, Sidecars, Governors int
+	Span                                         time.Duration // of a flow at a replica
+	Slow                                         float64       // every second replica takes so many times as long; 0: equal
+	H1, H2                                       string        // of the first sidecar; empty: any
+	State                                        bool          // governors keep what they learn
+	Steered                                      bool          // else sidecars have equal tables
+	Dir                                          string
+	Log                                          io.Writer
+}
+
+// Member is one replica as discovery lists it.
+type Member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Zone     string  `json:"locality"`
+	Kind     string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+// Site is a running one.
+type Site struct {
+	Shape
+	Replicas []*standin.Replica
+	H1s, H2s []string // of the sidecars
+
+	program    string
+	mu         sync.Mutex
+	members    []Member
+	revision   int
+	news       chan struct{}
+	discovery  net.Listener
+	governors  []string
+	collectors []string
+	procs      map[string]*exec.Cmd
+}
+
+func zone(k int) string { return string(rune('a' + k)) }
+
+// Free is an address of loopback that nobody listens on.
+func Free() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "127.0.0.1:0"
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Start builds the program and starts all of it; ctx ends the processes.
+func Start(ctx context.Context, shape Shape) (s *Site, err error) {
+	s = &Site{Shape: shape, revision: 1, news: make(chan struct{}), procs: map[string]*exec.Cmd{}}
+	defer func() {
+		if err != nil {
+			s.Stop()
+		}
+	}()
+	s.program = filepath.Join(s.Dir, "lilacbend")
+	if out, err := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-o", s.program, "lilacbend/cmd/lilacbend").CombinedOutput(); err != nil {
+		return s, fmt.Errorf("building: %w: %s", err, out)
+	}
+	for k := range s.Shape.Replicas {
+		if err := s.replica(k); err != nil {
+			return s, err
+		}
+	}
+	if s.discovery, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return s, err
+	}
+	go http.Serve(s.discovery, http.HandlerFunc(s.discover))
+	for range s.Governors {
+		s.governors = append(s.governors, Free())
+	}
+	for k := range s.Zones {
+		s.collectors = append(s.collectors, Free())
+		args := []string{"collector", "--zone", zone(k), "--listen", s.collectors[k], "--every", "500ms"}
+		for _, g := range s.governors {
+			args = append(args, "--governor", g)
+		}
+		if s.Steered {
+			if err := s.run(ctx, "collector-"+zone(k), args...); err != nil {
+				return s, err
+			}
+		}
+	}
+	if s.Steered {
+		for k := range s.governors {
+			if err := s.Governor(ctx, k); err != nil {
+				return s, err
+			}
+		}
+	}
+	for k := range s.Sidecars {
+		if err := s.sidecar(ctx, k); err != nil {
+			return s, err
+		}
+	}
+	return s, s.ready(ctx)
+}
+
+func (s *Site) replica(k int) error {
+	r, err := standin.NewReplica("127.0.0.1:0", s.Places, nil)
+	if err != nil {
+		return err
+	}
+	span := s.Span
+	if s.Slow > 0 && k/s.Zones%2 == 1 {
+		span = time.Duration(float64(span) * s.Slow)
+	}
+	r.Span.Store(int64(span))
+	s.Replicas = append(s.Replicas, r)
+	s.members = append(s.members, Member{ID: fmt.Sprintf("box-%02d", k), HostPort: r.Addr, Zone: zone(k % s.Zones), Kind: fmt.Sprint("m", 1+k/s.Zones%2), Phase: "Ready", Size: 1})
+	return nil
+}
+
+// Change changes what discovery tells of one replica.
+func (s *Site) Change(k int, change func(m *Member)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.members[k])
+	s.revision++
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+func (s *Site) list() (raw []byte, revision int, news <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := []Member{}
+	for _, m := range s.members {
+		if m.Phase != "Gone" {
+			present = append(present, m)
+		}
+	}
+	raw, _ = json.Marshal(map[string]any{"revision": s.revision, "complete": true, "members": present})
+	return raw, s.revision, s.news
+}
+
+func (s *Site) discover(w http.ResponseWriter, r *http.Request) {
+	raw, revision, news := s.list()
+	since, err := strconv.Atoi(r.URL.Query().Get("since"))
+	if wait, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms")); err == nil && since >= revision {
+		select {
+		case <-news:
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+		raw, _, _ = s.list()
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	w.Write(raw)
+}
+
+// run starts the product's program.
+func (s *Site) run(ctx context.Context, name string, args ...string) error {
+	cmd := exec.CommandContext(ctx, s.program, args...)
+	cmd.Stderr = s.Log
+	cmd.Cancel = func() error { return cmd.Process.Signal(syscall.SIGTERM) }
+	cmd.WaitDelay = 15 * time.Second
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.procs[name] = cmd
+	return nil
+}
+
+// Kill ends a process without a word, and waits for it.
+func (s *Site) Kill(name string) {
+	s.mu.Lock()
+	cmd := s.procs[name]
+	delete(s.procs, name)
+	s.mu.Unlock()
+	if cmd != nil {
+		cmd.Process.Kill()
+		cmd.Wait()
+	}
+}
+
+func (s *Site) file(name, text string) (string, error) {
+	path := filepath.Join(s.Dir, name)
+	return path, os.WriteFile(path, []byte(text), 0o600)
+}
+
+// Governor starts one governor, the first time or once more.
+func (s *Site) Governor(ctx context.Context, k int) error {
+	raw, _, _ := s.list()
+	zones, _ := json.Marshal([]string{"a", "b", "c", "d"}[:s.Zones])
+	file, err := s.file(fmt.Sprintf("governor-%d.json", k), fmt.Sprintf(governorFile, k, s.governors[k], s.discovery.Addr(), time.Now().UnixNano(), raw, s.Governors, s.Sidecars, 100*s.Sidecars, zones))
+	if err != nil {
+		return err
+	}
+	args := []string{"serve", "--config", file}
+	if s.State {
+		rules, err := s.file(fmt.Sprintf("operator-%d.yaml", k), fmt.Sprintf("state: {folder: state-%d, every: 1s}\n", k))
+		if err != nil {
+			return err
+		}
+		args = append(args, "--operator", rules)
+	}
+	return s.run(ctx, fmt.Sprint("governor-", k), args...)
+}
+
+func (s *Site) sidecar(ctx context.Context, k int) error {
+	h1, h2 := Free(), Free()
+	if k == 0 && s.H1 != "" {
+		h1, h2 = s.H1, s.H2
+	}
+	governors, collector := "[]", ""
+	if s.Steered {
+		raw, _ := json.Marshal(s.governors)
+		governors, collector = string(raw), "collector: "+s.collectors[k%s.Zones]
+	}
+	file, err := s.file(fmt.Sprintf("sidecar-%d.yaml", k), fmt.Sprintf(sidecarFile, k, k, zone(k%s.Zones), h1, h2, governors, s.discovery.Addr(), collector))
+	if err != nil {
+		return err
+	}
+	s.H1s, s.H2s = append(s.H1s, h1), append(s.H2s, h2)
+	return s.run(ctx, fmt.Sprint("sidecar-", k), "sidecar", "--manifest", file)
+}
+
+// ready waits until each sidecar answers.
+func (s *Site) ready(ctx context.Context) error {
+	for _, at := range s.H1s {
+		var last error
+		for until := time.Now().Add(15 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+			resp, err := http.Get("http://" + at + "/stock")
+			if err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+				err = errors.New(resp.Status)
+			}
+			if last = err; time.Now().After(until) || ctx.Err() != nil {
+				return fmt.Errorf("sidecar at %s: %w", at, last)
+			}
+		}
+	}
+	return nil
+}
+
+// Stop ends everything and waits.
+func (s *Site) Stop() {
+	s.mu.Lock()
+	procs := s.procs
+	s.procs = map[string]*exec.Cmd{}
+	s.mu.Unlock()
+	for _, cmd := range procs {
+		cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, cmd := range procs {
+		cmd.Wait()
+	}
+	if s.discovery != nil {
+		s.discovery.Close()
+	}
+	for _, r := range s.Replicas {
+		r.Stop()
+	}
+}
+
+const governorFile = `{"name": "n%d", "listen": %q, "discovery": %q, "seed": "%016x",
+"limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024}, "known": %s,
+"settings": {"balancers": %d, "domain": {"admit": "fraction", "cycle_ms": 500.0, "envelope": 4.0, "pick": "random", "proxy_count": %d,
+"pending_max": %d.0, "push_rate": 1200.0, "pushes_allowed": 30, "reload_span_ms": 10000.0, "shards": 0, "try_factor": 1.0, "usual_how": 1, "worst_transit_ms": 257.5},
+"invariants": {"cold_from": 0.2, "tip_multiple": 3.0, "warm_after_ms": 10000.0}, "kinds": ["m1", "m2"], "zones": %s, "lanes": [
+{"name": "stock", "effect": "read_like", "gain": 1.0, "slo_ms": 250.0, "deadline_ms": 1000.0},
+{"name": "order", "effect": "idempotency_key", "group": "zone", "window_ms": 2500.0, "gain": 3.0, "slo_ms": 250.0, "deadline_ms": 1000.0},
+{"name": "payout", "effect": "non_idempotent", "gain": 3.0, "slo_ms": 250.0, "deadline_ms": 1000.0}]}}
+`
+
+const sidecarFile = `name: sidecar-%d
+proxy: %d
+zone: %s
+listen: {http1: %q, http2: %q}
+governors: %s
+discovery: %q
+%s
+report_every: 500ms
+groups:
+- {name: stock, effect: retriable, latency_budget: 250ms, expiry: 1s}
+- {name: order, effect: deduped, scope: zone, window: 2500ms, latency_budget: 250ms, expiry: 1s}
+- {name: payout, effect: non-retriable, latency_budget: 250ms, expiry: 1s}
+rules:
+- {group: stock, method: GET, path: /stock*}
+- {group: order, method: POST, path: /orders}
+- {group: payout, method: POST, path: /payouts}
+limits: {replica_connections: 64, flows: 2000}
+`
