--- a/internal/front/h2.go
+++ b/internal/front/h2.go
@@ -59,7 +59,7 @@
 
 	mu        sync.Mutex
 	streams   map[uint32]*stream
-	active    int // streams whose answer is not over, reset ones among them
+	active    int // flows in hand, those of streams that were reset among them
 	last      uint32
 	window    int64 // that we may send
 	initial   int64 // of a new stream
@@ -473,7 +473,7 @@
 	}
 	c.mu.Lock()
 	c.last = f.StreamID
-	leaving, over := c.leaving, c.active >= c.server.Streams
+	leaving, over := c.leaving, len(c.streams) >= c.server.Streams || c.active >= 2*c.server.Streams
 	c.mu.Unlock()
 	if leaving || over { // it has not run: the client may send it again
 		if err := c.chat(1); err != nil {
@@ -533,10 +533,7 @@
 	c.mu.Lock()
 	open, reset := !s.ended, s.reset
 	over := s.over
-	s.over = true
-	c.give(int64(s.inbox.Len()))
-	s.inbox = bytes.Buffer{}
-	delete(c.streams, s.id)
+	c.leave(s)
 	c.active--
 	last := c.leaving && c.active == 0
 	c.mu.Unlock()
@@ -554,6 +551,15 @@
 	}
 }
 
+// leave frees the place of a stream: before its end goes out, as the client may fill the place at once. The
+// connection is locked.
+func (c *h2) leave(s *stream) {
+	s.over = true
+	c.give(int64(s.inbox.Len()))
+	s.inbox = bytes.Buffer{}
+	delete(c.streams, s.id)
+}
+
 func (c *h2) trailersIn(s *stream, f *http2.MetaHeadersFrame) error {
 	h := http.Header{}
 	bad := !f.StreamEnded() || s.ended || f.Truncated
@@ -801,6 +807,10 @@
 	if a.length >= 0 && a.sent < a.length && !a.bodiless() {
 		return errors.New("an answer shorter than its length")
 	}
+	c := a.stream.conn
+	c.mu.Lock()
+	c.leave(a.stream)
+	c.mu.Unlock()
 	var err error
 	switch {
 	case !a.begun && len(trailer) == 0:
@@ -821,11 +831,6 @@
 			return a.stream.conn.framer.WriteData(a.stream.id, true, nil)
 		})
 	}
-	if err == nil {
-		a.stream.conn.mu.Lock()
-		a.stream.over = true
-		a.stream.conn.mu.Unlock()
-	}
 	return err
 }
 
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -211,6 +211,16 @@
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
 
+// Pid is the process of that name, 0: none.
+func (s *Site) Pid(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cmd := s.procs[name]; cmd != nil {
+		return cmd.Process.Pid
+	}
+	return 0
+}
+
 // Governor starts one governor, the first time or once more.
 func (s *Site) Governor(ctx context.Context, k int) error {
 	raw, _, _ := s.list()
@@ -315,5 +325,5 @@
 - {group: stock, method: GET, path: /stock*}
 - {group: order, method: POST, path: /orders}
 - {group: payout, method: POST, path: /payouts}
-limits: {replica_connections: 64, flows: 2000}
+limits: {replica_connections: 1024, flows: 2000, waiting: 1000}
 `
