A flow through the sidecar makes 23 allocations instead of 72

Contexts, closures and small readers made most of them. A leash ends what a flow waits for, structures of a connection are used again, chance needs no slice. Measured by BenchmarkFlow: 72 to 23 allocations, 4,803 to 2,075 bytes, of which net/http's reading of two heads makes 17.

--- a/control/control.go
+++ b/control/control.go
@@ -22,8 +22,14 @@
 
 // Chance draws from above 0 to 1, the same for the same seed and count of draws.
 func Chance(seed, draws uint64) float64 {
-	b := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, seed), draws)
-	return (float64(crc32.ChecksumIEEE(b)) + 1) / (1 << 32)
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], seed)
+	binary.LittleEndian.PutUint64(b[8:], draws)
+	crc := ^uint32(0) // as crc32.ChecksumIEEE, which would have b allocated for each draw
+	for _, v := range b {
+		crc = crc32.IEEETable[byte(crc)^v] ^ crc>>8
+	}
+	return (float64(^crc) + 1) / (1 << 32)
 }
 
 // Nanos reads milliseconds.
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -36,8 +36,9 @@
 	since   int64 // when it began to
 	in      bool  // counted among the flows at once
 	tries   []try
-	replay  bool // its bytes can be sent once more
-	spent   bool // some of them are gone
+	room    [2]try // of tries, mostly
+	replay  bool   // its bytes can be sent once more
+	spent   bool   // some of them are gone
 	headed  int64
 	over    bool
 	current string
@@ -63,6 +64,7 @@
 	d.Count.Flows++
 	d.usage[group].Flows++
 	f := &Flow{group: group, came: now, replay: replay}
+	f.tries = f.room[:0]
 	switch {
 	case d.draining:
 		return f, d.block(f, Draining)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,7 +4,6 @@
 package front
 
 import (
-	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -15,6 +14,7 @@
 	"time"
 
 	"lilacbend/internal/relay"
+	"lilacbend/internal/upstream"
 )
 
 const (
@@ -37,7 +37,7 @@
 }
 
 // Serve passes a flow on and puts its answer into out.
-type Serve func(ctx context.Context, q *relay.Request, out relay.Answerer) relay.Result
+type Serve func(l *upstream.Leash, q *relay.Request, out relay.Answerer) relay.Result
 
 // Classify says which traffic group a flow belongs to, below 0: none.
 type Classify func(method, host, path string, h http.Header) int
@@ -108,7 +108,7 @@
 		two := newH2(s, conn)
 		c, attend = two, two.attend
 	} else {
-		one := &h1{server: s, conn: conn}
+		one := &h1{server: s, conn: conn, done: make(chan bool, 1)}
 		c, attend = one, one.attend
 	}
 	s.mu.Lock()
@@ -179,7 +179,7 @@
 }
 
 // flow serves one flow that has been read.
-func (s *Server) flow(ctx context.Context, protocol string, q *relay.Request, out relay.Answerer) {
+func (s *Server) flow(l *upstream.Leash, protocol string, q *relay.Request, out relay.Answerer) {
 	path, _, _ := cut(q.Target)
 	q.Group = (*s.classify.Load())(q.Method, q.Host, path, q.Header)
 	s.Count.Flows.Add(1)
@@ -191,7 +191,7 @@
 		r = relay.Result{Status: http.StatusNotFound, Reason: "no-group"}
 		r.Broken = answer(out, http.StatusNotFound, "no-group") != nil
 	} else {
-		r = s.serve(ctx, q, out)
+		r = s.serve(l, q, out)
 	}
 	s.record(protocol, q.Method, q.Host, path, q.Group, r)
 }
--- a/internal/front/h1.go
+++ b/internal/front/h1.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +15,7 @@
 	"time"
 
 	"lilacbend/internal/relay"
+	"lilacbend/internal/upstream"
 )
 
 // A connection without a flow holds no buffer: ten thousand idle ones cost their goroutines and descriptors.
@@ -30,6 +30,14 @@
 	conn   net.Conn
 	busy   atomic.Bool // a flow is being read or answered
 	ended  atomic.Bool
+
+	// Used by one flow after the other.
+	in     patientReader
+	out    patientWriter
+	leash  upstream.Leash
+	answer h1Answer
+	q      relay.Request
+	done   chan bool // the watch has ended; false: the client has gone
 }
 
 func (c *h1) end() {
@@ -73,10 +81,11 @@
 // flows serves what comes until nothing more waits; false: the connection is over.
 func (c *h1) flows(first byte) (more bool) {
 	r := headReaders.Get().(*bufio.Reader)
-	body := &patientReader{conn: c.conn, stall: c.server.Stall}
-	r.Reset(io.MultiReader(&oneByte{b: first}, body))
+	c.in.conn, c.in.stall, c.in.first, c.in.has = c.conn, c.server.Stall, first, true
+	c.out = patientWriter{conn: c.conn, stall: c.server.Stall}
+	r.Reset(&c.in)
 	w := h1Writers.Get().(*bufio.Writer)
-	w.Reset(&patientWriter{conn: c.conn, stall: c.server.Stall})
+	w.Reset(&c.out)
 	defer func() {
 		r.Reset(nil)
 		headReaders.Put(r)
@@ -84,7 +93,7 @@
 		h1Writers.Put(w)
 	}()
 	for {
-		if !c.flow(r, w, body) {
+		if !c.flow(r, w) {
 			return false
 		}
 		if r.Buffered() == 0 {
@@ -94,8 +103,8 @@
 }
 
 // flow reads and answers one; false: the connection is over.
-func (c *h1) flow(r *bufio.Reader, w *bufio.Writer, p *patientReader) bool {
-	p.until = time.Now().Add(c.server.Head)
+func (c *h1) flow(r *bufio.Reader, w *bufio.Writer) bool {
+	c.in.until = time.Now().Add(c.server.Head)
 	head, err := peekHead(r)
 	if err == nil {
 		err = checkHead(head)
@@ -103,13 +112,14 @@
 	if err != nil {
 		return c.refuse(w, err)
 	}
-	p.until = time.Time{}
+	c.in.until = time.Time{}
 	req, err := http.ReadRequest(r)
 	if err != nil {
 		return c.refuse(w, bad("%v", err))
 	}
-	q := &relay.Request{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Length: req.ContentLength}
-	out := &h1Answer{w: w, conn: c, method: req.Method, old: req.ProtoMinor == 0, last: req.Close || c.server.parting()}
+	q, out := &c.q, &c.answer
+	*q = relay.Request{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Length: req.ContentLength}
+	*out = h1Answer{w: w, conn: c, method: req.Method, old: req.ProtoMinor == 0, last: req.Close || c.server.parting()}
 	if req.Body != http.NoBody {
 		q.Body, q.Trailer = req.Body, func() http.Header { return req.Trailer }
 		q.Expects = httpguts100(req.Header)
@@ -121,11 +131,13 @@
 		}
 	}
 	relay.Clean(q.Header)
-	ctx, cancel := context.WithCancel(context.Background())
-	watched := c.watch(r, p, q.Body == nil, cancel)
-	c.server.flow(ctx, "h1", q, out)
-	cancel()
-	if !watched() || out.broken || c.ended.Load() {
+	c.leash.Reset()
+	watched := q.Body == nil && r.Buffered() == 0
+	if watched {
+		go c.watch(r)
+	}
+	c.server.flow(&c.leash, "h1", q, out)
+	if watched && !c.unwatch() || out.broken || c.ended.Load() {
 		return false
 	}
 	if w.Flush() != nil || out.last {
@@ -148,26 +160,23 @@
 	return len(v) == 1 && (v[0] == "100-continue" || v[0] == "100-Continue")
 }
 
-// watch cancels a flow without a body when its client goes. The result ends the watching; false: it has gone.
-func (c *h1) watch(r *bufio.Reader, p *patientReader, idle bool, gone func()) func() bool {
-	if !idle || r.Buffered() > 0 {
-		return func() bool { return true }
-	}
-	done, left := make(chan struct{}), false
-	go func() {
-		defer close(done)
-		if _, err := r.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			left = true
-			gone()
-		}
-	}()
-	return func() bool {
-		p.stopped.Store(true)
-		c.conn.SetReadDeadline(time.Unix(1, 0))
-		<-done
-		p.stopped.Store(false)
-		return !left
+// watch cuts a flow without a body when its client goes.
+func (c *h1) watch(r *bufio.Reader) {
+	_, err := r.Peek(1)
+	gone := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	if gone {
+		c.leash.Cut()
 	}
+	c.done <- !gone
+}
+
+// unwatch ends the watching; false: the client has gone.
+func (c *h1) unwatch() bool {
+	c.in.stopped.Store(true)
+	c.conn.SetReadDeadline(time.Unix(1, 0))
+	there := <-c.done
+	c.in.stopped.Store(false)
+	return there
 }
 
 // peekHead waits for a whole head and leaves it to be read.
@@ -210,19 +219,6 @@
 	return false
 }
 
-type oneByte struct {
-	b    byte
-	gone bool
-}
-
-func (o *oneByte) Read(p []byte) (int, error) {
-	if o.gone || len(p) == 0 {
-		return 0, io.EOF
-	}
-	p[0], o.gone = o.b, true
-	return 1, nil
-}
-
 // patientReader gives each read so long, or all of them until a time.
 type patientReader struct {
 	conn  net.Conn
@@ -230,9 +226,16 @@
 	until time.Time
 
 	stopped atomic.Bool // whoever reads is to give up
+
+	first byte // was read by itself while the connection held no buffer
+	has   bool
 }
 
 func (p *patientReader) Read(b []byte) (int, error) {
+	if p.has && len(b) > 0 {
+		b[0], p.has = p.first, false
+		return 1, nil
+	}
 	until := p.until
 	if until.IsZero() {
 		until = time.Now().Add(p.stall)
--- a/internal/front/h2.go
+++ b/internal/front/h2.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -19,6 +18,7 @@
 	"golang.org/x/net/http2/hpack"
 
 	"lilacbend/internal/relay"
+	"lilacbend/internal/upstream"
 )
 
 const (
@@ -48,8 +48,6 @@
 type h2 struct {
 	server *Server
 	conn   net.Conn
-	ctx    context.Context
-	cancel context.CancelCauseFunc
 	framer *http2.Framer
 
 	pen     sync.Mutex // one writer at a time
@@ -67,6 +65,7 @@
 	taken     int64 // received, not told to the client as room yet
 	changed   chan struct{}
 	leaving   bool // no new stream is taken
+	ended     bool
 	chatter   float64
 	chattered time.Time
 	handlers  sync.WaitGroup
@@ -76,8 +75,7 @@
 type stream struct {
 	id      uint32
 	conn    *h2
-	cancel  context.CancelCauseFunc
-	ctx     context.Context
+	leash   upstream.Leash
 	window  int64
 	reset   bool // by either side
 	over    bool // the answer has ended
@@ -93,7 +91,6 @@
 func newH2(s *Server, conn net.Conn) *h2 {
 	c := &h2{server: s, conn: conn, streams: map[uint32]*stream{}, window: 65535, initial: 65535, frame: frameMost,
 		changed: make(chan struct{}), chatter: chatterSaved, chattered: time.Now()}
-	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.w = bufio.NewWriterSize(&patientWriter{conn, s.Stall}, 4<<10)
 	c.framer = http2.NewFramer(c.w, &patientReader{conn: conn, stall: s.Idle})
 	c.framer.ReadMetaHeaders = hpack.NewDecoder(tableMost, nil)
@@ -130,8 +127,7 @@
 		}
 		return nil
 	})
-	c.cancel(errEnded)
-	c.conn.Close()
+	c.conn.Close() // whose reader then cuts all flows
 }
 
 // part says that the connection goes away, in two steps: first no stream is refused, then the last one is named.
@@ -175,8 +171,11 @@
 		c.conn.SetWriteDeadline(time.Now().Add(time.Second))
 		c.write(func() error { return c.framer.WriteGoAway(c.last, code, nil) })
 	}
-	c.cancel(errEnded)
 	c.mu.Lock()
+	c.ended = true
+	for _, s := range c.streams {
+		s.leash.Cut()
+	}
 	c.wake()
 	c.mu.Unlock()
 	c.conn.Close()
@@ -366,7 +365,7 @@
 	c.give(int64(s.inbox.Len()))
 	s.inbox = bytes.Buffer{}
 	delete(c.streams, s.id)
-	s.cancel(why)
+	s.leash.Cut()
 	c.wake()
 }
 
@@ -494,7 +493,6 @@
 			return nil
 		}
 	}
-	s.ctx, s.cancel = context.WithCancelCause(c.ctx)
 	if q != nil {
 		if s.length = q.Length; s.ended && s.length > 0 {
 			c.fault(f.StreamID, http2.ErrCodeProtocol)
@@ -525,7 +523,7 @@
 		answer(out, http.StatusRequestHeaderFieldsTooLarge, "head-too-large")
 		return
 	}
-	c.server.flow(s.ctx, "h2", q, out)
+	c.server.flow(&s.leash, "h2", q, out)
 }
 
 // finish ends a stream after its answer. A body that has not come whole is not waited for.
@@ -537,7 +535,6 @@
 	c.active--
 	last := c.leaving && c.active == 0
 	c.mu.Unlock()
-	s.cancel(errEnded)
 	switch {
 	case reset:
 	case !over: // the answer broke
@@ -661,8 +658,8 @@
 		case <-timer.C:
 			c.server.Count.Stalls.Add(1)
 			return 0, errStall
-		case <-s.ctx.Done():
-			return 0, context.Cause(s.ctx)
+		case <-s.leash.Done():
+			return 0, errEnded
 		}
 	}
 }
@@ -737,7 +734,7 @@
 	c := a.stream.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return a.stream.reset || c.ctx.Err() != nil
+	return a.stream.reset || c.ended
 }
 
 func (a *h2Answer) bodiless() bool {
@@ -797,8 +794,8 @@
 		case <-timer.C:
 			c.server.Count.Stalls.Add(1)
 			return 0, errStall
-		case <-s.ctx.Done():
-			return 0, context.Cause(s.ctx)
+		case <-s.leash.Done():
+			return 0, errEnded
 		}
 	}
 }
--- a/internal/front/head.go
+++ b/internal/front/head.go
@@ -28,12 +28,12 @@
 
 // checkHead says what is wrong with the head of an HTTP/1 request.
 func checkHead(head []byte) error {
-	lines := bytes.Split(head[:len(head)-4], []byte("\r\n"))
-	words := bytes.Split(lines[0], []byte(" "))
-	if len(words) != 3 || !httpguts.ValidHeaderFieldName(string(words[0])) {
+	first, rest, _ := strings.Cut(string(head[:len(head)-2]), "\r\n")
+	method, after, _ := strings.Cut(first, " ")
+	target, version, ok := strings.Cut(after, " ")
+	if !ok || !httpguts.ValidHeaderFieldName(method) {
 		return bad("request line")
 	}
-	method, target, version := string(words[0]), string(words[1]), string(words[2])
 	if version != "HTTP/1.1" && version != "HTTP/1.0" {
 		return bad("version %.20q", version)
 	}
@@ -41,25 +41,27 @@
 		return err
 	}
 	hosts, lengths, codings := 0, 0, 0
-	for _, line := range lines[1:] {
-		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !httpguts.ValidHeaderFieldName(string(name)) { // also folded lines, and spaces before the colon
+	for rest != "" {
+		var line string
+		line, rest, _ = strings.Cut(rest, "\r\n")
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !httpguts.ValidHeaderFieldName(name) { // also folded lines, and spaces before the colon
 			return bad("field name %.40q", name)
 		}
-		if !httpguts.ValidHeaderFieldValue(string(value)) { // bare CR and LF, NUL, other controls
+		if !httpguts.ValidHeaderFieldValue(value) { // bare CR and LF, NUL, other controls
 			return bad("value of %.40s", name)
 		}
-		trimmed := strings.Trim(string(value), " \t")
-		switch strings.ToLower(string(name)) {
-		case "host":
+		trimmed := strings.Trim(value, " \t")
+		switch {
+		case strings.EqualFold(name, "host"):
 			if hosts++; !httpguts.ValidHostHeader(trimmed) {
 				return bad("host %.40q", trimmed)
 			}
-		case "content-length":
+		case strings.EqualFold(name, "content-length"):
 			if lengths++; !digits(trimmed) {
 				return bad("length %.40q", trimmed)
 			}
-		case "transfer-encoding":
+		case strings.EqualFold(name, "transfer-encoding"):
 			if codings++; !strings.EqualFold(trimmed, "chunked") {
 				return bad("transfer coding %.40q", trimmed)
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,13 +73,13 @@
 	pool     *upstream.Pool
 	clock    func() int64
 	refusals map[int]bool // answers that say by the operator's word that nothing ran
-	effects  []bool       // by group: must not run twice
+	onlyOnce []bool       // by group: must not run twice
 	Panics   func(text string)
 }
 
 // New makes a relay round a core. Refusals are statuses by which replicas say that a flow did not run.
 func New(desk *forward.Desk, pool *upstream.Pool, clock func() int64, refusals []int, onlyOnce []bool) *Relay {
-	r := &Relay{desk: desk, places: make(chan struct{}), pool: pool, clock: clock, refusals: map[int]bool{}, effects: onlyOnce,
+	r := &Relay{desk: desk, places: make(chan struct{}), pool: pool, clock: clock, refusals: map[int]bool{}, onlyOnce: onlyOnce,
 		Panics: func(string) {}}
 	for _, s := range refusals {
 		r.refusals[s] = true
@@ -103,84 +103,107 @@
 	}
 }
 
-func (r *Relay) step(next func(now int64) forward.Step) forward.Step {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := next(r.clock())
-	if s.Final {
-		r.free()
-	}
-	return s
+// hop is one flow under way.
+type hop struct {
+	*Request
+	relay  *Relay
+	leash  *upstream.Leash
+	out    Answerer
+	flow   *forward.Flow
+	up     upstream.Request
+	buffer *[]byte  // holds a small body, to be sent any number of times
+	again  rereader // of it
+	passes passing  // else
+	begun  bool     // the answer's head has gone to the client
+	res    Result
 }
 
+var flying = sync.Pool{New: func() any { return &hop{} }}
+
 // Serve passes one flow on and gives its one answer. It returns when the answer has ended, or nobody waits for
-// it any more, which the end of ctx tells.
-func (r *Relay) Serve(ctx context.Context, q *Request, out Answerer) (res Result) {
+// it any more, which the leash tells.
+func (r *Relay) Serve(l *upstream.Leash, q *Request, out Answerer) (res Result) {
 	began := time.Now()
-	var f *forward.Flow
-	headed := false
+	h := flying.Get().(*hop)
+	*h = hop{Request: q, relay: r, leash: l, out: out}
 	defer func() {
 		if v := recover(); v != nil { // ends this flow alone
 			r.Panics(fmt.Sprintf("%v at %s", v, debug.Stack()))
-			res.Broken = true
+			h.res.Broken = true
 			out.Break()
 		}
-		if f != nil {
+		if h.flow != nil {
 			r.mu.Lock()
-			r.desk.Abandon(f) // no-op after its final step
+			r.desk.Abandon(h.flow) // nothing after its final step
 			r.free()
 			r.mu.Unlock()
 		}
+		if h.buffer != nil {
+			buffers.Put(h.buffer)
+		}
+		res = h.res
 		res.Took = time.Since(began)
+		*h = hop{}
+		flying.Put(h)
 	}()
-	body, small, done, err := gather(q)
-	defer done()
-	if err != nil {
-		res.Reason, res.Broken = forward.Gone, true
-		out.Break()
-		return res
+	h.run()
+	return res
+}
+
+func (h *hop) run() {
+	if err := h.gather(); err != nil {
+		h.gone()
+		return
 	}
-	step := r.step(func(now int64) (s forward.Step) {
-		f, s = r.desk.Begin(now, q.Group, small)
-		return s
-	})
-	for {
+	small := h.Body == nil || h.buffer != nil
+	h.relay.mu.Lock()
+	var step forward.Step
+	h.flow, step = h.relay.desk.Begin(h.relay.clock(), h.Group, small)
+	h.relay.mu.Unlock()
+	for !h.begun {
 		switch {
 		case step.Final:
-			res.Reason = step.Reason
-			if !headed {
-				res.Status = http.StatusServiceUnavailable
-				res.Broken = refuse(out, step.Reason) != nil
+			if h.res.Reason = step.Reason; step.Reason == forward.Gone {
+				h.gone()
+				return
 			}
-			return res
+			h.res.Status = http.StatusServiceUnavailable
+			h.res.Broken = refuse(h.out, step.Reason) != nil
+			return
 		case step.Wait:
-			if !r.wait(ctx, step.Until) {
-				res.Reason, res.Broken = forward.Gone, true
-				out.Break()
-				return res
+			if !h.relay.wait(h.leash, step.Until) {
+				h.gone()
+				return
 			}
-			step = r.step(func(now int64) forward.Step { return r.desk.Again(now, f) })
+			h.relay.mu.Lock()
+			step = h.relay.desk.Again(h.relay.clock(), h.flow)
+			h.relay.mu.Unlock()
 		default:
-			res.Replica, res.Tries = step.Try, res.Tries+1
-			step, headed = r.try(ctx, q, body, f, step, out, &res)
-			if headed || ctx.Err() != nil {
-				return res
-			}
+			h.res.Replica, h.res.Tries = step.Try, h.res.Tries+1
+			step = h.try(step)
 		}
 	}
 }
 
+// gone: nobody is there to be answered.
+func (h *hop) gone() {
+	h.res.Reason, h.res.Broken = forward.Gone, true
+	h.out.Break()
+}
+
 // gather reads a small body whole. What is longer, or has to be asked for, is read as it is sent.
-func gather(q *Request) (body func() io.Reader, small bool, done func(), err error) {
+func (h *hop) gather() error {
 	switch {
-	case q.Body == nil || q.Length == 0:
-		return func() io.Reader { return nil }, true, func() {}, nil
-	case q.Length < 0 || q.Length > replayMost || q.Expects:
-		return func() io.Reader { return q.Body }, false, func() {}, nil
+	case h.Body == nil || h.Length == 0:
+		h.Body, h.Length = nil, 0
+		return nil
+	case h.Length < 0 || h.Length > replayMost || h.Expects:
+		h.passes = passing{Reader: h.Body, hop: h}
+		return nil
 	}
-	b := buffers.Get().(*[]byte)
-	n, err := io.ReadFull(q.Body, (*b)[:q.Length])
-	return func() io.Reader { return &rereader{data: (*b)[:n]} }, true, func() { buffers.Put(b) }, err
+	h.buffer = buffers.Get().(*[]byte)
+	_, err := io.ReadFull(h.Body, (*h.buffer)[:h.Length])
+	return err
 }
 
 type rereader struct{ data []byte }
@@ -194,8 +217,30 @@
 	return n, nil
 }
 
+// passing reads a body that goes by, and tells the core once the first of it is gone.
+type passing struct {
+	io.Reader
+	hop   *hop
+	spent bool
+}
+
+func (p *passing) Read(b []byte) (int, error) {
+	if !p.spent {
+		p.spent = true
+		p.hop.relay.mu.Lock()
+		p.hop.relay.desk.Spent(p.hop.flow)
+		p.hop.relay.mu.Unlock()
+		if p.hop.Expects {
+			if err := p.hop.Continue(); err != nil {
+				return 0, fmt.Errorf("asking for the body: %w", err)
+			}
+		}
+	}
+	return p.Reader.Read(b)
+}
+
 // wait waits for a place until a time; false: nobody waits for the flow any more.
-func (r *Relay) wait(ctx context.Context, until int64) bool {
+func (r *Relay) wait(l *upstream.Leash, until int64) bool {
 	r.mu.Lock()
 	r.waits++
 	places := r.places
@@ -210,100 +255,80 @@
 	select {
 	case <-places:
 	case <-timer.C:
-	case <-ctx.Done():
+	case <-l.Done():
 		return false
 	}
 	return true
 }
 
-// passing reads a body that goes by, and tells the core once the first of it is gone.
-type passing struct {
-	io.Reader
-	relay *Relay
-	flow  *forward.Flow
-	begin func() error
-	spent bool
-}
-
-func (p *passing) Read(b []byte) (int, error) {
-	if !p.spent {
-		p.spent = true
-		p.relay.With(func(_ int64, d *forward.Desk) { d.Spent(p.flow) })
-		if p.begin != nil {
-			if err := p.begin(); err != nil {
-				return 0, fmt.Errorf("asking for the body: %w", err)
-			}
-		}
-	}
-	return p.Reader.Read(b)
+// ended tells the core how a try ended.
+func (h *hop) ended(how forward.Outcome) forward.Step {
+	r := h.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.desk.Ended(r.clock(), h.flow, how)
+	r.free() // its place is free, even if it goes on elsewhere
+	return s
 }
 
-// try makes one try; headed: its answer, or part of it, has gone to the client.
-func (r *Relay) try(ctx context.Context, q *Request, body func() io.Reader, f *forward.Flow, s forward.Step, out Answerer,
-	res *Result) (next forward.Step, headed bool) {
-	var to string
-	r.With(func(_ int64, d *forward.Desk) { to = d.Address(s.Try) })
-	limit, cancel := context.WithTimeout(ctx, time.Duration(s.Until-r.clock()))
-	defer cancel()
-	u := &upstream.Request{Method: q.Method, Target: q.Target, Host: q.Host, Header: q.Header, Length: q.Length, Trailer: q.Trailer,
-		Fresh: r.effects[q.Group], Inform: out.Inform}
-	if u.Body = body(); u.Body == nil {
-		u.Length = 0
-	} else if _, again := u.Body.(*rereader); !again {
-		p := &passing{Reader: u.Body, relay: r, flow: f}
-		if q.Expects {
-			p.begin = q.Continue
-		}
-		u.Body = p
+// try makes one try. Once the head of an answer has gone to the client it is the last.
+func (h *hop) try(s forward.Step) forward.Step {
+	r := h.relay
+	r.mu.Lock()
+	to, left := r.desk.Address(s.Try), time.Duration(s.Until-r.clock())
+	r.mu.Unlock()
+	h.up = upstream.Request{Method: h.Method, Target: h.Target, Host: h.Host, Header: h.Header, Length: h.Length, Trailer: h.Trailer,
+		Fresh: r.onlyOnce[h.Group], Inform: h.out}
+	switch {
+	case h.buffer != nil:
+		h.again.data = (*h.buffer)[:h.Length]
+		h.up.Body = &h.again
+	case h.Body != nil:
+		h.up.Body = &h.passes
 	}
-	a, err := r.pool.Do(limit, to, u)
+	a, err := r.pool.Do(h.leash, time.Now().Add(left), to, &h.up)
 	if err != nil {
-		ended := outcome(err)
-		return r.step(func(now int64) forward.Step {
-			if ctx.Err() != nil {
-				r.desk.Abandon(f)
-				return forward.Step{Final: true, Reason: forward.Gone}
-			}
-			return r.desk.Ended(now, f, ended)
-		}), false
+		if h.leash.IsCut() {
+			return forward.Step{Final: true, Reason: forward.Gone}
+		}
+		return h.ended(outcome(err))
 	}
 	defer a.Close()
+	var next forward.Step
 	if a.StatusCode >= 500 {
-		ended := forward.Broke
+		how := forward.Broke
 		if r.refusals[a.StatusCode] {
-			ended = forward.NeverRan
+			how = forward.NeverRan
 		}
-		next = r.step(func(now int64) forward.Step { return r.desk.Ended(now, f, ended) })
-		if !next.Final {
-			return next, false
+		if next = h.ended(how); !next.Final {
+			return next
 		}
-		res.Reason = next.Reason // and the replica's own answer is the final one
-	}
-	r.With(func(now int64, d *forward.Desk) { d.Headed(now, f) })
-	a.Detach(ctx)
-	res.Status = a.StatusCode
-	err = pass(a, q.Method, out)
-	ended := forward.Good
-	var up *upstream.Failure
-	if errors.As(err, &up) {
-		ended = forward.Broke
+		h.res.Reason = next.Reason // and the replica's own answer is the final one
 	}
+	r.mu.Lock()
+	r.desk.Headed(r.clock(), h.flow)
+	r.mu.Unlock()
+	a.Detach()
+	h.begun, h.res.Status = true, a.StatusCode
+	err = pass(a, h.Method, h.out)
 	if err != nil {
-		res.Broken = true
-		out.Break()
+		h.res.Broken = true
+		h.out.Break()
 	}
 	if next.Final {
-		return next, true
+		return next
 	}
-	next = r.step(func(now int64) forward.Step {
-		if err != nil && ended == forward.Good { // the client went, not the replica
-			r.desk.Abandon(f)
-			return forward.Step{Final: true, Reason: forward.Gone}
-		}
-		return r.desk.Ended(now, f, ended)
-	})
-	res.Reason = next.Reason
-	return next, true
+	var up *upstream.Failure
+	switch {
+	case err == nil:
+		next = h.ended(forward.Good)
+	case errors.As(err, &up) && !h.leash.IsCut():
+		next = h.ended(forward.Broke)
+	default: // the client went, not the replica: abandoned at the end
+		next = forward.Step{Final: true, Reason: forward.Gone}
+	}
+	h.res.Reason = next.Reason
+	return next
 }
 
 func outcome(err error) forward.Outcome {
@@ -319,8 +344,7 @@
 
 // pass copies an answer to the client. A Failure is the replica's, any other error the client's.
 func pass(a *upstream.Answer, method string, out Answerer) error {
-	length := a.ContentLength
-	if err := out.Head(a.StatusCode, Clean(a.Header), length); err != nil {
+	if err := out.Head(a.StatusCode, Clean(a.Header), a.ContentLength); err != nil {
 		return err
 	}
 	bodiless := method == http.MethodHead || a.StatusCode == http.StatusNoContent || a.StatusCode == http.StatusNotModified
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httputil"
 	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +25,7 @@
 	// Informational answers before the final one; more are a replica that never ends.
 	informMost = 8
 	dialMost   = time.Second
+	unbounded  = 1 << 62
 )
 
 // Reach says how far an attempt came.
@@ -38,6 +40,9 @@
 	Answering
 )
 
+// ErrCut: nobody waits for the flow any more.
+var ErrCut = errors.New("nobody waits for it")
+
 // Failure is how an attempt ended without a whole answer.
 type Failure struct {
 	Reach Reach
@@ -56,83 +61,103 @@
 	Length               int64
 	Trailer              func() http.Header // read after Body's end; nil: none
 	Fresh                bool               // a connection that idled for long will not do
-	Inform               func(status int, h http.Header)
+	Inform               Informed
+}
+
+// Informed is told of informational answers.
+type Informed interface {
+	Inform(status int, h http.Header)
 }
 
 // conn is one connection to a replica, used by one flow at a time.
 type conn struct {
 	net.Conn
-	pool  *Pool
-	to    string
-	r     *bufio.Reader
-	head  io.LimitedReader
-	idled time.Time
-	used  bool // for an earlier flow
+	pool    *Pool
+	to      string
+	r       *bufio.Reader
+	head    int64 // what may still be read of a head
+	written int   // of the request under way
+	idled   time.Time
+	used    bool         // for an earlier flow
+	asked   http.Request // for the reader of answers
+	answer  Answer
+	raw     syscall.RawConn
+	peek    func(fd uintptr) bool
+	live    bool
+}
+
+// newConn readies a connection.
+func newConn(p *Pool, to string, raw net.Conn) *conn {
+	c := &conn{Conn: raw, pool: p, to: to, r: readers.Get().(*bufio.Reader)}
+	c.r.Reset(c)
+	if s, ok := raw.(syscall.Conn); ok {
+		c.raw, _ = s.SyscallConn()
+	}
+	c.peek = func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		c.live = n < 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR))
+		return true
+	}
+	return c
 }
 
 // Read bounds what a head may take; bodies are not bounded.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.head.N <= 0 {
+	if c.head <= 0 {
 		return 0, errors.New("the head of the answer is too large")
 	}
 	n, err := c.Conn.Read(p)
-	c.head.N -= int64(n)
+	c.head -= int64(n)
 	return n, err
 }
 
-var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
-var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
+// Write counts what has gone out of a request.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += n
+	return n, err
+}
+
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
+)
+
+func putWriter(w *bufio.Writer) {
+	w.Reset(nil)
+	writers.Put(w)
+}
 
 // alive says whether an idle connection has neither ended nor said anything, which nothing was asked for.
 func (c *conn) alive() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return true
 	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	live := false
-	err = rc.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		live = n < 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR))
-		return true
-	})
-	return err == nil && live
+	c.live = false
+	return c.raw.Read(c.peek) == nil && c.live
 }
 
 // Answer is an answer whose head has come. Close must be called; it gives the connection back if the answer was read
 // to its end and all of the request was sent.
 type Answer struct {
 	*http.Response
-	conn    *conn
-	body    io.ReadCloser
-	sent    chan error // of the body of the request; nil: it has gone out with the head
-	whole   bool
-	ctx     context.Context // that the body is bound to
-	release func() bool     // false: its context has ended
+	conn     *conn
+	leash    *Leash
+	sent     chan error // of the body of the request; nil: it has gone out with the head
+	whole    bool
+	detached bool
 }
 
-// Detach lets the body outlive the time that the head had; from now on the end of ctx alone ends the attempt.
-func (a *Answer) Detach(ctx context.Context) {
-	if !a.release() {
-		return // its time was over; reads fail
-	}
-	a.ctx = ctx
-	a.release = context.AfterFunc(ctx, func() { a.conn.SetDeadline(time.Unix(1, 0)) })
-}
+// Detach lets the body outlive the time that the head had: from now on each read has the pool's stall.
+func (a *Answer) Detach() { a.detached = true }
 
 // Read reads the body of the answer.
 func (a *Answer) Read(p []byte) (int, error) {
-	if a.ctx != nil {
-		a.conn.SetReadDeadline(time.Now().Add(a.conn.pool.stall))
-		if a.ctx.Err() != nil { // whichever came first, the deadline is over now
-			a.conn.SetReadDeadline(time.Unix(1, 0))
-		}
+	if a.detached {
+		a.leash.patience(a.conn.pool.stall)
 	}
-	n, err := a.body.Read(p)
+	n, err := a.Response.Body.Read(p)
 	if errors.Is(err, io.EOF) {
 		a.whole = true
 	} else if err != nil {
@@ -143,69 +168,65 @@
 
 // Close ends the attempt.
 func (a *Answer) Close() {
-	keep := a.whole && !a.Response.Close
+	c, keep := a.conn, a.whole && !a.Response.Close
 	if a.sent != nil {
 		select {
 		case err := <-a.sent:
 			keep = keep && err == nil
 		default: // it answered before it had read all
 			keep = false
-			a.conn.Conn.Close()
+			c.Conn.Close()
 			<-a.sent
 		}
 	}
-	if keep = a.release() && keep; keep {
-		a.conn.SetDeadline(time.Time{})
+	a.leash.hold(nil, past)
+	keep = keep && c.r.Buffered() == 0 && !a.leash.IsCut()
+	*a = Answer{}
+	if keep {
+		c.SetDeadline(time.Time{})
 	}
-	a.conn.pool.put(a.conn, keep && a.conn.r.Buffered() == 0)
+	c.pool.put(c, keep)
 }
 
-// Do sends a request to an address and waits for the head of the answer. An error is a Failure. A further byte of the
-// request's body is read only while the replica takes it.
-func (p *Pool) Do(ctx context.Context, to string, q *Request) (*Answer, error) {
+// Do sends a request to an address and waits for the head of the answer until a time. An error is a Failure. A further
+// byte of the request's body is read only while the replica takes it. The answer is the connection's, and void after
+// its Close.
+func (p *Pool) Do(l *Leash, until time.Time, to string, q *Request) (*Answer, error) {
 	for {
-		c, err := p.get(ctx, to, q.Fresh)
+		c, err := p.get(l, until, to, q.Fresh)
 		if err != nil {
 			return nil, &Failure{Unsent, "connect to " + to, err}
 		}
-		a, err := c.do(ctx, q)
+		used := c.used
+		a, err := c.do(l, until, q)
 		var f *Failure
-		if c.used && errors.As(err, &f) && f.Reach == Unsent && q.Body == nil {
+		if used && errors.As(err, &f) && f.Reach == Unsent && q.Body == nil && !l.IsCut() {
 			continue // it ended as it was taken; nothing has gone out, so the next one is no repeat
 		}
 		return a, err
 	}
 }
 
-func (c *conn) do(ctx context.Context, q *Request) (a *Answer, err error) {
-	stop := context.AfterFunc(ctx, func() { c.Conn.SetDeadline(time.Unix(1, 0)) })
-	release := func() bool { return stop() }
-	fail := func(reach Reach, stage string, err error) error {
-		if ctx.Err() != nil && errors.Is(err, os.ErrDeadlineExceeded) {
-			err = context.Cause(ctx)
-		}
-		stop()
-		c.pool.put(c, false)
-		return &Failure{reach, stage, err}
-	}
+func (c *conn) do(l *Leash, until time.Time, q *Request) (*Answer, error) {
+	l.hold(c.Conn, until)
 	w := writers.Get().(*bufio.Writer)
-	counted := &counter{Conn: c.Conn}
-	w.Reset(counted)
+	c.written = 0
+	w.Reset(c)
 	head := writeHead(w, q)
 	small := q.Body == nil || q.Length >= 0 && q.Length <= int64(w.Available())
 	if small && q.Body != nil {
-		_, err = io.CopyN(w, q.Body, q.Length)
-	}
-	if err != nil {
-		return nil, fail(Unsent, "body of the request", err)
+		if _, err := io.CopyN(w, q.Body, q.Length); err != nil {
+			putWriter(w)
+			return nil, c.fail(l, nil, Unsent, "body of the request", err)
+		}
 	}
-	if err = w.Flush(); err != nil {
+	if err := w.Flush(); err != nil {
 		reach := Sent
-		if counted.n < head { // no server acts on half a head
+		if c.written < head { // no server acts on half a head
 			reach = Unsent
 		}
 		putWriter(w)
-		return nil, fail(reach, fmt.Sprintf("send, after %d bytes", counted.n), err)
+		return nil, c.fail(l, nil, reach, "send, after "+strconv.Itoa(c.written)+" bytes", err)
 	}
 	var sent chan error
 	if small {
@@ -214,76 +235,69 @@
 		sent = make(chan error, 1)
 		go func() { sent <- sendBody(w, q) }()
 	}
-	c.head.N = headMost
+	c.head = headMost
+	c.asked.Method = q.Method
 	for range informMost {
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: q.Method})
+		resp, err := http.ReadResponse(c.r, &c.asked)
 		if err != nil {
-			return nil, c.settle(sent, fail(Sent, "head of the answer", err))
+			return nil, c.fail(l, sent, Sent, "head of the answer", err)
 		}
 		if resp.StatusCode >= 200 {
-			c.head.N = 1 << 62
-			return &Answer{Response: resp, conn: c, body: resp.Body, sent: sent, release: release}, nil
+			c.head = unbounded
+			c.answer = Answer{Response: resp, conn: c, leash: l, sent: sent}
+			return &c.answer, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, c.settle(sent, fail(Sent, "head of the answer", errors.New("changes the protocol unasked")))
+			return nil, c.fail(l, sent, Sent, "head of the answer", errors.New("changes the protocol unasked"))
 		}
 		if resp.StatusCode != http.StatusContinue && q.Inform != nil {
-			q.Inform(resp.StatusCode, resp.Header)
+			q.Inform.Inform(resp.StatusCode, resp.Header)
 		}
 	}
-	return nil, c.settle(sent, fail(Sent, "head of the answer", errors.New("informational ones without end")))
+	return nil, c.fail(l, sent, Sent, "head of the answer", errors.New("informational ones without end"))
 }
 
-// settle waits until the body of the request is no longer being sent, as its reader is not ours.
-func (c *conn) settle(sent chan error, err error) error {
+// fail ends the connection, and waits until the body of the request is no longer being sent: its reader is not ours.
+func (c *conn) fail(l *Leash, sent chan error, reach Reach, stage string, err error) error {
+	l.hold(nil, past)
+	switch {
+	case l.IsCut():
+		err = ErrCut
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = context.DeadlineExceeded
+	}
+	c.Conn.Close()
 	if sent != nil {
 		<-sent
 	}
-	return err
-}
-
-type counter struct {
-	net.Conn
-	n int
-}
-
-func (c *counter) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.n += n
-	return n, err
-}
-
-func putWriter(w *bufio.Writer) {
-	w.Reset(nil)
-	writers.Put(w)
+	c.pool.put(c, false)
+	return &Failure{reach, stage, err}
 }
 
 // writeHead writes the head and says how long it is.
-func writeHead(w *bufio.Writer, q *Request) int {
-	before := w.Size() - w.Available()
-	total := 0
-	put := func(parts ...string) {
-		for _, s := range parts {
-			w.WriteString(s)
-			total += len(s)
-		}
-	}
-	put(q.Method, " ", q.Target, " HTTP/1.1\r\nHost: ", q.Host, "\r\n")
+func writeHead(w *bufio.Writer, q *Request) (n int) {
+	n += line(w, q.Method, " ", q.Target, " HTTP/1.1\r\nHost: ", q.Host, "\r\n")
 	for name, values := range q.Header {
 		for _, v := range values {
-			put(name, ": ", v, "\r\n")
+			n += line(w, name, ": ", v, "\r\n", "", "")
 		}
 	}
 	switch {
 	case q.Body != nil && q.Length >= 0:
-		put("Content-Length: ", fmt.Sprint(q.Length), "\r\n")
+		n += line(w, "Content-Length: ", strconv.FormatInt(q.Length, 10), "\r\n", "", "", "")
 	case q.Body != nil:
-		put("Transfer-Encoding: chunked\r\n")
+		n += line(w, "Transfer-Encoding: chunked\r\n", "", "", "", "", "")
 	case q.Method != http.MethodGet && q.Method != http.MethodHead:
-		put("Content-Length: 0\r\n")
+		n += line(w, "Content-Length: 0\r\n", "", "", "", "", "")
+	}
+	return n + line(w, "\r\n", "", "", "", "", "")
+}
+
+func line(w *bufio.Writer, a, b, c, d, e, f string) int {
+	for _, s := range [...]string{a, b, c, d, e, f} {
+		w.WriteString(s)
 	}
-	put("\r\n")
-	return before + total
+	return len(a) + len(b) + len(c) + len(d) + len(e) + len(f)
 }
 
 func sendBody(w *bufio.Writer, q *Request) (err error) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -46,7 +45,7 @@
 }
 
 // get takes the idle connection that was used last, or makes one.
-func (p *Pool) get(ctx context.Context, to string, fresh bool) (*conn, error) {
+func (p *Pool) get(l *Leash, until time.Time, to string, fresh bool) (*conn, error) {
 	p.mu.Lock()
 	r := p.replicas[to]
 	if r == nil {
@@ -81,7 +80,7 @@
 	r.open++
 	p.count.Dials++
 	p.mu.Unlock()
-	raw, err := p.dial(ctx, to)
+	raw, err := p.connect(l, until, to)
 	if err != nil {
 		p.mu.Lock()
 		p.count.DialErrors++
@@ -89,10 +88,22 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: raw, pool: p, to: to}
-	c.r = readers.Get().(*bufio.Reader)
-	c.r.Reset(c)
-	return c, nil
+	return newConn(p, to, raw), nil
+}
+
+func (p *Pool) connect(l *Leash, until time.Time, to string) (net.Conn, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	dialed := make(chan struct{})
+	defer close(dialed)
+	go func() {
+		select {
+		case <-l.Done():
+			cancel()
+		case <-dialed:
+		}
+	}()
+	return p.dial(ctx, to)
 }
 
 // drop ends a connection; the pool is locked.
