--- a/internal/form/form.go
+++ b/internal/form/form.go
@@ -172,7 +172,7 @@
 		return nil
 	}
 	slices.SortStableFunc(f.faults, func(a, b Fault) int {
-		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column), -cmp.Compare(len(a.Path), len(b.Path)))
 	})
 	return f.faults
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -9,11 +9,13 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"lilacbend/internal/forward"
 	"lilacbend/lab/standin"
 )
 
@@ -398,3 +400,106 @@
 		t.Errorf("who takes nothing is still served: %+v", f)
 	}
 }
+
+// Connections without a flow hold no buffer. (10,000 of them are measured in docs/sidecar.md; here as many as any
+// machine's limit on descriptors lets.)
+func TestIdleConnectionsCostLittle(t *testing.T) {
+	const many = 400
+	s := start(t, nil, replica(t, nil).Addr)
+	memory := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapInuse + m.StackInuse
+	}
+	before := memory()
+	for k := range many {
+		conn, err := net.Dial("tcp", s.h1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if k%2 == 0 { // has had a flow, and is kept
+			io.WriteString(conn, "GET /stock HTTP/1.1\r\nHost: x\r\n\r\n")
+			if _, err := http.ReadResponse(bufio.NewReaderSize(conn, 16), nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	if each := (int64(memory()) - int64(before)) / many; each > 24<<10 { // both ends of it
+		t.Errorf("%d bytes for an idle connection", each)
+	}
+	if open := s.Figures().Clients["open"]; open < many {
+		t.Errorf("%d are open", open)
+	}
+}
+
+// What governors do while flows are under way: replicas shut out, tables emptied, no table at all.
+func TestTablesThatChangeUnderFlows(t *testing.T) {
+	one, two := replica(t, nil), replica(t, nil)
+	one.Span.Store(int64(200 * time.Millisecond))
+	s := start(t, nil, one.Addr, two.Addr)
+	apply := func(parts ...forward.Push) {
+		if err := (core{s.Sidecar}).Apply(parts); err != nil {
+			t.Error(err)
+		}
+	}
+	apply(forward.Push{Full: true, Lines: map[string]float64{"r0": 1}})
+	answers := make(chan string)
+	get := "GET /stock HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+	go func() { answers <- says(t, s.h1, get) }()
+	for one.Serves.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	apply(forward.Push{Shut: []string{"r0"}}) // the replica in use
+	if got := says(t, s.h1, get); !strings.Contains(got, "Lilacbend-Reason: no-replica") {
+		t.Errorf("all shut out: %q", got)
+	}
+	apply(forward.Push{Full: true, Lines: map[string]float64{"r1": 1}})
+	if got := says(t, s.h1, get); !strings.Contains(got, two.Addr) {
+		t.Errorf("another table: %q", got)
+	}
+	apply(forward.Push{Groups: []string{"stock"}, Full: true}) // empties one group alone
+	if got := says(t, s.h1, get); !strings.Contains(got, "Lilacbend-Reason: no-replica") {
+		t.Errorf("an empty table: %q", got)
+	}
+	if got := says(t, s.h1, "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"); !strings.Contains(got, two.Addr) {
+		t.Errorf("another group: %q", got)
+	}
+	apply(forward.Push{Groups: []string{"order"}, Levels: []forward.Level{{Share: 0}}})
+	if got := says(t, s.h1, "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"); !strings.Contains(got, "Lilacbend-Reason: level") || !strings.Contains(got, "Retry-After: ") {
+		t.Errorf("a closed level: %q", got)
+	}
+	if got := <-answers; !strings.Contains(got, one.Addr) {
+		t.Errorf("the flow under way: %q", got)
+	}
+}
+
+// HTTP/1.1 drains: the answer in hand says that it was the last, idle connections end, new ones find nobody.
+func TestHTTP1Drains(t *testing.T) {
+	r := replica(t, nil)
+	r.Span.Store(int64(300 * time.Millisecond))
+	s := start(t, nil, r.Addr)
+	idle, err := net.Dial("tcp", s.h1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	answers := make(chan string)
+	go func() { answers <- says(t, s.h1, "GET /stock HTTP/1.1\r\nHost: x\r\n\r\n") }()
+	for r.Serves.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.stop()
+	if got := <-answers; !strings.HasPrefix(got, "HTTP/1.1 200") || !strings.Contains(got, "Connection: close") || !strings.HasSuffix(got, r.Addr) {
+		t.Errorf("%q", got)
+	}
+	idle.SetDeadline(time.Now().Add(moment))
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("an idle connection: %v", err)
+	}
+	if _, err := net.Dial("tcp", s.h1); err == nil {
+		t.Error("somebody still listens")
+	}
+}
--- /dev/null
+++ b/internal/steering/steering_test.go
@@ -0,0 +1,257 @@
+package steering
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lilacbend/control"
+	"lilacbend/internal/forward"
+	"lilacbend/internal/resp"
+)
+
+func TestPartsBecomeOnePush(t *testing.T) {
+	for _, c := range []struct {
+		parts []string
+		want  push
+		fail  string
+	}{
+		{[]string{"push full 1 endpoints a:1.5,b:0.2 continued 1", "push eject a,b continued 1", "push restore c continued 1", "push routes x+y admit 0.9 policy 2 nonce_out 905"},
+			push{parts: []forward.Push{{Full: true, Lines: map[string]float64{"a": 1.5, "b": 0.2}}, {Shut: []string{"a", "b"}}, {Let: []string{"c"}},
+				{Groups: []string{"x", "y"}, Levels: []forward.Level{{Share: 0.9, Tries: control.TryAgain}}}}, marked: true, mark: 905}, ""},
+		{[]string{"push nonce_out 0"}, push{parts: []forward.Push{{}}, marked: true}, ""},
+		{[]string{"push later 7 full 0"}, push{parts: []forward.Push{{}}}, ""}, // a field of a later protocol
+		{[]string{"push endpoints a:1 continued 2"}, push{}, "continued"},
+		{[]string{"push endpoints a"}, push{}, "endpoints"}, {[]string{"push endpoints :1"}, push{}, "endpoints"}, {[]string{"push endpoints a:x"}, push{}, "endpoints"},
+		{[]string{"push admit 1"}, push{}, "admit and policy"}, {[]string{"push admit 1 policy x"}, push{}, "policy"}, {[]string{"push nonce_out -1"}, push{}, "nonce_out"},
+		{[]string{"push full"}, push{}, "unreadable"}, {[]string{"pull"}, push{}, "unreadable"}, {[]string{""}, push{}, "unreadable"},
+	} {
+		var p push
+		var err error
+		for _, part := range c.parts {
+			if err = p.add(strings.Fields(part)); err != nil {
+				break
+			}
+		}
+		if c.fail != "" {
+			if !errors.Is(err, errPart) || !strings.Contains(err.Error(), c.fail) {
+				t.Errorf("%q: %v", c.parts, err)
+			}
+		} else if err != nil || !reflect.DeepEqual(p, c.want) {
+			t.Errorf("%q: %+v %v", c.parts, p, err)
+		}
+	}
+	p := push{}
+	for k := range partsMost + 1 {
+		if err := p.add([]string{"push", "continued", "1"}); (err != nil) != (k == partsMost) {
+			t.Errorf("part %d: %v", k, err)
+		}
+	}
+}
+
+func FuzzPush(f *testing.F) {
+	f.Add("push full 1 endpoints a:1.5,b:0.2 continued 1 admit 1 policy 2")
+	f.Fuzz(func(t *testing.T, text string) {
+		var p push
+		if err := p.add(strings.Split(text, " ")); err == nil {
+			d, _ := forward.New(forward.Plan{Flows: 1, Groups: []forward.Group{{Name: "x"}}})
+			d.Apply(1, p.parts...)
+		} else if len(p.parts) != 0 {
+			t.Errorf("%q: left %v after %v", text, p.parts, err)
+		}
+	})
+}
+
+// core keeps what was applied.
+type core struct {
+	mu      sync.Mutex
+	applied [][]forward.Push
+	fail    error
+	usage   []forward.Usage
+}
+
+func (c *core) Apply(parts []forward.Push) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fail == nil {
+		c.applied = append(c.applied, parts)
+	}
+	return c.fail
+}
+func (c *core) Blank() bool { c.mu.Lock(); defer c.mu.Unlock(); return len(c.applied) == 0 }
+func (c *core) Usage() []forward.Usage {
+	return c.usage
+}
+func (c *core) pushes() int { c.mu.Lock(); defer c.mu.Unlock(); return len(c.applied) }
+
+// governor is a scripted one: it tells what it hears and says what it is told to.
+type governor struct {
+	net.Listener
+	heard chan string
+	conns chan net.Conn
+	pool  *resp.Pool
+}
+
+func listen(t *testing.T) *governor {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &governor{l, make(chan string, 1000), make(chan net.Conn, 100), resp.NewPool(1 << 20)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+			g.conns <- conn
+			go func() {
+				for r := resp.NewReader(conn, g.pool); ; {
+					words, err := r.Next()
+					if err != nil {
+						g.heard <- "gone"
+						return
+					}
+					if text := strings.Join(words, " "); text != "probe" {
+						g.heard <- text
+					} else {
+						resp.Write(conn, g.pool, "alive")
+					}
+				}
+			}()
+		}
+	}()
+	return g
+}
+
+func (g *governor) says(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := resp.Write(conn, g.pool, strings.Fields(text)...); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (g *governor) hears(t *testing.T, want string) string {
+	t.Helper()
+	for limit := time.After(8 * time.Second); ; {
+		select {
+		case text := <-g.heard:
+			if strings.HasPrefix(text, want) {
+				return text
+			}
+		case <-limit:
+			t.Fatalf("not heard: %s", want)
+		}
+	}
+}
+
+func client(t *testing.T, c *core, to ...*governor) *Client {
+	cl := &Client{ID: 0, Zone: "a", Groups: []string{"x"}, Core: c, Log: slog.New(slog.DiscardHandler)}
+	for _, g := range to {
+		cl.Governors = append(cl.Governors, g.Addr().String())
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { cl.Run(ctx); close(ended) }()
+	t.Cleanup(func() { stop(); <-ended })
+	return cl
+}
+
+func TestAStreamAndWhatEndsIt(t *testing.T) {
+	g, c := listen(t), &core{usage: []forward.Usage{{Flows: 7, Missed: 2}}}
+	cl := client(t, c, g)
+	conn := <-g.conns
+	g.hears(t, "hello id 0 site a rps 0.000 new 1")
+	g.says(t, conn, "push full 1 endpoints a:1 continued 1")
+	g.says(t, conn, "push eject b nonce_out 5")
+	g.hears(t, "ack id 0 seq 5 ms ")
+	g.hears(t, "demand id 0 lane x count 7 fail 2 over ")
+	if c.pushes() != 1 || cl.Governor() == "" {
+		t.Errorf("%d applied, steered by %q", c.pushes(), cl.Governor())
+	}
+	g.says(t, conn, "push endpoints a:1 continued 1") // it dies between two parts of one message
+	conn.Close()
+	conn = <-g.conns
+	g.hears(t, "hello id 0 site a rps 0.000 new 0")
+	if c.pushes() != 1 {
+		t.Errorf("half a message was applied")
+	}
+	g.says(t, conn, "push full 1 endpoints a:x")
+	g.hears(t, "gone")
+	conn = <-g.conns
+	c.mu.Lock()
+	c.fail = fmt.Errorf("%w: so", forward.ErrUnusable)
+	c.mu.Unlock()
+	g.says(t, conn, "push full 1 endpoints a:1 nonce_out 6")
+	g.hears(t, "gone") // and no ack before
+	conn = <-g.conns
+	g.says(t, conn, "error reason none")
+	g.hears(t, "gone")
+	if n := cl.Count.Unusable.Load(); n != 2 {
+		t.Errorf("%d could not be used", n)
+	}
+}
+
+// One governor accepts and says nothing, another is not there: the third is found, and the tables stay meanwhile.
+func TestAnotherGovernorIsFound(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	gone, there := listen(t), listen(t)
+	gone.Close()
+	c := &core{}
+	cl := &Client{Zone: "a", Core: c, Log: slog.New(slog.DiscardHandler), Governors: []string{silent.Addr().String(), gone.Addr().String(), there.Addr().String()}}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { cl.Run(ctx); close(ended) }()
+	defer func() { stop(); <-ended }()
+	there.hears(t, "hello")
+	there.says(t, <-there.conns, "push full 1 endpoints a:1 nonce_out 1")
+	there.hears(t, "ack id 0 seq 1")
+}
+
+func TestACollectorSumsAndForwards(t *testing.T) {
+	g := listen(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &Collector{Zone: "a", Governors: []string{g.Addr().String()}, Every: 300 * time.Millisecond, Most: 2, Log: slog.New(slog.DiscardHandler)}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { c.Serve(ctx, l); close(ended) }()
+	defer func() { stop(); <-ended }()
+	g.hears(t, "agent site a")
+	once := func(s map[string]*forward.Sum) func() map[string]*forward.Sum {
+		var mu sync.Mutex
+		return func() map[string]*forward.Sum {
+			mu.Lock()
+			defer mu.Unlock()
+			all := s
+			s = nil
+			return all
+		}
+	}
+	for k := range 2 {
+		teller := &Teller{To: l.Addr().String(), Every: 20 * time.Millisecond, Sums: once(map[string]*forward.Sum{"b": {Tries: 10 + k, Missed: 1, Answers: int64(9+k) * 40e6}, "c": {Tries: 1, Missed: 1}})}
+		go teller.Run(ctx)
+	}
+	g.hears(t, "outcomes site a target b count 21 fail 2 mean 40.000 over ")
+	g.hears(t, "outcomes site a target c count 2 fail 2 mean 0.000 over ")
+	for _, bad := range []string{"met", "met target b count -1 fail 0 mean 1", "met target b count 1 fail 2 mean 1", "met target b count 1 fail 0 mean NaN", "met target  count 1 fail 0 mean 1", "hello id 1"} {
+		if err := c.hear(strings.Split(bad, " ")); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+}
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -135,6 +135,17 @@
 	return resp.StatusCode, resp.Header.Get("Lilacbend-Reason")
 }
 
+// Within is the share of all flows sent that were answered well within a time.
+func (r Result) Within(budget time.Duration) float64 {
+	n := int64(0)
+	for _, b := range r.Times.Distribution() {
+		if b.To <= budget.Microseconds() {
+			n += b.Count
+		}
+	}
+	return float64(n) / float64(max(1, r.Sent))
+}
+
 // String is one line of figures.
 func (r Result) String() string {
 	q := func(p float64) float64 { return float64(r.Times.ValueAtQuantile(p)) / 1000 }
