A replica that answers nothing is avoided early, and tried by one flow after its shunning

Cause: lab service lost 1.5% with two of 20 replicas silent, steered or not: each end of a shunning cost a second of its flows, and the first second cost the same before a failure told.

--- a/cmd/lab/service.go
+++ b/cmd/lab/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -17,10 +18,12 @@
 func serviceCommand() *cli.Command {
 	var rate float64
 	var seed int64
+	troubles := []string{"none", "silent", "zone-cut", "release", "restart", "restart-state"}
 	return &cli.Command{Name: "service", Usage: "the whole product on loopback through a trouble, with governors and without",
-		Flags: []cli.Flag{&cli.FloatFlag{Name: "rate", Value: 800, Destination: &rate}, &cli.Int64Flag{Name: "seed", Value: 1, Destination: &seed}},
+		Flags: []cli.Flag{&cli.FloatFlag{Name: "rate", Value: 800, Destination: &rate}, &cli.Int64Flag{Name: "seed", Value: 1, Destination: &seed},
+			&cli.StringSliceFlag{Name: "trouble", Value: troubles, Destination: &troubles}},
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			for _, trouble := range []string{"none", "silent", "zone-cut", "release", "restart", "restart-state"} {
+			for _, trouble := range troubles {
 				for _, steered := range []bool{false, true} {
 					if !steered && (trouble == "restart" || trouble == "restart-state") {
 						continue
@@ -49,7 +52,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	s, err := site.Start(ctx, site.Shape{Zones: 2, Replicas: 20, Places: 4, Sidecars: 4, Governors: 2, Span: 20 * time.Millisecond, Slow: 2,
-		Dir: dir, Steered: steered, State: trouble == "restart-state"})
+		Dir: dir, Steered: steered, State: trouble == "restart-state", Log: logOf()})
 	if err != nil {
 		return load.Result{}, 0, err
 	}
@@ -113,3 +116,11 @@
 		s.Governor(ctx, 1)
 	}
 }
+
+// logOf is where the processes' logs go, if anywhere.
+func logOf() io.Writer {
+	if os.Getenv("LAB_LOG") == "" {
+		return nil
+	}
+	return os.Stderr
+}
--- a/internal/forward/desk.go
+++ b/internal/forward/desk.go
@@ -68,10 +68,21 @@
 
 type replica struct {
 	flows   int
-	failed  int // in a row
-	shunned int64
+	failed  int   // in a row
+	shunned int64 // until then
+	relapse int   // shunned so often, with no good answer between
+	quiet   int64 // since when it has had flows and answered none of them
 }
 
+// avoided says whether others are to be picked first: it is shunned; or its shunning is over, and one flow is finding
+// out whether it is well; or it has as many flows as would have it shunned, and has answered none for as long
+// as answers are worth something. The last is a guess, ahead of the failures that would tell.
+func (r *replica) avoided(now int64, strikes int, budget int64) bool {
+	return r.shunned > now || strikes > 0 && (r.relapse > 0 && r.flows > 0 || r.flows >= strikes && now-r.quiet > budget)
+}
+
+const relapsesMost = 3 // a shunning is doubled so often
+
 // Desk is the state of one sidecar.
 type Desk struct {
 	plan       Plan
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -138,6 +138,9 @@
 		f.in, d.flows = true, d.flows+1
 	}
 	l, r := d.listed[id], d.place(id)
+	if r.flows == 0 {
+		r.quiet = now
+	}
 	r.flows++
 	d.Count.Tries++
 	f.tries, f.current = append(f.tries, try{id, l.Zone, l.Cell, now}), id
@@ -250,14 +253,18 @@
 	d.met(now, f, ended)
 	f.current = ""
 	if ended == Good {
-		r.failed = 0
+		r.failed, r.relapse, r.quiet = 0, 0, now
 		return
 	}
 	if last := &f.tries[len(f.tries)-1]; ended == NeverRan {
 		last.began = -1
 	}
-	if r.failed++; d.plan.Strikes > 0 && r.failed >= d.plan.Strikes {
-		r.failed, r.shunned = 0, now+d.plan.Shun
+	if r.failed++; d.plan.Strikes == 0 || r.shunned > now { // flows of before the shunning tell nothing more
+		return
+	}
+	if r.failed >= d.plan.Strikes || r.relapse > 0 {
+		r.failed, r.shunned = 0, now+d.plan.Shun<<min(r.relapse, relapsesMost)
+		r.relapse++
 		d.Count.Shunned++
 	}
 }
--- a/internal/forward/flow_test.go
+++ b/internal/forward/flow_test.go
@@ -234,6 +234,63 @@
 	}
 }
 
+// Once its time is over one flow finds out, and a replica that is not well is shunned for longer.
+func TestWhoWasShunnedIsTriedByOneFlow(t *testing.T) {
+	d := desk(t, func(p *Plan) { p.Flows, p.ReplicaFlows = 100, 100 }, manner(0), Push{Lines: map[string]float64{"a2": 0, "b1": 0, "b2": 0.001}})
+	now := int64(0)
+	fail := func(n int) {
+		var flows []*Flow
+		for range n {
+			f, s := d.Begin(now, 0, true)
+			if s.Try == "a1" {
+				flows = append(flows, f)
+			} else {
+				d.Ended(now, f, Good)
+			}
+		}
+		for _, f := range flows {
+			d.Ended(now, f, Broke)
+		}
+		if n == 20 && len(flows) != 1 {
+			t.Errorf("at %d it got %d flows", now, len(flows))
+		}
+	}
+	fail(10)
+	for _, span := range []int64{5, 10, 20, 40, 40} {
+		if until := d.replicas["a1"].shunned - now; until != span*second {
+			t.Errorf("shunned for %d, want %d", until, span*second)
+		}
+		now += span * second
+		fail(20)
+	}
+	now += 40 * second
+	f, s := d.Begin(now, 0, true)
+	if d.Ended(now, f, Good); s.Try != "a1" || d.replicas["a1"].relapse != 0 {
+		t.Errorf("%+v, %+v", s, d.replicas["a1"])
+	}
+}
+
+func TestWhoIsQuietIsAvoidedBeforeItFails(t *testing.T) {
+	d := desk(t, func(p *Plan) { p.Flows, p.ReplicaFlows = 100, 100 }, Push{Lines: map[string]float64{"a2": 0, "b1": 0, "b2": 0.001}})
+	var first *Flow
+	for k := range 3 {
+		f, s := d.Begin(0, 0, true)
+		if s.Try != "a1" {
+			t.Fatalf("%d: %+v", k, s)
+		}
+		first = f
+	}
+	if f, s := d.Begin(second+1, 0, true); s.Try != "b2" { // three flows, no answer for its budget
+		t.Errorf("%+v", s)
+	} else {
+		d.Ended(second+1, f, Good)
+	}
+	d.Ended(second+1, first, Good)
+	if _, s := d.Begin(second+2, 0, true); s.Try != "a1" {
+		t.Errorf("after an answer: %+v", s)
+	}
+}
+
 func TestWhoMayNotBePicked(t *testing.T) {
 	for what, change := range map[string]func(*Desk){
 		"shut out": func(d *Desk) { d.Apply(0, Push{Shut: []string{"a1"}}) },
--- a/internal/forward/pick.go
+++ b/internal/forward/pick.go
@@ -21,13 +21,13 @@
 }
 
 // choose picks a replica for a try: by weight among the lines that are not shut out, draining, shunned, tried
-// before or full. Shunned ones are taken before none at all, as a guess of ours is worth less than the governor's word;
+// before or full. Avoided ones are taken before none at all, as a guess of ours is worth less than the governor's word;
 // shut out, draining and unknown ones never are. The second result says why there is none.
 func (d *Desk) choose(now int64, f *Flow, allowed func(Listed) bool) (id string, why Reason) {
-	t := &d.tables[f.group]
+	t, budget := &d.tables[f.group], d.plan.Groups[f.group].LatencyBudget
 	why = NoReplica
 	var last []open
-	for _, shunned := range []bool{false, true} {
+	for _, avoided := range []bool{false, true} {
 		candidates := d.candidates[:0]
 		for k := range t.lines {
 			l := &t.lines[k]
@@ -36,7 +36,7 @@
 				continue
 			}
 			r := d.place(l.replica)
-			if (r.shunned > now) != shunned {
+			if r.avoided(now, d.plan.Strikes, budget) != avoided {
 				continue
 			}
 			if d.plan.ReplicaFlows > 0 && r.flows >= d.plan.ReplicaFlows {
