--- a/brain/brain.go
+++ b/brain/brain.go
@@ -167,7 +167,7 @@
 	case tick:
 		p.norms()
 	case control.Left:
-		delete(p.crowd, n.Proxy)
+		p.leave(n.Proxy)
 	case offer:
 		p.offers[n.Replica] = n
 	case demand:
@@ -177,7 +177,7 @@
 		delete(p.own, n.id)
 		delete(p.laid, n.id)
 	case chair:
-		p.crowd[n.Proxy] = n
+		p.enter(n)
 	case control.Recalled:
 		p.laid[n.Replica] = n.Table
 	case control.RecalledFleet:
@@ -312,11 +312,11 @@
 		}
 		all += home[table]
 	}
-	for _, proxy := range sorted(p.crowd) {
+	for _, c := range p.crowd {
 		if 2*len(p.crowd)*p.Governors >= p.Proxies { // the first to join do not tell of all
-			c := p.crowd[proxy] // flows move from zone to zone: what came lately counts, more and more
+			// Flows move from zone to zone: what came lately counts, more and more.
 			span := math.Min(float64(p.now-c.since), float64(demandSpan)) / float64(second)
-			rate := (c.Rate*priorSpan + p.demand.flows[proxy]) / (priorSpan + span)
+			rate := (c.Rate*priorSpan + p.demand.flows[c.Proxy]) / (priorSpan + span)
 			need[c.table], total = need[c.table]+rate, total+rate
 		}
 	}
@@ -405,9 +405,9 @@
 			warm++
 		}
 	}
-	for _, proxy := range sorted(p.crowd) {
-		zone := p.crowd[proxy].table % row
-		usual[zone], newest[zone] = usual[zone]+p.demand.flows[proxy], newest[zone]+p.demand.fresh[proxy]
+	for _, c := range p.crowd {
+		zone := c.table % row
+		usual[zone], newest[zone] = usual[zone]+p.demand.flows[c.Proxy], newest[zone]+p.demand.fresh[c.Proxy]
 	}
 	may := warm * sickMost
 	for _, id := range ids {
@@ -432,6 +432,9 @@
 func (r *roll) take(n any) {
 	switch n := n.(type) {
 	case []int:
+		if r.loose == 0 && slices.Equal(n, r.sits) { // nobody to bind or to move
+			return
+		}
 		load := make([]float64, len(n))
 		for _, proxy := range sorted(r.here) {
 			if c := r.here[proxy]; c.table >= 0 {
@@ -449,6 +452,7 @@
 				}
 				delete(r.sat, proxy)
 				load[c.table] += c.Rate
+				r.loose--
 				r.post(thePlanner, *c)
 				r.post(thePacer, control.Bind{Proxy: proxy, Table: n[c.table]})
 			}
@@ -459,7 +463,9 @@
 		if came, ok := r.came[n.Proxy]; ok { // a hello tells a rough figure
 			n.Rate += (came - n.Rate) * r.past.Weight
 		}
+		r.drop(n.Proxy)
 		r.here[n.Proxy] = &chair{n, r.now, -1}
+		r.loose++
 	case control.RecalledFleet:
 		r.past, r.sat, r.came = n, map[int]int{}, map[int]float64{}
 		for _, s := range n.Seats {
@@ -470,7 +476,7 @@
 		}
 	case control.Left:
 		r.strike(n.Proxy, math.MaxUint64)
-		delete(r.here, n.Proxy)
+		r.drop(n.Proxy)
 	case control.Answered:
 		mark := r.last - (r.last-n.Mark)&marksMask // marks go round on the way
 		r.post(thePacer, caught{mark: mark})
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -194,7 +194,7 @@
 	g := at(0)
 	g.Proxies = 12
 	p := planning(g, offered(1, 0, false, control.Ready), offered(2, 1, false, control.Gone))
-	p.crowd[3] = chair{control.Joined{Proxy: 3, Zone: 1, Rate: 5}, 0, 1}
+	p.enter(chair{control.Joined{Proxy: 3, Zone: 1, Rate: 5}, 0, 1})
 	p.redraw()
 	lines := mail[target](g, theSequence)[0].lines
 	want(t, "guest", lines[line{1, 1}] > 0, true)
@@ -222,7 +222,7 @@
 	g.Proxies = 12
 	p := planning(g, offered(1, 0, false, control.Ready), offered(2, 1, true, control.Ready),
 		offered(4, 0, false, control.Ready), offered(5, 0, false, control.Ready))
-	p.crowd[3] = chair{control.Joined{Proxy: 3, Zone: 1, Rate: 5}, 0, 1}
+	p.enter(chair{control.Joined{Proxy: 3, Zone: 1, Rate: 5}, 0, 1})
 	p.redraw()
 	lines := mail[target](g, theSequence)[0].lines
 	want(t, "some serve", lines[line{1, 1}]+lines[line{1, 4}]+lines[line{1, 5}] > 0, true)
@@ -256,7 +256,7 @@
 	cold := offered(1, 0, false, control.Ready)
 	cold.cold = true
 	p := planning(at(0), cold, offered(2, 0, false, control.Ready))
-	p.crowd[7] = chair{control.Joined{Proxy: 7}, 0, 0}
+	p.enter(chair{control.Joined{Proxy: 7}, 0, 0})
 	p.demand = demand{flows: map[int]float64{7: 100}, fresh: map[int]float64{7: 120}}
 	want(t, "as ever", len(p.shutOut([]uint32{1, 2}, 1)), 0)
 	p.demand.fresh[7] = 200
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -78,7 +78,7 @@
 	d.boxes = []*inbox{
 		theRoll: {part: &roll{desk: d, here: map[int]*chair{}, wait: map[uint64]map[int]bool{}}},
 		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{},
-			own: map[uint32]int{}, laid: map[uint32]int{}, offers: map[uint32]offer{}, crowd: map[int]chair{}}},
+			own: map[uint32]int{}, laid: map[uint32]int{}, offers: map[uint32]offer{}}},
 		theLevels: {part: &levels{desk: d, set: map[int]control.Level{}}},
 		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
@@ -187,6 +187,33 @@
 	}
 }
 
+// find is where a proxy is, or would be, in the crowd.
+func (p *planner) find(proxy int) (int, bool) {
+	return slices.BinarySearchFunc(p.crowd, proxy, func(c *chair, proxy int) int { return cmp.Compare(c.Proxy, proxy) })
+}
+
+func (p *planner) enter(c chair) {
+	k, here := p.find(c.Proxy)
+	if !here {
+		p.crowd = slices.Insert(p.crowd, k, &c)
+	}
+	p.crowd[k] = &c
+}
+
+func (p *planner) leave(proxy int) {
+	if k, here := p.find(proxy); here {
+		p.crowd = slices.Delete(p.crowd, k, k+1)
+	}
+}
+
+// drop forgets a proxy that has left.
+func (r *roll) drop(proxy int) {
+	if c := r.here[proxy]; c != nil && c.table < 0 {
+		r.loose--
+	}
+	delete(r.here, proxy)
+}
+
 // seat puts a joined proxy on a table.
 func (p *pacer) seat(proxy, table int) {
 	p.unseat(proxy)
--- a/brain/types.go
+++ b/brain/types.go
@@ -87,7 +87,7 @@
 type planner struct {
 	*desk
 	offers map[uint32]offer
-	crowd  map[int]chair
+	crowd  []*chair          // by proxy
 	calm   map[int][]float64 // the last answer times of each kind
 	judged int64
 	out    map[uint32]bool
@@ -101,13 +101,14 @@
 
 type roll struct {
 	*desk
-	here map[int]*chair
-	sits []int // where each table's proxies are bound
-	past control.RecalledFleet
-	sat  map[int]int     // tables of proxies at an earlier governor
-	came map[int]float64 // flows a second of each there
-	wait map[uint64]map[int]bool
-	last uint64
+	here  map[int]*chair
+	loose int   // of them, without a table
+	sits  []int // where each table's proxies are bound
+	past  control.RecalledFleet
+	sat   map[int]int     // tables of proxies at an earlier governor
+	came  map[int]float64 // flows a second of each there
+	wait  map[uint64]map[int]bool
+	last  uint64
 }
 
 type sums struct {
