--- a/brain/brain.go
+++ b/brain/brain.go
@@ -694,8 +694,7 @@
 	case control.Bind, control.Level:
 		p.urgent = append(p.urgent, n)
 	case control.Joined:
-		p.seat(n.Proxy, -1)
-		p.wrote[n.Proxy] = nil
+		p.seat(n.Proxy, -1) // its cap knows nothing of streams
 	case control.Left:
 		p.unseat(n.Proxy)
 	case step:
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -581,3 +581,19 @@
 	}
 	want(t, "half are lost, half is let in", lines[1], lines[0]/2)
 }
+
+// Seed 67 of the laboratory's rules: a stream that broke for 63 ms got 31 messages in a span for 30, as the cap began anew.
+func TestTheMessageCapOutlivesAStream(t *testing.T) {
+	g := at(20 * second)
+	g.MessagesMost, g.MessagesSpan = 10, 10*second
+	p := g.boxes[thePacer].part.(*pacer)
+	p.take(control.Joined{Proxy: 0})
+	p.wrote[0] = []int64{11 * second, 12 * second, 13 * second, 14 * second, 15 * second, 16 * second, 17 * second, 18 * second, 19 * second}
+	p.laid[0] = map[uint32]bool{9: true}
+	p.reached = map[int]bool{}
+	p.take(control.Left{Proxy: 0})
+	p.take(control.Joined{Proxy: 0})
+	want(t, "written at once", p.write(control.Bind{Proxy: 0}, 1, urgentMsgs), false)
+	g.now = 22 * second
+	want(t, "written once two are long ago", p.write(control.Bind{Proxy: 0}, 1, urgentMsgs), true)
+}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -11,7 +11,8 @@
 )
 
 func main() {
-	root := &cli.Command{Name: "lab", Usage: "measure what a change does", Commands: []*cli.Command{restartCommand(), loadCommand(), overheadCommand(), serviceCommand(), baselineCommand()}}
+	root := &cli.Command{Name: "lab", Usage: "measure what a change does", Commands: append(seedsCommands(),
+		restartCommand(), loadCommand(), overheadCommand(), serviceCommand(), baselineCommand())}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "lab:", err)
 		os.Exit(1)
--- a/internal/front/h2.go
+++ b/internal/front/h2.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -65,6 +66,7 @@
 	taken     int64 // received, not told to the client as room yet
 	changed   chan struct{}
 	leaving   bool // no new stream is taken
+	closing   bool // the last answer has gone out
 	ended     bool
 	chatter   float64
 	chattered time.Time
@@ -92,7 +94,7 @@
 	c := &h2{server: s, conn: conn, streams: map[uint32]*stream{}, window: 65535, initial: 65535, frame: frameMost,
 		changed: make(chan struct{}), chatter: chatterSaved, chattered: time.Now()}
 	c.w = bufio.NewWriterSize(&patientWriter{conn, s.Stall}, 4<<10)
-	c.framer = http2.NewFramer(c.w, &patientReader{conn: conn, stall: s.Idle})
+	c.framer = http2.NewFramer(c.w, (*h2Reader)(c))
 	c.framer.ReadMetaHeaders = hpack.NewDecoder(tableMost, nil)
 	c.framer.MaxHeaderListSize = headMost
 	c.framer.SetMaxReadFrameSize(frameMost)
@@ -101,6 +103,30 @@
 	return c
 }
 
+// h2Reader gives an idle connection so long; one with flows in hand has nothing to say while it waits for answers.
+type h2Reader h2
+
+func (r *h2Reader) Read(p []byte) (int, error) {
+	c := (*h2)(r)
+	for {
+		c.mu.Lock()
+		if !c.closing {
+			c.conn.SetReadDeadline(time.Now().Add(c.server.Idle))
+		}
+		c.mu.Unlock()
+		n, err := c.conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		c.mu.Lock()
+		busy := c.active > 0
+		c.mu.Unlock()
+		if !busy {
+			return 0, err
+		}
+	}
+}
+
 // write holds the pen and sends what it has written.
 func (c *h2) write(do func() error) error {
 	c.pen.Lock()
@@ -149,11 +175,17 @@
 	if t, ok := c.conn.(*net.TCPConn); ok {
 		t.CloseWrite() // what was written arrives before the end does
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
 	c.conn.SetReadDeadline(time.Now().Add(partPause))
 }
 
 func (c *h2) attend() {
 	err := c.read()
+	c.mu.Lock()
+	closing, last := c.closing, c.last
+	c.mu.Unlock()
 	code, known := http2.ErrCodeNo, false
 	var ce http2.ConnectionError
 	switch {
@@ -164,12 +196,15 @@
 		code, known = http2.ErrCodeEnhanceYourCalm, true
 	case errors.Is(err, http2.ErrFrameTooLarge):
 		code, known = http2.ErrCodeFrameSize, true
+	case errors.Is(err, os.ErrDeadlineExceeded) && !closing: // idle for too long: said, and no fault
+		c.conn.SetWriteDeadline(time.Now().Add(partPause))
+		c.write(func() error { return c.framer.WriteGoAway(last, http2.ErrCodeNo, nil) })
 	}
 	if known {
 		c.server.Count.BadRequests.Add(1)
 		c.server.log.Debug("connection ended", "from", c.conn.RemoteAddr(), "error", err)
 		c.conn.SetWriteDeadline(time.Now().Add(time.Second))
-		c.write(func() error { return c.framer.WriteGoAway(c.last, code, nil) })
+		c.write(func() error { return c.framer.WriteGoAway(last, code, nil) })
 	}
 	c.mu.Lock()
 	c.ended = true
--- a/internal/sidecar/h2_test.go
+++ b/internal/sidecar/h2_test.go
@@ -348,6 +348,21 @@
 	}
 }
 
+// A connection that waits for an answer is not idle; one that has none is told before it ends.
+func TestH2Idle(t *testing.T) {
+	r := replica(t, nil)
+	r.Span.Store(int64(400 * time.Millisecond))
+	s := start(t, func(f string) string { return strings.Replace(f, "idle: 5s", "idle: 100ms", 1) }, r.Addr)
+	c := dialH2(t, s, 1<<20)
+	c.Open(1, "GET", "/stock", false)
+	if !c.Wait(moment, done(1)) || c.Of(1).Status != "200" {
+		t.Errorf("%+v", c.Of(1))
+	}
+	if !c.Wait(moment, func(c *standin.H2) bool { return c.Ended }) || len(c.GoAways) != 1 || c.GoAways[0].LastStreamID != 1 || c.GoAways[0].ErrCode != http2.ErrCodeNo {
+		t.Errorf("ended %v, %+v", c.Ended, c.GoAways)
+	}
+}
+
 func TestOverTheLimitOfStreamsIsRefusedAndMayComeAgain(t *testing.T) {
 	r := replica(t, nil)
 	r.Span.Store(int64(200 * time.Millisecond))
--- a/lab/emulator/steer.go
+++ b/lab/emulator/steer.go
@@ -16,6 +16,7 @@
 func (w *World) Up(past *memory.Past) {
 	p := w.Site.Provision
 	p.Seed = uint64(w.chance.Int63())
+	w.up = w.now
 	w.Core = governor.New(func() governor.Module { return brain.New(p) }, governor.NewCensus(w.Site.Names, p))
 	if past != nil {
 		w.tell(governor.Recall{Past: past})
@@ -23,16 +24,23 @@
 	w.list()
 	core := w.Core
 	for _, p := range w.proxies {
+		p.wrote = nil // by another governor
 		w.after(w.chance.Int63n(second/3), func() {
-			if w.Core == core {
-				w.streams++
-				p.stream = w.streams
-				w.tell(governor.Joined{Stream: p.stream, Proxy: p.id, Zone: p.zone, Blank: len(p.lines) == 0, Rate: 1})
+			if w.Core == core && w.cut[p.zone] == 0 && p.stream == 0 {
+				w.join(p)
 			}
 		})
 	}
 }
 
+// join opens a stream.
+func (w *World) join(p *proxy) {
+	w.streams++
+	p.stream, p.joined, p.bare = w.streams, w.now, 0
+	w.tell(governor.Joined{Stream: p.stream, Proxy: p.id, Zone: p.zone, Blank: len(p.lines) == 0, Rate: 1})
+	w.look(p)
+}
+
 // Down kills the governor, and what it was told and was about to say with it.
 func (w *World) Down() {
 	w.Core, w.notes, w.turn = nil, nil, 0
@@ -97,23 +105,35 @@
 		w.Learned = o.Learned
 		w.Learned.Taken = memory.Moment{Wall: w.now}
 	}
-	lines := 0
 	for _, s := range o.Pushes {
-		lines += len(s.Push.Lines) + w.Site.Provision.MessageHead
-		w.after(transit+int64(float64(lines)/w.Site.Provision.ChannelRate*float64(second)), func() { w.apply(s) })
+		k := slices.IndexFunc(w.proxies, func(p *proxy) bool { return p.stream == s.Stream })
+		if k < 0 {
+			continue
+		}
+		p := w.proxies[k]
+		if w.Trace != nil {
+			w.Trace("%d push %d %+v", w.now, p.id, s.Push)
+		}
+		left := w.queued(p, s.Push)
+		p.applied = max(p.applied, left+transit, p.stalled) // in order, after a stall
+		w.at(p.applied, func() { w.apply(p, s) })
 	}
 	if o.Wake > 0 {
 		w.wake(o.Wake)
 	}
 }
 
-func (w *World) apply(s governor.Sent) {
-	k := slices.IndexFunc(w.proxies, func(p *proxy) bool { return p.stream == s.Stream })
-	if k < 0 {
+func (w *World) apply(p *proxy, s governor.Sent) {
+	if p.stream != s.Stream || w.cut[p.zone] > 0 { // lost with its stream
+		return
+	}
+	if w.now < p.stalled {
+		p.applied = max(p.applied, p.stalled)
+		w.at(p.applied, func() { w.apply(p, s) })
 		return
 	}
-	p := w.proxies[k]
 	p.picks = nil
+	defer w.look(p)
 	if s.Push.Full {
 		clear(p.lines)
 		clear(p.levels)
@@ -134,6 +154,9 @@
 	}
 	if s.Push.Marked {
 		w.after(transit, func() {
+			if w.cut[p.zone] > 0 {
+				return
+			}
 			w.tell(governor.Answered{Stream: s.Stream, Mark: s.Push.Mark, Took: transit})
 		})
 	}
@@ -152,13 +175,15 @@
 			met.Answer = s.answers / int64(good)
 		}
 		*s = sum{}
-		w.after(late, func() { w.tell(met) })
+		if w.cut[zone] == 0 {
+			w.after(late, func() { w.tell(met) })
+		}
 	}
 }
 
 func (w *World) usage(p *proxy) {
 	for g, name := range w.Site.Names.Groups {
-		if p.came[g] > 0 && p.stream != 0 {
+		if p.came[g] > 0 && p.stream != 0 && w.cut[p.zone] == 0 {
 			d := governor.Demand{Stream: p.stream, Group: name, Demand: control.Demand{Proxy: p.id, Flows: p.came[g], Missed: p.missed[g], Span: second}}
 			w.after(transit, func() { w.tell(d) })
 		}
--- a/lab/emulator/world.go
+++ b/lab/emulator/world.go
@@ -38,6 +38,8 @@
 	places  int
 	mean    float64 // seconds
 	running int
+	told    int64   // when the governor was last told of it
+	lately  []int64 // tries of the last 3 s, while it is cold
 	waiting []func()
 	met     map[string]*sum // by the zone of the proxies, since they were last told
 }
@@ -58,6 +60,12 @@
 	missed []int
 	picks  []weighed // what may be picked; nil: to be worked out
 	total  float64
+
+	joined  int64   // since when the stream is there
+	stalled int64   // messages are applied after that
+	applied int64   // when the last one was
+	bare    int64   // since when it has had no line; 0: it has some
+	wrote   []int64 // when messages for it were sent, of the last span
 }
 
 type weighed struct {
@@ -108,6 +116,13 @@
 	from    int64 // flows that come from then to until are counted
 	until   int64
 	outcome Outcome
+
+	Breaches []Breach
+	Trace    func(text string, args ...any) // of each step that matters; nil: none
+	watched  map[string]bool                // nil: rules are not checked
+	cut      map[string]int                 // zones that are cut off, so many times
+	free     int64                          // when the channel has nothing more to send
+	up       int64                          // since when the governor is there
 }
 
 type event struct {
@@ -145,7 +160,7 @@
 
 // New makes a world in which nothing has happened yet.
 func New(site Site, seed int64) *World {
-	w := &World{Site: site, by: map[string]*Replica{}, chance: rand.New(rand.NewSource(seed))}
+	w := &World{Site: site, by: map[string]*Replica{}, cut: map[string]int{}, chance: rand.New(rand.NewSource(seed))}
 	able := 0.0
 	for k := range site.Replicas {
 		kind := k / 2 % 2
@@ -274,12 +289,16 @@
 		w.end(f, false)
 		return
 	}
+	w.sent(f.p, r)
 	sum, begun := r.sum(f.p.zone), w.now
-	missed := func() { sum.tries, sum.missed = sum.tries+1, sum.missed+1 }
+	if f.p.zone != r.Member.Zone && w.cut[f.p.zone]+w.cut[r.Member.Zone] > 0 { // no word of it ever comes
+		w.at(f.came+w.Site.Provision.Groups[f.group].Expiry, missed(sum))
+		return
+	}
 	switch r.Mood {
 	case Failing: // proof that it never ran: one more try
 		w.after(5*milli, func() {
-			missed()
+			missed(sum)()
 			if l, told := f.p.levels[w.Site.Names.Groups[f.group]]; f.again || told && l.Tries == control.TryOnce {
 				w.end(f, false)
 				return
@@ -289,14 +308,14 @@
 		})
 		return
 	case Silent:
-		w.at(f.came+w.Site.Provision.Groups[f.group].Expiry, missed)
+		w.at(f.came+w.Site.Provision.Groups[f.group].Expiry, missed(sum))
 		return
 	}
 	answered := false
 	w.at(f.came+w.Site.Provision.Groups[f.group].Expiry, func() {
 		if !answered {
 			answered = true
-			missed()
+			missed(sum)()
 		}
 	})
 	w.enter(r, func() {
@@ -308,6 +327,8 @@
 	})
 }
 
+func missed(s *sum) func() { return func() { s.tries, s.missed = s.tries+1, s.missed+1 } }
+
 func (r *Replica) sum(zone string) *sum {
 	if r.met[zone] == nil {
 		r.met[zone] = &sum{}
@@ -322,7 +343,7 @@
 		return
 	}
 	r.running++
-	mean := r.mean
+	mean := r.mean / w.able(r)
 	if r.Mood == Slow {
 		mean *= 5
 	}
