--- a/lab/emulator/steer.go
+++ b/lab/emulator/steer.go
@@ -17,7 +17,12 @@
 	p := w.Site.Provision
 	p.Seed = uint64(w.chance.Int63())
 	w.up = w.now
-	w.Core = governor.New(func() governor.Module { return brain.New(p) }, governor.NewCensus(w.Site.Names, p))
+	w.Core = governor.New(func() governor.Module {
+		if w.Spoil != nil {
+			return w.Spoil(brain.New(p))
+		}
+		return brain.New(p)
+	}, governor.NewCensus(w.Site.Names, p))
 	if past != nil {
 		w.tell(governor.Recall{Past: past})
 	}
--- a/lab/emulator/world.go
+++ b/lab/emulator/world.go
@@ -118,11 +118,12 @@
 	outcome Outcome
 
 	Breaches []Breach
-	Trace    func(text string, args ...any) // of each step that matters; nil: none
-	watched  map[string]bool                // nil: rules are not checked
-	cut      map[string]int                 // zones that are cut off, so many times
-	free     int64                          // when the channel has nothing more to send
-	up       int64                          // since when the governor is there
+	Spoil    func(governor.Module) governor.Module // nil: the module as it is
+	Trace    func(text string, args ...any)        // of each step that matters; nil: none
+	watched  map[string]bool                       // nil: rules are not checked
+	cut      map[string]int                        // zones that are cut off, so many times
+	free     int64                                 // when the channel has nothing more to send
+	up       int64                                 // since when the governor is there
 }
 
 type event struct {
--- a/lab/seeds/seeds.go
+++ b/lab/seeds/seeds.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lilacbend/internal/governor"
 	"lilacbend/lab/emulator"
 )
 
@@ -27,6 +28,8 @@
 type Profile struct {
 	Site  func() emulator.Site
 	Kinds []string // empty: all
+	// Spoil takes guards out of the module, to show that the checks can fail; nil: it is as it is.
+	Spoil func(governor.Module) governor.Module
 }
 
 // Profiles by name.
@@ -57,6 +60,7 @@
 // Play plays a script; trace, if not nil, gets each step.
 func (p Profile) Play(seed int64, script []emulator.Fault, trace func(text string)) Result {
 	w := emulator.New(p.Site(), seed)
+	w.Spoil = p.Spoil
 	digest := xxhash.New()
 	w.Trace = func(text string, args ...any) {
 		line := fmt.Sprintf(text, args...)
--- /dev/null
+++ b/lab/seeds/seeds_test.go
@@ -0,0 +1,79 @@
+package seeds
+
+import (
+	"reflect"
+	"runtime"
+	"testing"
+
+	"lilacbend/control"
+	"lilacbend/internal/governor"
+	"lilacbend/lab/emulator"
+)
+
+// Fixed seeds hold all rules, and are the same runs whatever else goes on.
+func TestSeedsHoldAndReplay(t *testing.T) {
+	p := Profiles["smoke"]
+	var first []Result
+	p.Run(1, 24, runtime.GOMAXPROCS(0), func(r Result) {
+		if first = append(first, r); len(r.Breaches) > 0 {
+			t.Errorf("seed %d: %v of %v", r.Seed, r.Breaches, r.Script)
+		}
+	})
+	for _, k := range []int{0, 7, 23} {
+		if again := p.Play(first[k].Seed, p.Draw(first[k].Seed), nil); !reflect.DeepEqual(again, first[k]) {
+			t.Errorf("seed %d: %016x, then %016x", again.Seed, first[k].Digest, again.Digest)
+		}
+	}
+}
+
+// spoilt passes a module's orders on, but for some.
+type spoilt struct {
+	governor.Module
+	drops func(o control.Order) bool
+}
+
+func (s spoilt) Turn(now int64, events []control.Event) (kept []control.Order) {
+	for _, o := range s.Module.Turn(now, events) {
+		if !s.drops(o) {
+			kept = append(kept, o)
+		}
+	}
+	return kept
+}
+
+// The checks can fail: a module without one of its guards breaks that rule within a few seeds.
+func TestAModuleWithoutAGuardIsCaught(t *testing.T) {
+	for name, c := range map[string]struct {
+		rule  int
+		drops func(o control.Order) bool
+	}{
+		"no withdrawals": {3, func(o control.Order) bool { w, is := o.(control.Withdraw); return is && w.Out }},
+		"no binds":       {1, func(o control.Order) bool { _, is := o.(control.Bind); return is }},
+	} {
+		caught := 0
+		for seed := int64(1); seed <= 20 && caught == 0; seed++ {
+			p := Profiles["smoke"]
+			p.Spoil = func(m governor.Module) governor.Module { return spoilt{m, c.drops} }
+			for _, b := range p.Play(seed, []emulator.Fault{{At: 10 * second, Kind: "drain", Who: int(seed) % 8, Span: 6 * second}}, nil).Breaches {
+				if b.Rule == c.rule {
+					caught++
+				}
+			}
+		}
+		if caught == 0 {
+			t.Errorf("%s: no seed breaks rule %d", name, c.rule)
+		}
+	}
+}
+
+func TestShrinkingKeepsTheRuleBroken(t *testing.T) {
+	p := Profiles["smoke"]
+	p.Spoil = func(m governor.Module) governor.Module {
+		return spoilt{m, func(o control.Order) bool { w, is := o.(control.Withdraw); return is && w.Out }}
+	}
+	script := []emulator.Fault{{At: 9 * second, Kind: "slow", Who: 1, Span: second}, {At: 10 * second, Kind: "drain", Who: 2, Span: 8 * second}, {At: 12 * second, Kind: "stall", Who: 3, Span: second}}
+	r := p.Shrink(p.Play(3, script, nil))
+	if len(r.Script) != 1 || r.Script[0].Kind != "drain" || r.Script[0].Span >= 8*second || len(r.Breaches) == 0 {
+		t.Errorf("%v: %v", r.Script, r.Breaches)
+	}
+}
