--- a/lab/seeds/seeds_test.go
+++ b/lab/seeds/seeds_test.go
@@ -41,13 +41,24 @@
 	return kept
 }
 
+// withdrawals are both ways in which a replica goes: at once, and as the last step of an update.
+func withdrawals(o control.Order) bool {
+	switch o := o.(type) {
+	case control.Withdraw:
+		return o.Out
+	case control.SetLine:
+		return o.Weight == 0
+	}
+	return false
+}
+
 // The checks can fail: a module without one of its guards breaks that rule within a few seeds.
 func TestAModuleWithoutAGuardIsCaught(t *testing.T) {
 	for name, c := range map[string]struct {
 		rule  int
 		drops func(o control.Order) bool
 	}{
-		"no withdrawals": {3, func(o control.Order) bool { w, is := o.(control.Withdraw); return is && w.Out }},
+		"no withdrawals": {3, withdrawals},
 		"no binds":       {1, func(o control.Order) bool { _, is := o.(control.Bind); return is }},
 	} {
 		caught := 0
@@ -69,7 +80,7 @@
 func TestShrinkingKeepsTheRuleBroken(t *testing.T) {
 	p := Profiles["smoke"]
 	p.Spoil = func(m governor.Module) governor.Module {
-		return spoilt{m, func(o control.Order) bool { w, is := o.(control.Withdraw); return is && w.Out }}
+		return spoilt{m, withdrawals}
 	}
 	script := []emulator.Fault{{At: 9 * second, Kind: "slow", Who: 1, Span: second}, {At: 10 * second, Kind: "drain", Who: 2, Span: 8 * second}, {At: 12 * second, Kind: "stall", Who: 3, Span: second}}
 	r := p.Shrink(p.Play(3, script, nil))
