--- a/cmd/lilacbend/state_test.go
+++ b/cmd/lilacbend/state_test.go
@@ -26,11 +26,13 @@
 }
 
 // start serves until stop is called, which waits for the end.
-func start(t *testing.T, c charter) (out *lines, stop func()) {
+func start(t *testing.T, c charter) (out *lines, stop func()) { return startWith(t, c, reload{}) }
+
+func startWith(t *testing.T, c charter, again reload) (out *lines, stop func()) {
 	out = &lines{}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error)
-	go func() { ended <- serve(ctx, c, reload{}, slog.New(slog.NewTextHandler(out, nil))) }()
+	go func() { ended <- serve(ctx, c, again, slog.New(slog.NewTextHandler(out, nil))) }()
 	for range 500 {
 		if conn, err := net.Dial("tcp", c.listen); err == nil {
 			conn.Close()
@@ -140,12 +142,16 @@
 		c := stateful(t, t.TempDir())
 		os.Chmod(c.rules.State.Folder, 0o700)
 		c.rules.State.Every = time.Millisecond
-		_, stop := start(t, c)
+		hangups := make(chan os.Signal)
+		out, stop := startWith(t, c, reload{hangups, told{file: "../../example/config.json"}})
 		for range 20 {
 			syscall.Kill(os.Getpid(), syscall.SIGUSR1)
+			hangups <- syscall.SIGHUP
 			time.Sleep(25 * time.Millisecond)
 		}
-		stop()
+		if stop(); !out.has("read again") || !out.has("msg=counters") {
+			t.Errorf("%s", out)
+		}
 		whole, refused, err := vault.Survey(vault.Folder(c.rules.State.Folder))
 		if len(whole) != 2 || len(refused) != 0 || err != nil {
 			t.Errorf("%d whole, refused %v, %v", len(whole), refused, err)
--- a/internal/front/h2.go
+++ b/internal/front/h2.go
@@ -66,6 +66,7 @@
 	taken     int64 // received, not told to the client as room yet
 	changed   chan struct{}
 	leaving   bool // no new stream is taken
+	parted    bool // and the client has been told which was the last
 	closing   bool // the last answer has gone out
 	ended     bool
 	chatter   float64
@@ -162,9 +163,13 @@
 	time.Sleep(partPause)
 	c.mu.Lock()
 	c.leaving = true
-	last, idle := c.last, c.active == 0
+	last := c.last
 	c.mu.Unlock()
 	c.write(func() error { return c.framer.WriteGoAway(last, http2.ErrCodeNo, nil) })
+	c.mu.Lock()
+	c.parted = true
+	idle := c.active == 0
+	c.mu.Unlock()
 	if idle {
 		c.hangUp()
 	}
@@ -567,8 +572,6 @@
 	open, reset := !s.ended, s.reset
 	over := s.over
 	c.leave(s)
-	c.active--
-	last := c.leaving && c.active == 0
 	c.mu.Unlock()
 	switch {
 	case reset:
@@ -578,6 +581,10 @@
 		c.write(func() error { return c.framer.WriteRSTStream(s.id, http2.ErrCodeNo) })
 	}
 	c.tell(nil, 0)
+	c.mu.Lock()
+	c.active-- // after its last word: the connection hangs up once nobody has one to say
+	last := c.parted && c.active == 0
+	c.mu.Unlock()
 	if last {
 		c.hangUp()
 	}
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"log/slog"
 	"math/rand"
@@ -373,13 +374,20 @@
 	for kill := range kills {
 		writer := exec.Command(os.Args[0])
 		writer.Env = append(os.Environ(), "VAULT_TEST_WRITES="+string(dir))
-		said := &strings.Builder{}
-		writer.Stdout = said
+		pipe, err := writer.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
 		if err := writer.Start(); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(10*time.Millisecond + time.Duration(chance.Int63n(int64(20*time.Millisecond))))
+		said := &strings.Builder{}
+		first := make([]byte, 1)
+		io.ReadFull(pipe, first) // it writes
+		said.Write(first)
+		time.Sleep(time.Duration(chance.Int63n(int64(15 * time.Millisecond))))
 		writer.Process.Kill()
+		io.Copy(said, pipe)
 		writer.Wait()
 		g, found, refused, err := Latest(dir)
 		if err != nil || len(refused) > 0 || !found && (last > 0 || said.Len() > 0) {
