--- a/cmd/lab/seeds.go
+++ b/cmd/lab/seeds.go
@@ -29,12 +29,16 @@
 		return p, nil
 	}
 	which := &cli.StringFlag{Name: "profile", Value: "rules", Destination: &name}
-	seedOf := func(cmd *cli.Command) (int64, error) {
+	one := func(cmd *cli.Command) (seeds.Profile, int64, error) {
+		p, err := profile()
+		if err != nil {
+			return p, 0, err
+		}
 		seed, err := strconv.ParseInt(cmd.Args().First(), 10, 64)
 		if err != nil {
-			return 0, fmt.Errorf("name a seed, a whole number: %w", err)
+			return p, 0, fmt.Errorf("name a seed, a whole number: %w", err)
 		}
-		return seed, nil
+		return p, seed, nil
 	}
 	show := func(r seeds.Result) {
 		for _, f := range r.Script {
@@ -74,11 +78,7 @@
 			}},
 		{Name: "replay", Usage: "play one seed again: replay SEED", ArgsUsage: "SEED", Flags: []cli.Flag{which, &cli.StringFlag{Name: "trace", Usage: "a file for each step"}},
 			Action: func(_ context.Context, cmd *cli.Command) error {
-				p, err := profile()
-				if err != nil {
-					return err
-				}
-				seed, err := seedOf(cmd)
+				p, seed, err := one(cmd)
 				if err != nil {
 					return err
 				}
@@ -101,11 +101,7 @@
 			}},
 		{Name: "shrink", Usage: "find the smallest script of a seed that still breaks the same rule: shrink SEED", ArgsUsage: "SEED", Flags: []cli.Flag{which},
 			Action: func(_ context.Context, cmd *cli.Command) error {
-				p, err := profile()
-				if err != nil {
-					return err
-				}
-				seed, err := seedOf(cmd)
+				p, seed, err := one(cmd)
 				if err != nil {
 					return err
 				}
--- a/internal/form/form.go
+++ b/internal/form/form.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"math"
 	"os"
 	"slices"
 	"strconv"
@@ -300,55 +299,36 @@
 	return n
 }
 
-// Duration reads a time with its unit, as 250ms or 1m30s, from least to most.
-func (s *Section) Duration(key string, v *time.Duration, least, most time.Duration) {
-	n := s.scalar(key, "a time such as 5s")
+// bounded reads a value from least to most; want and hint say what would do.
+func bounded[T cmp.Ordered](s *Section, key string, v *T, least, most T, want, hint string, parse func(string) (T, error)) {
+	n := s.scalar(key, want)
 	if n == nil {
 		return
 	}
-	d, err := time.ParseDuration(n.Value)
+	t, err := parse(n.Value)
 	switch {
-	case err != nil:
-		s.form.note(n, under(s.path, key), "is %.40q, want a time with its unit, such as 250ms, 5s or 1m30s", n.Value)
-	case d < least || d > most:
-		s.form.note(n, under(s.path, key), "is %v, want %v to %v", d, least, most)
+	case err != nil || t != t: // or no number
+		s.form.note(n, under(s.path, key), "is %.40q, want %s", n.Value, hint)
+	case t < least || t > most:
+		s.form.note(n, under(s.path, key), "is %v, want %v to %v", t, least, most)
 	default:
-		*v = d
+		*v = t
 	}
 }
 
+// Duration reads a time with its unit, as 250ms or 1m30s, from least to most.
+func (s *Section) Duration(key string, v *time.Duration, least, most time.Duration) {
+	bounded(s, key, v, least, most, "a time such as 5s", "a time with its unit, such as 250ms, 5s or 1m30s", time.ParseDuration)
+}
+
 // Whole reads a whole number from least to most.
 func (s *Section) Whole(key string, v *int, least, most int) {
-	n := s.scalar(key, "a whole number")
-	if n == nil {
-		return
-	}
-	w, err := strconv.Atoi(n.Value)
-	switch {
-	case err != nil:
-		s.form.note(n, under(s.path, key), "is %.40q, want a whole number", n.Value)
-	case w < least || w > most:
-		s.form.note(n, under(s.path, key), "is %d, want %d to %d", w, least, most)
-	default:
-		*v = w
-	}
+	bounded(s, key, v, least, most, "a whole number", "a whole number", strconv.Atoi)
 }
 
 // Number reads a number from least to most.
 func (s *Section) Number(key string, v *float64, least, most float64) {
-	n := s.scalar(key, "a number")
-	if n == nil {
-		return
-	}
-	f, err := strconv.ParseFloat(n.Value, 64)
-	switch {
-	case err != nil || math.IsNaN(f):
-		s.form.note(n, under(s.path, key), "is %.40q, want a number", n.Value)
-	case f < least || f > most:
-		s.form.note(n, under(s.path, key), "is %v, want %v to %v", f, least, most)
-	default:
-		*v = f
-	}
+	bounded(s, key, v, least, most, "a number", "a number", func(text string) (float64, error) { return strconv.ParseFloat(text, 64) })
 }
 
 // Words reads a list of plain words.
--- a/internal/front/h2.go
+++ b/internal/front/h2.go
@@ -471,7 +471,7 @@
 		c.fault(f.StreamID, http2.ErrCodeFlowControl)
 		return nil
 	case s.length >= 0 && (s.got > s.length || f.StreamEnded() && s.got < s.length):
-		s.fault = errLength
+		s.fault, s.reset = errLength, true // at once: its handler has no other last word
 		c.mu.Unlock()
 		c.fault(f.StreamID, http2.ErrCodeProtocol)
 		return nil
