--- a/brain/keep.go
+++ b/brain/keep.go
@@ -1,6 +1,7 @@
 package brain
 
 import (
+	"cmp"
 	"slices"
 
 	"lilacbend/control"
@@ -56,10 +57,7 @@
 		all = append(all, control.Usage{Proxy: of.proxy, Group: of.group, Rate: float64(n) / span})
 	}
 	slices.SortFunc(all, func(a, b control.Usage) int {
-		if a.Proxy != b.Proxy {
-			return a.Proxy - b.Proxy
-		}
-		return a.Group - b.Group
+		return cmp.Or(cmp.Compare(a.Proxy, b.Proxy), cmp.Compare(a.Group, b.Group))
 	})
 	return all
 }
--- a/internal/forward/desk.go
+++ b/internal/forward/desk.go
@@ -130,9 +130,6 @@
 	return slices.IndexFunc(d.plan.Groups, func(g Group) bool { return g.Name == name })
 }
 
-// Groups are the traffic groups, by number.
-func (d *Desk) Groups() []Group { return d.plan.Groups }
-
 // List takes over what discovery says, whole or as changes; who is gone is forgotten.
 func (d *Desk) List(whole bool, members map[string]Listed) {
 	if whole {
--- a/internal/forward/flow.go
+++ b/internal/forward/flow.go
@@ -55,9 +55,6 @@
 	return slices.ContainsFunc(f.tries, func(t try) bool { return t.replica == id })
 }
 
-// Group is the number of the traffic group of the flow.
-func (f *Flow) Group() int { return f.group }
-
 // Begin takes a flow in. Replay says whether its bytes can be sent once more: a body that is passed on as it comes
 // cannot.
 func (d *Desk) Begin(now int64, group int, replay bool) (*Flow, Step) {
--- a/internal/front/h1.go
+++ b/internal/front/h1.go
@@ -145,7 +145,7 @@
 		return false
 	}
 	if q.Body != nil { // what was not read of it is in front of the next one
-		if q.Expects && !out.asked(q) {
+		if q.Expects && !out.continued {
 			return false
 		}
 		n, err := io.CopyN(io.Discard, req.Body, drainMost)
@@ -273,8 +273,6 @@
 	chunks    io.WriteCloser
 }
 
-func (a *h1Answer) asked(q *relay.Request) bool { return a.continued || !q.Expects }
-
 func (a *h1Answer) Inform(status int, h http.Header) {
 	if a.old || a.begun {
 		return
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -149,9 +149,6 @@
 	Groups   bool
 }
 
-// Any says whether anything was dropped.
-func (d Dropped) Any() bool { return d != Dropped{} }
-
 // Fit keeps of a memory what fits the place and is not too old, and says what it has dropped. Levels are by the
 // order of the traffic groups: where these have changed they are dropped as a whole.
 func Fit(m Memory, p Place, age, halfLife int64) (Memory, Dropped) {
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -12,10 +12,10 @@
 
 // Fault is one thing that goes wrong at a time, for a span.
 type Fault struct {
-	At   int64  `yaml:"at"`
-	Kind string `yaml:"kind"`
-	Who  int    `yaml:"who"` // a replica, a proxy or a zone, by its number
-	Span int64  `yaml:"span"`
+	At   int64
+	Kind string
+	Who  int // a replica, a proxy or a zone, by its number
+	Span int64
 }
 
 func (f Fault) String() string {
