--- a/brain/brain.go
+++ b/brain/brain.go
@@ -711,7 +711,7 @@
 
 // queue is what may still wait in the channel: all that no answer has cleared, so a slow one holds us back.
 func (p *pacer) queue() (sum float64) {
-	p.under = slices.DeleteFunc(p.under, func(b batch) bool { return p.now-b.at > lostSpan })
+	p.under = slices.DeleteFunc(p.under, func(b batch) bool { return p.now > b.due+lostSpan })
 	for _, b := range p.under {
 		sum += b.lines
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -324,6 +324,32 @@
 	want(t, "closed", mail[caught](g, theSequence)[0], caught{70000, true})
 }
 
+// A crowd that leaves at once empties no channel: its lines, and all before them, are charged until somebody answers
+// what was written later, or their time and more is over.
+func TestLeavingClearsNothingFromTheChannel(t *testing.T) {
+	g := at(0)
+	g.ChannelLimit, g.ChannelRate = 49200, 1200
+	r, p := g.boxes[theRoll].part.(*roll), pacing(g, 1)
+	p.under = []batch{{1, 20000, 0, 17 * second}, {2, 20000, 0, 34 * second}}
+	for mark := uint64(1); mark <= 2; mark++ {
+		r.take(marked{mark: mark, proxies: []int{int(mark)}})
+	}
+	clear := func() float64 {
+		for _, c := range mail[caught](g, thePacer) {
+			p.take(c)
+		}
+		return p.queue()
+	}
+	r.take(control.Left{Proxy: 1})
+	r.take(control.Joined{Proxy: 2})
+	want(t, "after a leaving and a new stream", clear(), 40000.0)
+	p.now = 34*second + lostSpan
+	want(t, "the second waits behind the first", p.queue(), 20000.0)
+	r.take(marked{mark: 3, proxies: []int{2}})
+	r.take(control.Answered{Proxy: 2, Mark: 3})
+	want(t, "once a later mark is answered", clear(), 0.0)
+}
+
 func TestAFewThatFailAreNoOverload(t *testing.T) {
 	g := at(10 * second)
 	for id := uint32(1); id <= 4; id++ {
@@ -431,7 +457,7 @@
 	p.send()
 	m := mail[marked](g, theRoll)[0]
 	want(t, "only the proxy that holds it", len(m.proxies) == 1 && m.proxies[0] == 1, true)
-	p.now = lostSpan + 1
+	p.now = p.under[0].due + lostSpan + 1
 	want(t, "what nobody answers is forgotten", p.queue(), 0.0)
 }
 
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 
 	"lilacbend/control"
@@ -174,13 +175,17 @@
 }
 
 // strike: no mark up to this one waits for the proxy any more. An answer speaks for the proxy's earlier
-// marks, and nothing waits for a proxy that has left.
+// marks, and nothing waits for a proxy that has left. Its leaving tells nothing of the channel, though: what was
+// written to it, and to all others before, may wait there still, and taken for sent lets a crowd that leaves at
+// once fill the channel twice.
 func (r *roll) strike(proxy int, upto uint64) {
 	for _, mark := range sorted(r.wait) {
 		if w := r.wait[mark]; mark <= upto && w[proxy] {
 			if delete(w, proxy); len(w) == 0 {
 				delete(r.wait, mark)
-				r.post(thePacer, caught{mark, true})
+				if upto != math.MaxUint64 {
+					r.post(thePacer, caught{mark, true})
+				}
 				r.post(theSequence, caught{mark, true})
 			}
 		}
