--- /dev/null
+++ b/internal/channel/account.go
@@ -0,0 +1,158 @@
+// Package channel is the account of a governor's channel. Every message is charged to it, and to the proxy that it is for,
+// before it leaves, and only what shows that it has left the channel takes the charge back: so its bounds hold whatever
+// the channel, the proxies or the governor's own pace do. It has no I/O, no clock and no goroutine, and it decides nothing
+// but whether a message fits. Times are nanoseconds of any one clock.
+package channel
+
+import "slices"
+
+const (
+	// Messages that keep proxies away from replicas may fill the channel; all others leave this part of it to them, as
+	// withdrawals for all proxies of a governor take about so much.
+	keptPart = 16
+	// What nobody answers, as its proxy and all others have left, is taken for sent when the channel at this part of its
+	// pace would have sent all that waited with it, and some time more: longer than a stalled channel stands still.
+	slowest, lostSpan = 4, int64(30 * 1e9)
+)
+
+// Bounds are what the platform says of the channel.
+type Bounds struct {
+	Lines    int     // that may wait in it, heads included; 0: any number
+	Rate     float64 // lines a second, when all is well
+	Head     int     // lines that a message costs beside its own
+	Messages int     // that one proxy may get within Span; 0: any number
+	Span     int64
+	Transit  int64 // the longest from the channel to a proxy
+}
+
+// Account holds the charges of one governor, over all modules and streams that it has had.
+type Account struct {
+	Bounds
+	waits   int
+	open    []charge // in the order written, from the number first on
+	first   uint64
+	proxies map[int]*page
+}
+
+// charge is one message that may still wait.
+type charge struct {
+	proxy   int
+	lines   int // 0: known to have left
+	at, due int64
+}
+
+// page is what is charged to one proxy.
+type page struct {
+	open  []uint64 // messages that it may still get, in the order written
+	got   []int64  // when it answered others, of the last span: it may have got them just then
+	wrote []int64  // when messages were written to it, of the last span
+}
+
+// New makes an account of an empty channel.
+func New(b Bounds) *Account { return &Account{Bounds: b, proxies: map[int]*page{}} }
+
+// Waits is how many lines may still wait in the channel.
+func (a *Account) Waits() int { return a.waits }
+
+// Fits says whether a message of so many lines to a proxy keeps the bounds. One that keeps it away from a replica is
+// urgent.
+func (a *Account) Fits(proxy, lines int, urgent bool, now int64) bool {
+	a.expire(now)
+	most := a.Lines
+	if !urgent {
+		most -= most / keptPart
+	}
+	if a.Lines > 0 && a.waits+lines+a.Head > most {
+		return false
+	}
+	p := a.proxies[proxy]
+	if p == nil || a.Messages == 0 {
+		return true
+	}
+	past := func(at int64) bool { return now-at > a.Span }
+	p.wrote, p.got = slices.DeleteFunc(p.wrote, past), slices.DeleteFunc(p.got, past)
+	return max(len(p.wrote), len(p.open)+len(p.got)) < a.Messages
+}
+
+// Charge enters a message that is about to be written, and says its number.
+func (a *Account) Charge(proxy, lines int, now int64) (number uint64) {
+	lines += a.Head
+	a.waits += lines
+	p := a.proxies[proxy]
+	if p == nil {
+		p = &page{}
+		a.proxies[proxy] = p
+	}
+	number = a.first + uint64(len(a.open))
+	due := now + a.Transit
+	if a.Rate > 0 {
+		due += int64(float64(slowest*a.waits) / a.Rate * 1e9)
+	}
+	a.open = append(a.open, charge{proxy, lines, now, due})
+	p.open, p.wrote = append(p.open, number), append(p.wrote, now)
+	return number
+}
+
+// Answered takes back what an answer of a proxy to a message shows to have left: all that was written to it up to then,
+// and, as messages leave in the order in which they come, what was written to anybody so long before that it must have
+// come first.
+func (a *Account) Answered(proxy int, number uint64, now int64) {
+	if p := a.proxies[proxy]; p != nil {
+		for len(p.open) > 0 && p.open[0] <= number {
+			a.clear(p.open[0])
+			p.open, p.got = p.open[1:], append(p.got, now)
+		}
+	}
+	if number < a.first {
+		return
+	}
+	for before := a.open[number-a.first].at - a.Transit; len(a.open) > 0 && (a.open[0].lines == 0 || a.open[0].at < before); {
+		a.shift(now)
+	}
+}
+
+// Left turns what a proxy that has left may still get into what it may have got just now: messages to it do not outlive
+// its stream. Whether they still wait in the channel is not known, so it stays charged.
+func (a *Account) Left(proxy int, now int64) {
+	if p := a.proxies[proxy]; p != nil {
+		for range p.open {
+			p.got = append(p.got, now)
+		}
+		p.open = nil
+	}
+}
+
+// Sweep forgets proxies of which nothing is charged any more.
+func (a *Account) Sweep(now int64) {
+	a.expire(now)
+	for proxy, p := range a.proxies {
+		past := func(at int64) bool { return now-at > a.Span }
+		p.wrote, p.got = slices.DeleteFunc(p.wrote, past), slices.DeleteFunc(p.got, past)
+		if len(p.open)+len(p.wrote)+len(p.got) == 0 {
+			delete(a.proxies, proxy)
+		}
+	}
+}
+
+func (a *Account) clear(number uint64) {
+	if number >= a.first {
+		c := &a.open[number-a.first]
+		a.waits, c.lines = a.waits-c.lines, 0
+	}
+}
+
+// shift takes the oldest message out. If its proxy has not answered it, it may get it as late as its way takes.
+func (a *Account) shift(now int64) {
+	if p := a.proxies[a.open[0].proxy]; p != nil && len(p.open) > 0 && p.open[0] == a.first {
+		p.open, p.got = p.open[1:], append(p.got, now+a.Transit)
+	}
+	a.clear(a.first)
+	a.open = a.open[1:]
+	a.first++
+}
+
+func (a *Account) expire(now int64) {
+	for len(a.open) > 0 && (a.open[0].lines == 0 || now > a.open[0].due+lostSpan) {
+		a.shift(now)
+	}
+}
--- /dev/null
+++ b/internal/channel/account_test.go
@@ -0,0 +1,127 @@
+package channel
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const second = int64(1e9)
+
+func account() *Account {
+	return New(Bounds{Lines: 160, Rate: 100, Head: 4, Messages: 3, Span: 10 * second, Transit: second / 4})
+}
+
+func TestAChannelIsFullUntilAnswersShowThatItIsNot(t *testing.T) {
+	a := account()
+	first := a.Charge(1, 96, 0)
+	if a.Fits(2, 47, false, 0) || !a.Fits(2, 46, false, 0) || !a.Fits(2, 56, true, 0) || a.Fits(2, 57, true, 0) {
+		t.Error("with 100 of 160 lines taken, 46 more fit and 56 that are urgent, heads not counted")
+	}
+	other := a.Charge(2, 16, second/10)
+	a.Left(1, second/5) // tells nothing of the channel
+	if a.Waits() != 120 {
+		t.Errorf("%d wait after a leaving", a.Waits())
+	}
+	a.Answered(2, other, second)
+	if a.Waits() != 100 {
+		t.Errorf("%d wait: the other was written in about the same moment", a.Waits())
+	}
+	third := a.Charge(2, 6, 2*second)
+	if a.Answered(2, third, 3*second); a.Waits() != 0 {
+		t.Errorf("%d wait though what came much later was answered", a.Waits())
+	}
+	a.Answered(1, first, 4*second) // late, of what is taken back already
+	if a.Waits() != 0 || len(a.open) != 0 {
+		t.Errorf("%d wait, %d open", a.Waits(), len(a.open))
+	}
+}
+
+// A proxy may get what it has not answered yet in any moment, and may have got the rest just before it answered.
+func TestTheCapOfAProxyCountsWhatItMayGet(t *testing.T) {
+	a := account()
+	n := a.Charge(1, 1, 0)
+	a.Charge(1, 1, 0)
+	a.Charge(1, 1, second)
+	if a.Fits(1, 1, true, 9*second) || a.Fits(1, 1, true, 10*second+1) {
+		t.Error("a fourth fits though all three may come now")
+	}
+	a.Answered(1, n, 9*second)
+	if a.Fits(1, 1, true, 19*second) || !a.Fits(1, 1, true, 19*second+1) || !a.Fits(2, 1, false, 9*second) {
+		t.Error("the first was answered at 9 s")
+	}
+	a.Left(1, 20*second)
+	if a.Fits(1, 1, true, 20*second) && a.Fits(1, 1, true, 30*second) != true {
+		t.Error("a stream that ends frees nothing at once")
+	}
+	if a.Sweep(31 * second); len(a.proxies) != 0 {
+		t.Errorf("%d proxies kept", len(a.proxies))
+	}
+}
+
+// With nobody left to answer, charges go when a channel at a quarter of its pace would have sent them, and 30 s more.
+func TestWhatNobodyCanAnswerIsForgottenLate(t *testing.T) {
+	a := account()
+	a.Charge(1, 96, 0)
+	a.Left(1, 0)
+	if at := 4*second + second/4 + lostSpan; a.Fits(2, 60, true, at) || !a.Fits(2, 60, true, at+1) {
+		t.Error("100 lines at 25 a second, on the way for 0.25 s, and 30 s")
+	}
+}
+
+// However slow the channel is and whatever answers are lost, the lines in it stay under the limit, and no proxy gets
+// more messages in a span than it may: written or received.
+func TestBoundsHoldForAnyChannel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type message struct {
+			proxy  int
+			number uint64
+			lines  int
+		}
+		b := Bounds{Lines: rapid.IntRange(40, 400).Draw(t, "limit"), Rate: 100, Head: 4, Messages: rapid.IntRange(1, 5).Draw(t, "cap"),
+			Span: 10 * second, Transit: second / 4}
+		a := New(b)
+		var queue []message
+		now, lines := int64(0), 0
+		written, received := map[int][]int64{}, map[int][]int64{}
+		within := func(times []int64) (n int) {
+			for _, at := range times {
+				if now-at < b.Span {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += rapid.Int64Range(0, second).Draw(t, "pause")
+			proxy := rapid.IntRange(0, 3).Draw(t, "proxy")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1, 2:
+				n := rapid.IntRange(1, 60).Draw(t, "lines")
+				if a.Fits(proxy, n, rapid.Bool().Draw(t, "urgent"), now) {
+					queue = append(queue, message{proxy, a.Charge(proxy, n, now), n + b.Head})
+					lines += n + b.Head
+					if written[proxy] = append(written[proxy], now); within(written[proxy]) > b.Messages {
+						t.Fatalf("%d messages written to %d", within(written[proxy]), proxy)
+					}
+				}
+			case 3: // some leave, and the answer of the last of each may be lost
+				for n := rapid.IntRange(0, len(queue)).Draw(t, "sent"); n > 0; n-- {
+					m := queue[0]
+					queue, lines = queue[1:], lines-m.lines
+					if received[m.proxy] = append(received[m.proxy], now); within(received[m.proxy]) > b.Messages {
+						t.Fatalf("%d messages received by %d", within(received[m.proxy]), m.proxy)
+					}
+					if rapid.Bool().Draw(t, "answered") {
+						a.Answered(m.proxy, m.number, now)
+					}
+				}
+			case 4:
+				a.Sweep(now)
+			}
+			if lines > b.Lines || a.Waits() < lines {
+				t.Fatalf("%d lines wait, %d by the account, %d may", lines, a.Waits(), b.Lines)
+			}
+		}
+	})
+}
--- a/internal/governor/core.go
+++ b/internal/governor/core.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"lilacbend/control"
+	"lilacbend/internal/channel"
 	"lilacbend/internal/memory"
 )
 
@@ -36,6 +37,7 @@
 	start func() Module
 	Census
 	module  Module
+	account *channel.Account // outlives modules and streams
 	roster  roster
 	seats   map[int]*stream // by proxy
 	streams map[Stream]*stream
@@ -77,14 +79,25 @@
 	anew   bool // as messages were lost
 	told   map[uint32]bool
 	level  map[int]Level
-	marks  []uint64 // sent, not answered
-	owes   int64    // since when it has been silent though it owes an answer; 0: it does not
-	away   bool     // told to the module as having left, as it is silent
+	marks  []sent // sent, not answered
+	held   *held  // what did not fit into the channel yet; nil: nothing
+	owes   int64  // since when it has been silent though it owes an answer; 0: it does not
+	away   bool   // told to the module as having left, as it is silent
+}
+
+// sent is a message with a mark, and its number in the channel's account.
+type sent struct{ mark, number uint64 }
+
+// held is what news meant to a stream that was not told of them, as the channel or the proxy's message cap had no room.
+type held struct {
+	lines, turned map[uint32]bool
+	marked        bool
+	mark          uint64
 }
 
 // New makes a core whose modules are started by start.
 func New(start func() Module, census Census) *Core {
-	c := &Core{start: start, Census: census, roster: newRoster(),
+	c := &Core{start: start, Census: census, account: channel.New(census.bounds), roster: newRoster(),
 		seats: map[int]*stream{}, streams: map[Stream]*stream{}, seated: map[int]map[int]*stream{}, due: map[int]*stream{}, every: keepEvery, halfLife: halfLifeUsual}
 	c.renew()
 	return c
@@ -106,6 +119,9 @@
 // sit puts a stream on a table.
 func (c *Core) sit(s *stream, table int) {
 	c.rise(s)
+	if s.held != nil { // a table's changes are not for another table
+		s.held.lines = nil
+	}
 	if s.table = table; c.seated[table] == nil {
 		c.seated[table] = map[int]*stream{}
 	}
@@ -247,13 +263,14 @@
 	switch n := note.(type) {
 	case Joined:
 		c.Count.Joins++
-		return c.seat(n, o)
+		return c.seat(n, now, o)
 	case Left:
 		c.Count.Leaves++
 		if s := c.streams[n.Stream]; s != nil {
 			delete(c.streams, n.Stream)
 			delete(c.seats, s.joined.Proxy)
 			c.rise(s)
+			c.account.Left(s.joined.Proxy, now)
 			if !s.away {
 				return []control.Event{control.Left{Proxy: s.joined.Proxy}}
 			}
@@ -266,7 +283,10 @@
 			return nil
 		}
 		back := c.heard(s)
-		k := slices.Index(s.marks, n.Mark)
+		k := slices.IndexFunc(s.marks, func(m sent) bool { return m.mark == n.Mark })
+		if k >= 0 {
+			c.account.Answered(s.joined.Proxy, s.marks[k].number, now)
+		}
 		if k < 0 || back != nil || n.Took > spanMost { // what was waited for before it left is waited for no more
 			c.Count.Stale++
 			return back
@@ -321,7 +341,7 @@
 }
 
 // seat takes a proxy in. A stream that was taken in later replaces an earlier one, whichever spoke first.
-func (c *Core) seat(h Joined, o *Outcome) []control.Event {
+func (c *Core) seat(h Joined, now int64, o *Outcome) []control.Event {
 	old := c.seats[h.Proxy]
 	switch {
 	case c.Proxy(h) != nil:
@@ -340,6 +360,7 @@
 		o.End = append(o.End, old.id)
 		delete(c.streams, old.id)
 		c.rise(old)
+		c.account.Left(h.Proxy, now)
 	}
 	s := &stream{id: h.Stream, blank: h.Blank, table: -1, told: map[uint32]bool{}, level: map[int]Level{},
 		joined: control.Joined{Proxy: h.Proxy, Zone: index(c.names.Zones, h.Zone), Rate: h.Rate}}
--- a/internal/governor/core_test.go
+++ b/internal/governor/core_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"lilacbend/control"
+	"lilacbend/internal/channel"
 	"lilacbend/provision"
 )
 
@@ -432,3 +433,77 @@
 		}
 	})
 }
+
+// tight is a core with a channel of so many lines, and a cap of so many messages a proxy in 10 s; a replica x in table 0.
+func tight(lines, messages int, turns ...[]control.Order) (*Core, *script) {
+	c, s := core(turns...)
+	c.account = channel.New(channel.Bounds{Lines: lines, Rate: 100, Head: 4, Messages: messages, Span: 10e9, Transit: 1e8})
+	return c, s
+}
+
+// What the core adds to the module's orders can fill a channel that the module takes for half empty. It waits, and goes as
+// it is by then, once answers make room.
+func TestWhatTheChannelHasNoRoomForWaitsAndGoes(t *testing.T) {
+	c, s := tight(28, 0, orders{line(0, 1, 1), line(0, 2, 1), control.Bind{Proxy: 4}, control.Bind{Proxy: 5}, control.Mark{Number: 1}})
+	joined := []any{list(true, "xr", "yr"), Joined{Stream: 1, Proxy: 4, Zone: "a", Blank: true}, Joined{Stream: 2, Proxy: 5, Zone: "b", Blank: true}}
+	steps := []struct {
+		notes  []any
+		orders orders
+		want   string
+	}{
+		{joined, s.turns[0], "1: full x=1 y=1 #1; 2: full x=1 y=1 #1"}, // 16 lines of 28
+		{nil, orders{line(0, 1, 2), control.Mark{Number: 2}}, "1: x=2 #2"},
+		{nil, orders{line(0, 1, 3), line(0, 2, 0.5), control.Mark{Number: 3}}, ""},
+		{nil, orders{control.Withdraw{Replica: 2, Out: true}, control.Mark{Number: 4}}, ""},
+		{[]any{Answered{Stream: 1, Mark: 1}}, nil, "1: x=3 y=0.5 -y #4"},
+		{[]any{Answered{Stream: 2, Mark: 1}}, nil, "2: x=3 y=0.5 -y #4"},
+		{[]any{Answered{Stream: 1, Mark: 4}, Answered{Stream: 2, Mark: 4}}, nil, ""},
+	}
+	for k, step := range steps {
+		s.turns = []orders{step.orders}
+		if got := text(c.Turn(int64(k)*1e7, step.notes)); got != step.want {
+			t.Errorf("turn %d: got  %s\nwant %s", k, got, step.want)
+		}
+	}
+	if c.account.Waits() != 0 || c.Count.Held == 0 {
+		t.Errorf("%d lines wait, %d were held", c.account.Waits(), c.Count.Held)
+	}
+}
+
+// A stream that says again and again that its outbox was emptied, a module that fails, a proxy that joins anew: none of it
+// gets a proxy more messages than it may, and what was held is not lost with them.
+func TestNothingGoesAroundTheCapOfAProxy(t *testing.T) {
+	c, s := tight(0, 3)
+	notes, sent := []any{list(true, "xr")}, 0
+	for k := range 40 {
+		notes = append(notes, Joined{Stream: Stream(k/10 + 1), Proxy: 4, Zone: "a"}, Room{Stream(k/10 + 1)})
+		s.turns = []orders{{line(0, 1, float64(k+1)), control.Bind{Proxy: 4}, control.Mark{Number: uint64(k)}}}
+		if k%7 == 3 {
+			s.turns = []orders{panics}
+		}
+		sent, notes = sent+len(c.Turn(int64(k)*1e7, notes).Pushes), nil
+	}
+	if sent != 3 {
+		t.Errorf("%d messages in 10 s", sent)
+	}
+	s.turns = nil
+	if got := text(c.Turn(11e9, nil)); got != "4: full x=40 +x #39" {
+		t.Errorf("at last %s", got)
+	}
+}
+
+// A replica that is gone for long is named for as long as somebody has not been told.
+func TestWhoIsHeldIsStillNamed(t *testing.T) {
+	c, s := tight(13, 0, orders{line(0, 1, 1), control.Bind{Proxy: 4}, control.Mark{Number: 1}}, orders{line(0, 1, 0), control.Mark{Number: 2}})
+	c.account.Rate = 1 // so slow that what is not answered is charged for a minute
+	c.Turn(1, []any{list(true, "xr", "yr"), Joined{Stream: 1, Proxy: 4, Zone: "a", Blank: true}})
+	if got := text(c.Turn(2, []any{list(true, "yr")})); got != "" || s.turns != nil && len(s.turns) > 0 {
+		t.Fatalf("got %s", got)
+	}
+	for at := sweepPause; at <= nameKept+4*sweepPause; at += sweepPause { // it lives, but does not answer
+		c.Turn(at, []any{Spoke{1}})
+	}
+	if got := text(c.Turn(nameKept+5*sweepPause, []any{Answered{Stream: 1, Mark: 1}})); got != "1: x=0 #2" {
+		t.Errorf("got %s", got)
+	}
+}
--- a/internal/governor/notes.go
+++ b/internal/governor/notes.go
@@ -107,5 +107,6 @@
 	Pushes, LinesOrdered, LinesSent, Marks, Whole           int64 // sent; Whole: full tables, as binds or once more
 	Strange, Stale, Silent, Replaced, Renewed, Names, Seats int64
 	Recalled                                                int64 // replicas of which something was remembered
+	Held                                                    int64 // messages that waited for room in the channel or under a proxy's cap
 	Bare                                                    int64 // modules renewed once more, without what was learned
 }
--- a/internal/governor/push.go
+++ b/internal/governor/push.go
@@ -176,35 +176,115 @@
 	return slices.Sorted(maps.Keys(all))
 }
 
-// send makes one message for each proxy that the news concern.
+// send makes one message for each proxy that the news concern, those first that keep proxies away from replicas. What
+// does not fit waits, and goes with what is newer: its proxy is looked at again with the next messages.
 func (c *Core) send(n *news, now int64, o *Outcome) {
+	var rest []*stream
 	for _, proxy := range c.concerned(n) {
-		s := c.seats[proxy]
-		if s == nil {
-			continue
+		if s := c.seats[proxy]; s != nil && c.urgent(s, n) {
+			c.tellNews(s, n, true, now, o)
+		} else if s != nil {
+			rest = append(rest, s)
 		}
-		p, reached := c.push(s, n)
-		if reached && n.marked {
-			p.Marked, p.Mark = true, n.mark
-			s.marks = append(s.marks, n.mark)
+	}
+	for _, s := range rest {
+		c.tellNews(s, n, false, now, o)
+	}
+}
+
+// urgent says whether a message keeps a proxy away from a replica.
+func (c *Core) urgent(s *stream, n *news) bool {
+	shuts := func(turned map[uint32]bool) bool {
+		for id := range turned {
+			if c.out[id] && !s.told[id] && c.holds(s, id) {
+				return true
+			}
+		}
+		return false
+	}
+	return shuts(n.turned) || s.held != nil && shuts(s.held.turned)
+}
+
+func (c *Core) tellNews(s *stream, n *news, urgent bool, now int64, o *Outcome) {
+	if s.held != nil {
+		n = s.held.with(n, s.table)
+	}
+	if !c.account.Fits(s.joined.Proxy, c.most(s, n), urgent, now) {
+		c.hold(s, n)
+		return
+	}
+	s.held = nil
+	p, reached := c.push(s, n)
+	fresh := reached && n.marked
+	if fresh {
+		p.Marked, p.Mark = true, n.mark
+		c.Count.LinesOrdered++
+		c.Count.Marks++
+	} else if last := len(s.marks) - 1; p.Anew && last >= 0 { // what asked for it may have been lost
+		p.Marked, p.Mark = true, s.marks[last].mark
+	}
+	lines := p.lines()
+	if lines > 0 || p.Anew { // an emptied outbox waits for it, whatever there is to say
+		number := c.account.Charge(s.joined.Proxy, lines, now)
+		if fresh { // an answer to a mark sent once more may be one to its first message, and clears no more than that
+			s.marks = append(s.marks, sent{p.Mark, number})
 			s.marks = s.marks[max(0, len(s.marks)-marksKept):]
 			if s.owes == 0 {
 				s.owes = now
 				c.owing = append(c.owing, debt{s, now})
 			}
-			c.Count.LinesOrdered++
-			c.Count.Marks++
-		} else if last := len(s.marks) - 1; p.Anew && last >= 0 { // what asked for it may have been lost
-			p.Marked, p.Mark = true, s.marks[last]
 		}
-		lines := p.lines()
-		if c.Count.LinesSent += int64(lines); lines > 0 {
-			c.Count.Pushes++
+		o.Pushes = append(o.Pushes, Sent{s.id, p})
+	}
+	if c.Count.LinesSent += int64(lines); lines > 0 {
+		c.Count.Pushes++
+	}
+}
+
+// most is how many lines a message could have.
+func (c *Core) most(s *stream, n *news) int {
+	lines, turned := len(n.lines[s.table]), len(n.turned)
+	if s.whole {
+		lines, turned = len(c.tables[s.table]), 0
+		if s.table < 0 {
+			turned = len(c.out)
 		}
-		if lines > 0 || p.Anew { // an emptied outbox waits for it, whatever there is to say
-			o.Pushes = append(o.Pushes, Sent{s.id, p})
+	}
+	return 1 + 2*lines + turned + len(c.names.Groups) + 1
+}
+
+// hold keeps what the news mean to a stream until there is room for it.
+func (c *Core) hold(s *stream, n *news) {
+	c.Count.Held++
+	if s.held == nil {
+		s.held = &held{lines: map[uint32]bool{}, turned: map[uint32]bool{}}
+	}
+	if s.held.lines == nil {
+		s.held.lines = map[uint32]bool{}
+	}
+	maps.Copy(s.held.lines, n.lines[s.table])
+	for id := range n.turned {
+		if c.holds(s, id) {
+			s.held.turned[id] = true
 		}
 	}
+	if n.marked {
+		s.held.marked, s.held.mark = true, n.mark
+	}
+	c.due[s.joined.Proxy] = s
+}
+
+// with are news for one stream alone: those that were held, and those that have come.
+func (h *held) with(n *news, table int) *news {
+	own := &news{lines: map[int]map[uint32]bool{table: {}}, turned: maps.Clone(h.turned), levels: n.levels,
+		marked: n.marked || h.marked, mark: h.mark, wholes: n.wholes, changes: map[int]sheet{}}
+	maps.Copy(own.lines[table], h.lines)
+	maps.Copy(own.lines[table], n.lines[table])
+	maps.Copy(own.turned, n.turned)
+	if n.marked {
+		own.mark = n.mark
+	}
+	return own
 }
 
 // lines counts as the proxies' channel does.
--- a/internal/governor/roster.go
+++ b/internal/governor/roster.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// sweep forgets the names of replicas that are long gone and that no table holds.
+// sweep forgets the names of replicas that are long gone and that no table holds, and what the account need not keep.
 func (c *Core) sweep(now int64) {
 	held := map[uint32]bool{}
 	for _, lines := range c.tables {
@@ -123,6 +123,13 @@
 			held[id] = true
 		}
 	}
+	for _, s := range c.seats {
+		if s.held != nil { // not said yet, so it has to be named once more
+			maps.Copy(held, s.held.lines)
+			maps.Copy(held, s.held.turned)
+		}
+	}
+	c.account.Sweep(now)
 	for id, r := range c.roster.known {
 		if r.State != control.Gone {
 			r.seen = now
