What a busy channel has no room for waits outside it, merged, the oldest first

Cause: at full size the channel holds 41 s of lines (49,200 at 1,200 a second), and the module's parts of its limit (0.4 for changes, 0.85 for binds and levels) let 16 s and more wait in it. Harmless at 150 proxies, where the limit is 1.5 s of the channel. Change: the core gives the channel what keeps it busy until answers come, four of the longest ways of a message (there and back, twice; urgent ones twice that), and holds the rest: a later message brings all that is new by then, withdrawals first, then who has waited longest. Test: a hundred changes under a busy channel are one message a proxy, in turn.

--- a/internal/channel/account.go
+++ b/internal/channel/account.go
@@ -10,6 +10,9 @@
 	// Messages that keep proxies away from replicas may fill the channel; all others leave this part of it to them, as
 	// withdrawals for all proxies of a governor take about so much.
 	keptPart = 16
+	// Messages on their way, and the answers to those before them on theirs, keep the channel busy: so many times the
+	// longest way, there and back and there and back. Urgent ones may fill it twice as long.
+	ways = 4
 	// What nobody answers, as its proxy and all others have left, is taken for sent when the channel at this part of its
 	// pace would have sent all that waited with it, and some time more: longer than a stalled channel stands still.
 	slowest, lostSpan = 4, int64(30 * 1e9)
@@ -54,10 +57,23 @@
 // Waits is how many lines may still wait in the channel.
 func (a *Account) Waits() int { return a.waits }
 
+// Room says whether the channel takes messages now: a few are enough for it to be busy until answers come, and the rest
+// had better wait outside, where they can be brought up to date.
+func (a *Account) Room(urgent bool, now int64) bool {
+	a.expire(now)
+	busy := a.Rate * float64(ways*a.Transit) / 1e9
+	if urgent {
+		busy *= 2
+	}
+	return busy <= 0 || float64(a.waits) < busy
+}
+
 // Fits says whether a message of so many lines to a proxy keeps the bounds. One that keeps it away from a replica is
 // urgent.
 func (a *Account) Fits(proxy, lines int, urgent bool, now int64) bool {
-	a.expire(now)
+	if !a.Room(urgent, now) {
+		return false
+	}
 	most := a.Lines
 	if !urgent {
 		most -= most / keptPart
--- a/internal/governor/core.go
+++ b/internal/governor/core.go
@@ -44,6 +44,8 @@
 	seated  map[int]map[int]*stream // by table, below 0 those bound to nothing, and by proxy
 	due     map[int]*stream         // to be looked at with the next messages, whatever is new
 	owing   []debt                  // the longest first
+	urgents []*stream               // held, the longest first; what keeps proxies away from replicas
+	others  []*stream
 	tables  map[int]map[uint32]float64
 	out     map[uint32]bool // withdrawn
 	levels  map[tableGroup]control.Level
@@ -91,6 +93,7 @@
 // held is what news meant to a stream that was not told of them, as the channel or the proxy's message cap had no room.
 type held struct {
 	lines, turned map[uint32]bool
+	urgent        bool
 	marked        bool
 	mark          uint64
 }
@@ -120,7 +123,7 @@
 func (c *Core) sit(s *stream, table int) {
 	c.rise(s)
 	if s.held != nil { // a table's changes are not for another table
-		s.held.lines = nil
+		s.held.lines = map[uint32]bool{}
 	}
 	if s.table = table; c.seated[table] == nil {
 		c.seated[table] = map[int]*stream{}
--- a/internal/governor/core_test.go
+++ b/internal/governor/core_test.go
@@ -507,3 +507,31 @@
 		t.Errorf("got %s", got)
 	}
 }
+
+// A thousand small changes while the channel is busy are one message for each proxy, and no proxy waits behind others for
+// ever: who has waited longest comes first.
+func TestABusyChannelGetsMessagesThatAreNew(t *testing.T) {
+	c, s := core(orders{line(0, 1, 1), control.Bind{Proxy: 1}, control.Bind{Proxy: 2}, control.Bind{Proxy: 3}, control.Mark{Number: 1}})
+	c.account = channel.New(channel.Bounds{Lines: 1 << 20, Rate: 100, Head: 4, Transit: 1e7}) // busy from 4 lines on
+	notes := []any{list(true, "xr", "yr")}
+	for proxy := 1; proxy <= 3; proxy++ {
+		notes = append(notes, Joined{Stream: Stream(proxy), Proxy: proxy, Zone: "a", Blank: true})
+	}
+	got := []string{text(c.Turn(1, notes))}
+	for k := range 100 {
+		s.turns = []orders{{line(0, 1, float64(k)), control.Mark{Number: uint64(k + 2)}}}
+		got = append(got, text(c.Turn(int64(k+2), nil)))
+	}
+	if sent := strings.Join(got, ""); sent != "1: full x=1 #1" {
+		t.Fatalf("while the channel is busy: %s", sent)
+	}
+	for _, step := range []struct {
+		answer Answered
+		want   string
+	}{{Answered{Stream: 1, Mark: 1}, "2: full x=99 #101"}, {Answered{Stream: 2, Mark: 101}, "3: full x=99 #101"}, {Answered{Stream: 3, Mark: 101}, "1: x=99 #101"}} {
+		s.turns = nil
+		if got := text(c.Turn(1e9, []any{step.answer})); got != step.want {
+			t.Errorf("got %s, want %s", got, step.want)
+		}
+	}
+}
--- a/internal/governor/push.go
+++ b/internal/governor/push.go
@@ -177,43 +177,77 @@
 }
 
 // send makes one message for each proxy that the news concern, those first that keep proxies away from replicas. What
-// does not fit waits, and goes with what is newer: its proxy is looked at again with the next messages.
+// has no room in the channel waits in a queue, the oldest in front, and goes with all that has become new by then: a
+// message that waits in the channel instead is stale when it comes, and each costs its head.
 func (c *Core) send(n *news, now int64, o *Outcome) {
-	var rest []*stream
+	var urgent, rest []*stream
 	for _, proxy := range c.concerned(n) {
-		if s := c.seats[proxy]; s != nil && c.urgent(s, n) {
-			c.tellNews(s, n, true, now, o)
-		} else if s != nil {
+		s := c.seats[proxy]
+		switch {
+		case s == nil:
+		case s.held != nil:
+			c.hold(s, n)
+		case c.urgent(s, n.turned):
+			urgent = append(urgent, s)
+		default:
 			rest = append(rest, s)
 		}
 	}
-	for _, s := range rest {
-		c.tellNews(s, n, false, now, o)
-	}
+	c.flush(&c.urgents, true, n, now, o)
+	c.write(urgent, true, n, now, o)
+	c.flush(&c.others, false, n, now, o)
+	c.write(rest, false, n, now, o)
 }
 
-// urgent says whether a message keeps a proxy away from a replica.
-func (c *Core) urgent(s *stream, n *news) bool {
-	shuts := func(turned map[uint32]bool) bool {
-		for id := range turned {
-			if c.out[id] && !s.told[id] && c.holds(s, id) {
-				return true
-			}
+// write tells streams that wait for nothing of the news, behind those that wait.
+func (c *Core) write(streams []*stream, urgent bool, n *news, now int64, o *Outcome) {
+	queue := &c.others
+	if urgent {
+		queue = &c.urgents
+	}
+	for _, s := range streams {
+		if len(*queue) > 0 || !c.account.Fits(s.joined.Proxy, c.most(s, n), urgent, now) {
+			c.hold(s, n)
+			continue
 		}
-		return false
+		c.put(s, n, now, o)
 	}
-	return shuts(n.turned) || s.held != nil && shuts(s.held.turned)
 }
 
-func (c *Core) tellNews(s *stream, n *news, urgent bool, now int64, o *Outcome) {
-	if s.held != nil {
-		n = s.held.with(n, s.table)
+// flush writes what has waited, for as long as the channel has room.
+func (c *Core) flush(queue *[]*stream, urgent bool, n *news, now int64, o *Outcome) {
+	var stay []*stream
+	for k, s := range *queue {
+		if s.held == nil || s.held.urgent != urgent || c.seats[s.joined.Proxy] != s { // gone already, or in the other queue
+			continue
+		}
+		if !c.account.Room(urgent, now) {
+			stay = append(stay, (*queue)[k:]...)
+			break
+		}
+		all := s.held.with(n, s.table)
+		if !c.account.Fits(s.joined.Proxy, c.most(s, all), urgent, now) {
+			stay = append(stay, s)
+			continue
+		}
+		s.held = nil
+		c.put(s, all, now, o)
 	}
-	if !c.account.Fits(s.joined.Proxy, c.most(s, n), urgent, now) {
-		c.hold(s, n)
-		return
+	*queue = stay
+}
+
+// urgent says whether a message keeps a proxy away from a replica.
+func (c *Core) urgent(s *stream, turned map[uint32]bool) bool {
+	for id := range turned {
+		if c.out[id] && !s.told[id] && c.holds(s, id) {
+			return true
+		}
 	}
-	s.held = nil
+	return false
+}
+
+// put makes the message of a stream and charges it.
+func (c *Core) put(s *stream, n *news, now int64, o *Outcome) {
 	p, reached := c.push(s, n)
 	fresh := reached && n.marked
 	if fresh {
@@ -255,12 +289,10 @@
 
 // hold keeps what the news mean to a stream until there is room for it.
 func (c *Core) hold(s *stream, n *news) {
-	c.Count.Held++
 	if s.held == nil {
+		c.Count.Held++
 		s.held = &held{lines: map[uint32]bool{}, turned: map[uint32]bool{}}
-	}
-	if s.held.lines == nil {
-		s.held.lines = map[uint32]bool{}
+		c.others = append(c.others, s)
 	}
 	maps.Copy(s.held.lines, n.lines[s.table])
 	for id := range n.turned {
@@ -268,23 +300,19 @@
 			s.held.turned[id] = true
 		}
 	}
+	if !s.held.urgent && c.urgent(s, s.held.turned) {
+		s.held.urgent = true
+		c.urgents = append(c.urgents, s)
+	}
 	if n.marked {
 		s.held.marked, s.held.mark = true, n.mark
 	}
-	c.due[s.joined.Proxy] = s
 }
 
-// with are news for one stream alone: those that were held, and those that have come.
+// with are news for one stream alone: those that were held, the last of them among them.
 func (h *held) with(n *news, table int) *news {
-	own := &news{lines: map[int]map[uint32]bool{table: {}}, turned: maps.Clone(h.turned), levels: n.levels,
-		marked: n.marked || h.marked, mark: h.mark, wholes: n.wholes, changes: map[int]sheet{}}
-	maps.Copy(own.lines[table], h.lines)
-	maps.Copy(own.lines[table], n.lines[table])
-	maps.Copy(own.turned, n.turned)
-	if n.marked {
-		own.mark = n.mark
-	}
-	return own
+	return &news{lines: map[int]map[uint32]bool{table: h.lines}, turned: h.turned, marked: h.marked, mark: h.mark,
+		wholes: n.wholes, changes: map[int]sheet{}}
 }
 
 // lines counts as the proxies' channel does.
--- a/internal/governor/roster.go
+++ b/internal/governor/roster.go
@@ -130,6 +130,8 @@
 		}
 	}
 	c.account.Sweep(now)
+	gone := func(s *stream) bool { return c.seats[s.joined.Proxy] != s }
+	c.urgents, c.others = slices.DeleteFunc(c.urgents, gone), slices.DeleteFunc(c.others, gone)
 	for id, r := range c.roster.known {
 		if r.State != control.Gone {
 			r.seen = now
