--- a/brain/brain.go
+++ b/brain/brain.go
@@ -290,6 +290,9 @@
 	if p.deal(ids); p.tables == 0 {
 		return
 	}
+	slices.SortStableFunc(ids, func(a, b uint32) int { // where a table has no room for all of its own
+		return cmp.Compare(p.offers[b].ticket, p.offers[a].ticket)
+	})
 	tables, row, total, all := p.tables, p.rows(p.tables), 1e-9, 1e-9
 	t := target{map[line]float64{}, p.shutOut(ids, row)}
 	need, home, serves := make([]float64, tables), make([]float64, tables), make([]float64, tables)
@@ -328,7 +331,7 @@
 		if doubted {
 			w *= 1 - p.offers[id].doubt
 		}
-		if p.offers[id].State == control.Ready && w > 0 {
+		if p.offers[id].State == control.Ready && w > 0 && drawn[table] < size {
 			if drawn[table]++; t.out[id] { // who is withdrawn takes no guest's room
 				w, drawn[table] = -1, drawn[table]-1
 			}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -206,6 +206,28 @@
 	want(t, "to a sister", mail[[]int](&Governor{desk: *p.desk}, theRoll)[0][2], 0)
 }
 
+// A governor among hundreds has a few proxies, one table, and all replicas as its own: a table of them all would cost more
+// than the channel takes, and no proxy would ever be bound.
+func TestATableIsNoLongerThanLetsItsProxiesBeBound(t *testing.T) {
+	g := at(0)
+	g.Governors, g.Proxies = 350, 350*7
+	for id := uint32(1); id <= 300; id++ {
+		o := offered(id, 0, false, control.Ready)
+		o.Kind, o.ticket = int(id%2), float64((id*37)%101)
+		planning(g, o)
+	}
+	planning(g).redraw()
+	lines := mail[target](g, theSequence)[0].lines
+	kinds := map[int]int{}
+	for l := range lines {
+		kinds[int(l.id%2)]++
+	}
+	most := 400/2*350/(350*7) - 4 - 2
+	if len(lines) != most || kinds[0] < most/4 || kinds[1] < most/4 {
+		t.Errorf("%d lines, by kind %v, %d may be", len(lines), kinds, most)
+	}
+}
+
 func TestTheWithdrawnTakeNoGuestsRoom(t *testing.T) {
 	g := at(0)
 	for id := uint32(1); id <= 50; id++ {
