The account frees lines by a proxy's own answers, or 2 s after what has gone out

Cause: Account.Answered took messages as gone that were written 0.26 s (the platform's longest way) before an answered one. Change: a message is taken back by its proxy's own answer, or by an answer to one begun 2 s after it had gone out whole; writers tell what has gone out, so a stalled one's messages stay charged. How busy the channel is (the hold outside it) goes by what is likely, as before.

--- a/internal/channel/account.go
+++ b/internal/channel/account.go
@@ -16,6 +16,10 @@
 	// What nobody answers, as its proxy and all others have left, is taken for sent when the channel at this part of its
 	// pace would have sent all that waited with it, and some time more: longer than a stalled channel stands still.
 	slowest, lostSpan = 4, int64(30 * 1e9)
+	// A message comes in pieces and enters the channel with its last one, so messages of different streams change places
+	// by more than the platform's longest way (0.26 s was too short in four plays of four). What has gone out so long
+	// before another that is answered has left; what was written a way before has so in all likelihood.
+	pieces = int64(2 * 1e9)
 )
 
 // Bounds are what the platform says of the channel.
@@ -31,7 +35,8 @@
 // Account holds the charges of one governor, over all modules and streams that it has had.
 type Account struct {
 	Bounds
-	waits   int
+	waits   int      // what may
+	likely  int      // what does in all likelihood: it says how busy the channel is, and no more
 	open    []charge // in the order written, from the number first on
 	first   uint64
 	proxies map[int]*page
@@ -41,7 +46,9 @@
 type charge struct {
 	proxy   int
 	lines   int // 0: known to have left
+	likely  int // 0: likely to have left
 	at, due int64
+	wrote   int64 // when its last byte was known to have gone out, 0: not yet
 }
 
 // page is what is charged to one proxy.
@@ -59,19 +66,18 @@
 
 // Room says whether the channel takes messages now: a few are enough for it to be busy until answers come, and the rest
 // had better wait outside, where they can be brought up to date.
-func (a *Account) Room(urgent bool, now int64) bool {
-	a.expire(now)
+func (a *Account) Room(urgent bool) bool {
 	busy := a.Rate * float64(ways*a.Transit) / 1e9
 	if urgent {
 		busy *= 2
 	}
-	return busy <= 0 || float64(a.waits) < busy
+	return busy <= 0 || float64(a.likely) < busy
 }
 
 // Fits says whether a message of so many lines to a proxy keeps the bounds. One that keeps it away from a replica is
 // urgent.
 func (a *Account) Fits(proxy, lines int, urgent bool, now int64) bool {
-	if !a.Room(urgent, now) {
+	if !a.Room(urgent) {
 		return false
 	}
 	most := a.Lines
@@ -92,8 +98,8 @@
 
 // Charge enters a message that is about to be written, and says its number.
 func (a *Account) Charge(proxy, lines int, now int64) (number uint64) {
-	lines += a.Head
-	a.waits += lines
+	lines = max(1, lines+a.Head)
+	a.waits, a.likely = a.waits+lines, a.likely+lines
 	p := a.proxies[proxy]
 	if p == nil {
 		p = &page{}
@@ -104,14 +110,21 @@
 	if a.Rate > 0 {
 		due += int64(float64(slowest*a.waits) / a.Rate * 1e9)
 	}
-	a.open = append(a.open, charge{proxy, lines, now, due})
+	a.open = append(a.open, charge{proxy: proxy, lines: lines, likely: lines, at: now, due: due})
 	p.open, p.wrote = append(p.open, number), append(p.wrote, now)
 	return number
 }
 
+// Written says that all of a message has gone out.
+func (a *Account) Written(number uint64, now int64) {
+	if number >= a.first && number-a.first < uint64(len(a.open)) {
+		a.open[number-a.first].wrote = now
+	}
+}
+
 // Answered takes back what an answer of a proxy to a message shows to have left: all that was written to it up to then,
-// and, as messages leave in the order in which they come, what was written to anybody so long before that it must have
-// come first.
+// and, as messages leave in the order in which they come, what had gone out to anybody so long before this one was begun
+// that it must have come first. What has not gone out may come in any moment: a stalled writer's too.
 func (a *Account) Answered(proxy int, number uint64, now int64) {
 	if p := a.proxies[proxy]; p != nil {
 		for len(p.open) > 0 && p.open[0] <= number {
@@ -119,20 +132,30 @@
 			p.open, p.got = p.open[1:], append(p.got, now)
 		}
 	}
-	if number < a.first {
-		return
-	}
-	for before := a.open[number-a.first].at - a.Transit; len(a.open) > 0 && (a.open[0].lines == 0 || a.open[0].at < before); {
-		a.shift(now)
+	if number >= a.first && number-a.first < uint64(len(a.open)) {
+		at := a.open[number-a.first].at
+		for k := range a.open[:number-a.first] {
+			c := &a.open[k]
+			if c.at < at-a.Transit {
+				a.ease(c)
+			}
+			if c.wrote > 0 && c.wrote < at-pieces {
+				a.sent(a.first+uint64(k), now)
+			}
+		}
 	}
+	a.trim()
 }
 
 // Left turns what a proxy that has left may still get into what it may have got just now: messages to it do not outlive
 // its stream. Whether they still wait in the channel is not known, so it stays charged.
 func (a *Account) Left(proxy int, now int64) {
 	if p := a.proxies[proxy]; p != nil {
-		for range p.open {
+		for _, number := range p.open {
 			p.got = append(p.got, now)
+			if c := &a.open[number-a.first]; c.wrote == 0 { // nothing more goes out
+				c.wrote = now
+			}
 		}
 		p.open = nil
 	}
@@ -140,7 +163,7 @@
 
 // Sweep forgets proxies of which nothing is charged any more.
 func (a *Account) Sweep(now int64) {
-	a.expire(now)
+	a.Age(now)
 	for proxy, p := range a.proxies {
 		past := func(at int64) bool { return now-at > a.Span }
 		p.wrote, p.got = slices.DeleteFunc(p.wrote, past), slices.DeleteFunc(p.got, past)
@@ -151,24 +174,40 @@
 }
 
 func (a *Account) clear(number uint64) {
-	if number >= a.first {
-		c := &a.open[number-a.first]
-		a.waits, c.lines = a.waits-c.lines, 0
+	c := &a.open[number-a.first]
+	a.waits, c.lines = a.waits-c.lines, 0
+	a.ease(c)
+}
+
+func (a *Account) ease(c *charge) { a.likely, c.likely = a.likely-c.likely, 0 }
+
+// sent takes back a message that has left. Its proxy, which has not answered it, may get it as late as its way takes.
+func (a *Account) sent(number uint64, now int64) {
+	if p := a.proxies[a.open[number-a.first].proxy]; p != nil {
+		if k := slices.Index(p.open, number); k >= 0 {
+			p.open, p.got = slices.Delete(p.open, k, k+1), append(p.got, now+a.Transit)
+		}
 	}
+	a.clear(number)
 }
 
-// shift takes the oldest message out. If its proxy has not answered it, it may get it as late as its way takes.
-func (a *Account) shift(now int64) {
-	if p := a.proxies[a.open[0].proxy]; p != nil && len(p.open) > 0 && p.open[0] == a.first {
-		p.open, p.got = p.open[1:], append(p.got, now+a.Transit)
+// Age takes back what has waited for so long that it must have left, though nobody has answered.
+func (a *Account) Age(now int64) {
+	for k := range a.open {
+		if now <= a.open[k].due {
+			break
+		}
+		if a.ease(&a.open[k]); now > a.open[k].due+lostSpan {
+			a.sent(a.first+uint64(k), now)
+		}
 	}
-	a.clear(a.first)
-	a.open = a.open[1:]
-	a.first++
+	a.trim()
 }
 
-func (a *Account) expire(now int64) {
-	for len(a.open) > 0 && (a.open[0].lines == 0 || now > a.open[0].due+lostSpan) {
-		a.shift(now)
+// trim forgets the oldest messages as far as all of them have left.
+func (a *Account) trim() {
+	for len(a.open) > 0 && a.open[0].lines == 0 {
+		a.open = a.open[1:]
+		a.first++
 	}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -59,6 +59,14 @@
 	ring(x.bell)
 }
 
+// Written leaves the note that a message has gone out. It wakes nobody: it counts when answers come, and there is one
+// for each message.
+func (x *Exchange) Written(number uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.notes = append(x.notes, governor.Written{Number: number})
+}
+
 func ring(bell chan struct{}) {
 	select {
 	case bell <- struct{}{}:
@@ -92,7 +100,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if b := x.outs[s.Stream]; b != nil {
-		b.put(Item{Push: s.Push})
+		b.put(Item{Push: s.Push, Number: s.Number})
 	}
 }
 
@@ -110,7 +118,8 @@
 // Item is what goes out on a stream: a push, or the word that the governor is there.
 type Item struct {
 	governor.Push
-	Alive bool
+	Number uint64 // of the push in the channel's account
+	Alive  bool
 }
 
 // Outbox holds what waits for one stream.
--- a/internal/governor/core.go
+++ b/internal/governor/core.go
@@ -332,6 +332,8 @@
 		if s := c.streams[n.Stream]; s != nil {
 			return c.heard(s)
 		}
+	case Written:
+		c.account.Written(n.Number, now)
 	case Room:
 		if s := c.streams[n.Stream]; s != nil {
 			s.whole, s.anew = true, true
--- a/internal/governor/notes.go
+++ b/internal/governor/notes.go
@@ -57,6 +57,8 @@
 	}
 	// Spoke: something came on the stream that could not be used.
 	Spoke struct{ Stream Stream }
+	// Written: all of the message of so many has gone out on the stream.
+	Written struct{ Number uint64 }
 	// Room: a stream's outbox was full, and has been emptied.
 	Room struct{ Stream Stream }
 )
@@ -84,10 +86,11 @@
 	Tries control.Tries
 }
 
-// Sent is a push and the stream it is for.
+// Sent is a push, the stream it is for, and its number in the channel's account.
 type Sent struct {
 	Stream Stream
 	Push   Push
+	Number uint64
 }
 
 // Outcome is what a turn asks for.
--- a/internal/governor/push.go
+++ b/internal/governor/push.go
@@ -180,6 +180,7 @@
 // has no room in the channel waits in a queue, the oldest in front, and goes with all that has become new by then: a
 // message that waits in the channel instead is stale when it comes, and each costs its head.
 func (c *Core) send(n *news, now int64, o *Outcome) {
+	c.account.Age(now)
 	var urgent, rest []*stream
 	for _, proxy := range c.concerned(n) {
 		s := c.seats[proxy]
@@ -221,7 +222,7 @@
 		if s.held == nil || s.held.urgent != urgent || c.seats[s.joined.Proxy] != s { // gone already, or in the other queue
 			continue
 		}
-		if !c.account.Room(urgent, now) {
+		if !c.account.Room(urgent) {
 			stay = append(stay, (*queue)[k:]...)
 			break
 		}
@@ -268,7 +269,7 @@
 				c.owing = append(c.owing, debt{s, now})
 			}
 		}
-		o.Pushes = append(o.Pushes, Sent{s.id, p})
+		o.Pushes = append(o.Pushes, Sent{s.id, p, number})
 	}
 	if c.Count.LinesSent += int64(lines); lines > 0 {
 		c.Count.Pushes++
--- a/internal/streams/peer.go
+++ b/internal/streams/peer.go
@@ -273,5 +273,8 @@
 				return
 			}
 		}
+		if !item.Alive {
+			p.server.exchange.Written(item.Number)
+		}
 	}
 }
--- a/lab/emulator/steer.go
+++ b/lab/emulator/steer.go
@@ -120,6 +120,7 @@
 			w.Trace("%d push %d %+v", w.now, p.id, s.Push)
 		}
 		left := w.queued(p, s.Push)
+		w.notes = append(w.notes, governor.Written{Number: s.Number})
 		p.applied = max(p.applied, left+transit, p.stalled) // in order, after a stall
 		w.at(p.applied, func() { w.apply(p, s) })
 	}
