No cap under a thousand; a governor among 350 on loopback with 1,024 replicas is tested

Need: no cap below 1,024 on lists of governors or replicas, and buffers by need. Read every bound of the program: below it were the roster's memory of names shut out (256), and the inbox, whose 4,096 notes were reasoned from the collectors' 150 lines a second alone though it drops the answers of proxies too, on which the channel's account stands. Test: the program started with 350 peers, 1,024 replicas in its list, 400 proxies that come at once, 20 that read nothing, 20 that come and go: all are bound and answered within the test's time, with -race.

--- /dev/null
+++ b/cmd/lilacbend/fleet_test.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lilacbend/internal/resp"
+)
+
+// fleetCharter is the example's with the sizes of a full fleet: so many governors and replicas, and all proxies at this one.
+func fleetCharter(t *testing.T, listen string, governors, replicas, proxies int) charter {
+	raw, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var file map[string]any
+	if err := json.Unmarshal(raw, &file); err != nil {
+		t.Fatal(err)
+	}
+	var peers []string
+	for k := range governors {
+		peers = append(peers, fmt.Sprintf("127.3.%d.%d:7946", k/250, k%250+1))
+	}
+	var members []map[string]any
+	for k := range replicas {
+		members = append(members, map[string]any{"id": fmt.Sprintf("box-%d", k), "host_port": "127.0.0.1:9001", "locality": []string{"a", "b"}[k%2],
+			"flavor": "m1", "cell": k / 4, "phase": "Ready", "size": 1.0, "up_since_ms": 0})
+	}
+	file["peers"], file["known"] = peers, map[string]any{"revision": 1, "complete": true, "members": members}
+	settings := file["settings"].(map[string]any)
+	settings["balancers"] = governors
+	domain := settings["domain"].(map[string]any)
+	domain["proxy_count"], domain["pending_max"], domain["push_rate"] = proxies, 40*proxies, 20000
+	file["limits"] = map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": proxies + 200}
+	if raw, err = json.Marshal(file); err != nil {
+		t.Fatal(err)
+	}
+	c, err := parseCharter(raw, told{listen: listen, discovery: "127.0.0.1:1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Of 350 governors one is left: all proxies come to it at once, and each is bound to a table out of 1,024 replicas. Beside
+// them some read nothing, and some connect again and again.
+func TestAllProxiesOfAFleetComeAtOnce(t *testing.T) {
+	const governors, replicas, proxies = 350, 1024, 400
+	at := free(t)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() {
+		ended <- serve(ctx, fleetCharter(t, at, governors, replicas, proxies), reload{}, slog.New(slog.DiscardHandler))
+	}()
+	pool := resp.NewPool(64 << 20)
+	dial := func() net.Conn {
+		for range 500 {
+			if conn, err := net.Dial("tcp", at); err == nil {
+				conn.SetDeadline(time.Now().Add(40 * time.Second))
+				return conn
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Error("nobody listens")
+		return nil
+	}
+	var deaf []net.Conn
+	for range 20 {
+		deaf = append(deaf, dial())
+		dial().Close()
+	}
+	var all sync.WaitGroup
+	bound := make([]bool, proxies)
+	for id := range proxies {
+		all.Go(func() {
+			conn := dial()
+			if conn == nil {
+				return
+			}
+			defer conn.Close()
+			resp.Write(conn, pool, strings.Fields(fmt.Sprintf("hello id %d site %s rps 20 new 1", id, []string{"a", "b"}[id%2]))...)
+			for r := resp.NewReader(conn, pool); ; {
+				words, err := r.Next()
+				if err != nil {
+					t.Errorf("proxy %d: %v", id, err)
+					return
+				}
+				text := strings.Join(words, " ")
+				bound[id] = bound[id] || strings.HasPrefix(text, "push full 1 endpoints box-")
+				if _, mark, marked := strings.Cut(text, "nonce_out "); marked {
+					resp.Write(conn, pool, "ack", "id", fmt.Sprint(id), "seq", strings.Fields(mark)[0], "ms", "1")
+					if bound[id] {
+						return
+					}
+				}
+			}
+		})
+	}
+	all.Wait()
+	for id, is := range bound {
+		if !is {
+			t.Errorf("proxy %d of %d is not bound", id, proxies)
+		}
+	}
+	for _, conn := range deaf {
+		conn.Close()
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/lilacbend/report.go
+++ b/cmd/lilacbend/report.go
@@ -18,7 +18,7 @@
 			"answers", n.Answers, "met", n.Met, "demands", n.Demands, "listings", n.Listings, "turns", n.Turns,
 			"reloads", t.Reloads.Load()),
 		slog.Group("sent", "pushes", n.Pushes, "written", t.Pushes.Load(), "bytes", t.PushBytes.Load(),
-			"lines", n.LinesSent, "lines_ordered", n.LinesOrdered, "marks", n.Marks, "whole", n.Whole,
+			"lines", n.LinesSent, "lines_ordered", n.LinesOrdered, "marks", n.Marks, "whole", n.Whole, "held", n.Held,
 			"calls", t.Calls.Load(), "dials", t.Dials.Load()),
 		slog.Group("answered", "alive", t.Alive.Load(), "discovery", t.Answers.Load()),
 		slog.Group("lost", "notes", t.Lost.Load(), "emptied", t.Emptied.Load(), "stale", n.Stale, "silent", n.Silent, "replaced", n.Replaced,
@@ -27,5 +27,5 @@
 			"writes", t.WriteErrors.Load(), "discovery", t.CallErrors.Load(), "odd", t.Odd.Load(),
 			"timeouts", t.Timeouts.Load(), "misread", t.Misread.Load(), "panics", t.Panics.Load(), "renewed", n.Renewed, "renewed_bare", n.Bare),
 		kept.figures(),
-		slog.Group("now", "proxies", n.Seats, "names", n.Names, "heap", mem.HeapAlloc, "goroutines", runtime.NumGoroutine()))
+		slog.Group("now", "proxies", n.Seats, "names", n.Names, "channel", n.Channel, "waiting", n.Waiting, "heap", mem.HeapAlloc, "goroutines", runtime.NumGoroutine()))
 }
--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -54,6 +54,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	base, x := clock{time.Now()}, exchange.New()
+	x.Expect(c.provision.Proxies)
 	census := governor.NewCensus(c.names, c.provision)
 	core := governor.New(func() governor.Module { return brain.New(c.provision) }, census)
 	kept := openArchive(c.rules.State, &c, core, x, base, log)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -11,8 +11,12 @@
 
 const (
 	// The core empties the inbox some hundred times a second, and a collector's lines come at 150 a second
-	// at most: so many are half a minute of them. Past it sums are dropped, which a later one makes up for.
+	// at most: so many are half a minute of them. What proxies say comes on top, see Expect. Past both sums and answers are
+	// dropped, which later ones make up for.
 	notesMost = 4 << 10
+	// Each proxy tells its usage of a few traffic groups a second and answers a message a second or so: so many are what all
+	// of them say while the governor stands still for a few seconds.
+	notesEach = 16
 	// A proxy is written to a few times a second, and reads at once: so many wait only where it has stopped
 	// reading, and then its whole present state is shorter than they are.
 	itemsMost = 64
@@ -34,13 +38,21 @@
 	Tally Tally
 	mu    sync.Mutex
 	notes []any
+	most  int // of them
 	bell  chan struct{}
 	outs  map[governor.Stream]*Outbox
 }
 
 // New makes an empty exchange.
 func New() *Exchange {
-	return &Exchange{bell: make(chan struct{}, 1), outs: map[governor.Stream]*Outbox{}}
+	return &Exchange{most: notesMost, bell: make(chan struct{}, 1), outs: map[governor.Stream]*Outbox{}}
+}
+
+// Expect has the inbox hold what so many proxies may say.
+func (x *Exchange) Expect(proxies int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.most = notesMost + notesEach*proxies
 }
 
 // Tell leaves a note for the core. Sums are lost when the inbox is full; what each connection or call tells
@@ -50,7 +62,7 @@
 	defer x.mu.Unlock()
 	switch note.(type) {
 	case governor.Met, governor.Demand, governor.Answered, governor.Spoke:
-		if len(x.notes) >= notesMost {
+		if len(x.notes) >= x.most {
 			x.Tally.Lost.Add(1)
 			return
 		}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -22,6 +22,13 @@
 	if notes := x.Take(); notes != nil {
 		t.Errorf("%d notes are left", len(notes))
 	}
+	x.Expect(2400) // all of them answer while the core stands still
+	for range notesMost + 16*2400 {
+		x.Tell(governor.Answered{Stream: 1})
+	}
+	if lost := x.Tally.Lost.Load(); lost != 4 {
+		t.Errorf("%d lost with room for a fleet", lost-4)
+	}
 }
 
 // A proxy that reads nothing gets its whole present state once it reads again, and not half of the news.
--- a/internal/governor/budget_test.go
+++ b/internal/governor/budget_test.go
@@ -333,3 +333,26 @@
 		}
 	}
 }
+
+// All proxies join in one turn, and are bound in it as far as the channel lets them.
+func BenchmarkTheTurnThatBindsAll(b *testing.B) {
+	for _, proxies := range []int{480, 1200, 2400} {
+		for _, replicas := range []int{200, 1024} {
+			b.Run(fmt.Sprintf("%dx%d", proxies, replicas), func(b *testing.B) {
+				for range b.N {
+					b.StopTimer()
+					w := newChannelWorld(1, proxies, replicas, 1, 1<<20, 1<<20, trueLines)
+					w.core.Turn(w.now, w.notes)
+					w.notes = nil
+					for k := range w.proxies {
+						w.join(k)
+					}
+					b.StartTimer()
+					if o := w.core.Turn(w.now+second/4, w.notes); len(o.Pushes) == 0 {
+						b.Fatal("nobody is bound")
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/governor/core.go
+++ b/internal/governor/core.go
@@ -198,6 +198,7 @@
 		}
 	}
 	c.Count.Names, c.Count.Seats = int64(len(c.roster.known)), int64(len(c.seats))
+	c.Count.Channel, c.Count.Waiting = int64(c.account.Waits()), int64(len(c.urgents)+len(c.others))
 	return o
 }
 
--- a/internal/governor/notes.go
+++ b/internal/governor/notes.go
@@ -111,5 +111,6 @@
 	Strange, Stale, Silent, Replaced, Renewed, Names, Seats int64
 	Recalled                                                int64 // replicas of which something was remembered
 	Held                                                    int64 // messages that waited for room in the channel or under a proxy's cap
+	Channel, Waiting                                        int64 // now: lines charged to the channel, streams with something held
 	Bare                                                    int64 // modules renewed once more, without what was learned
 }
--- a/internal/governor/roster.go
+++ b/internal/governor/roster.go
@@ -11,9 +11,9 @@
 	// A name that is listed no more is kept for as long as discovery may leave it out by mistake, and shorter than
 	// the module keeps a replica that is gone: back later it has a new number, and is new to both.
 	nameKept = int64(30 * 1e9)
-	// So many forgotten names are known as shut out by some stream; past it every stream is taken to shut out
-	// whoever it was not told of.
-	shutMost = 256
+	// So many forgotten names are known as shut out by some stream, a few releases of a fleet of a thousand; past it every
+	// stream is taken to shut out whoever it was not told of, which costs a line for each line of a table.
+	shutMost = 4 << 10
 	// More names than any list of one deployment: past it new ones are not taken in, so that a discovery
 	// that makes up names cannot fill the memory.
 	namesMost = 1 << 16
