--- a/internal/governor/budget_test.go
+++ b/internal/governor/budget_test.go
@@ -325,7 +325,7 @@
 		}, // as levels
 	} {
 		broke := 0
-		for seed := range int64(20) {
+		for seed := range int64(40) {
 			w := newChannelWorld(seed, 30, 24, 2, 600, 4800, func(p governor.Push) int { return trueLines(p) + more(p) })
 			w.pace, w.lost = 0.005, 0.9
 			for k := range w.proxies {
@@ -339,7 +339,7 @@
 			}
 		}
 		if (broke == 0) != (what == "nothing") {
-			t.Errorf("without a charge for %s %d of 20 broke", what, broke)
+			t.Errorf("without a charge for %s %d of 40 broke", what, broke)
 		}
 	}
 }
