Reading of the whole change: one way to forget a proxy's old times, a check that says nothing goes

Core.ask looked for joined proxies before it looked for those that owe an answer; none owe where none are joined. Behaviour is the same; tests of channel and governor pass. Looked at and left: budget_test.go counts a message's lines by itself beside Push.lines, as it checks that count; the bodies of Core.most and Core.push walk the same lines, one before and one after there is room.

--- a/internal/channel/account.go
+++ b/internal/channel/account.go
@@ -62,6 +62,12 @@
 	wrote []int64  // when messages were written to it, of the last span
 }
 
+// forget drops the times before one.
+func (p *page) forget(before int64) {
+	past := func(at int64) bool { return at < before }
+	p.wrote, p.got = slices.DeleteFunc(p.wrote, past), slices.DeleteFunc(p.got, past)
+}
+
 // New makes an account of an empty channel.
 func New(b Bounds) *Account { return &Account{Bounds: b, proxies: map[int]*page{}} }
 
@@ -107,8 +113,7 @@
 	if p == nil || a.Messages == 0 {
 		return true
 	}
-	past := func(at int64) bool { return now-at > a.Span }
-	p.wrote, p.got = slices.DeleteFunc(p.wrote, past), slices.DeleteFunc(p.got, past)
+	p.forget(now - a.Span)
 	return max(len(p.wrote), len(p.open)+len(p.got)) < a.Messages
 }
 
@@ -188,8 +193,7 @@
 func (a *Account) Sweep(now int64) {
 	a.Age(now)
 	for proxy, p := range a.proxies {
-		past := func(at int64) bool { return now-at > a.Span }
-		p.wrote, p.got = slices.DeleteFunc(p.wrote, past), slices.DeleteFunc(p.got, past)
+		p.forget(now - a.Span)
 		if len(p.open)+len(p.wrote)+len(p.got) == 0 {
 			delete(a.proxies, proxy)
 		}
--- a/internal/governor/push.go
+++ b/internal/governor/push.go
@@ -208,7 +208,7 @@
 // ask has a proxy answer a mark of the core's own when answers are missing and nothing is written: the proxies by turns,
 // as the one that is asked may not live.
 func (c *Core) ask(now int64, o *Outcome) {
-	if !c.account.Quiet(now) || len(c.seats) == 0 {
+	if !c.account.Quiet(now) {
 		return
 	}
 	var owing []int
