The cold stay in a collapse where those of a table could bear all of its work

Harmless where few are cold, harmful where a release or a zone has just replaced most: all governors do it together. Lines at fault: replica.take, "r.cold() && (... r.fleet.lost > coldLost)", which asks nobody who is left.

Change: shutOut weighs it by table. Proxies avoid who fails them until all of a table's work comes to its cold ones; so they go in a collapse unless, at what each surely can do at its age and its multiple, they could bear all of it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -85,9 +85,9 @@
 	tries, bad, answer := r.lately()
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
-	sick := r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
+	sick := r.resting > 0 || r.cold() && r.judged == 0
 	r.post(thePlanner, offer{r.entry, r.box, size * r.speed, size * r.fleet.goal, r.ticket, tries, bad, answer,
-		r.prior, r.faith, r.doubt, r.cold(), sick, r.trial > 0 && r.doubt == 0})
+		r.prior, r.faith, r.doubt, r.able(), r.cold(), sick, r.trial > 0 && r.doubt == 0})
 }
 
 // recall believes what an earlier governor knew as far as its age leaves it; first sums overrule its speed.
@@ -146,14 +146,18 @@
 
 func (r *replica) cold() bool { return r.entry.Start > 0 && r.now-r.entry.Start < r.WarmAfter }
 
+// able is the part of its usual work that a cold replica surely can do: as at the slowest warming.
+func (r *replica) able() float64 {
+	return r.ColdShare + (1-r.ColdShare)*float64(max(0, r.now-r.entry.Start))/float64(max(1, r.WarmAfter))
+}
+
 // warmth is the part of its usual work a replica that started not long ago is given: a third of what makes it
 // fall at the slowest warming, less the more of all tries miss: repeats push too. It harms who warms faster.
 func (r *replica) warmth() float64 {
 	if !r.cold() {
 		return 1
 	}
-	able := r.ColdShare + (1-r.ColdShare)*float64(max(0, r.now-r.entry.Start))/float64(r.WarmAfter)
-	w := math.Min(1, able*coldSpare*r.FallMultiple) * math.Pow(1-r.fleet.lost, 2)
+	w := math.Min(1, r.able()*coldSpare*r.FallMultiple) * math.Pow(1-r.fleet.lost, 2)
 	if r.now-r.heard < entrySpan {
 		w = math.Min(w, entryShare)
 	}
@@ -223,7 +227,7 @@
 	}
 	for _, id := range ids {
 		o := p.offers[id]
-		if sizes[o.Weight] = true; !o.sick && !o.trial && o.State == control.Ready {
+		if sizes[o.Weight] = true; !o.sick && !o.trial && !p.out[id] && o.State == control.Ready {
 			missed, tries, serves = missed+o.bad, tries+o.tries, serves+1
 			shares = append(shares, o.bad/math.Max(1, o.tries))
 		}
@@ -243,10 +247,11 @@
 		}
 	}
 	bad, fleetAble := missed/math.Max(1, tries), kinds[all].able/math.Max(1, kinds[all].count)
+	p.lost = max(bad, p.demand.lost)
 	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
-		n := norm{math.Inf(1), k.good / math.Max(1, k.count), 1, bad, max(bad, p.demand.lost)}
+		n := norm{math.Inf(1), k.good / math.Max(1, k.count), 1, bad, p.lost}
 		good, late := o.tries-o.bad, o.answer/math.Max(1e-9, k.answer/math.Max(1, k.good))
 		if len(sizes) > 1 && late > slowAnswer {
 			n.goal = math.Max(slowest, 1/late)
@@ -398,12 +403,18 @@
 
 // shutOut says who is withdrawn: whoever drains or is gone, and the sick while a quarter of the warm is left,
 // so that no proxy is bare. The cold go while the flows of their zones surge: proxies soon avoid all others,
-// and who has just come gets everything, whatever its weight. It harms where flows rise for good and quickly.
+// and who has just come gets everything, whatever its weight. So they go in a collapse, but not where those
+// of a table could bear all its work: the warm would drown. It harms where flows rise for good and quickly.
 func (p *planner) shutOut(ids []uint32, row int) map[uint32]bool {
 	out, warm, usual, newest := map[uint32]bool{}, 0.0, make([]float64, row), make([]float64, row)
+	work, bears := map[int]float64{}, map[int]float64{} // by table
 	for _, id := range ids {
-		if o := p.offers[id]; o.State == control.Ready && !o.cold {
-			warm++
+		if o := p.offers[id]; o.State == control.Ready {
+			if work[p.own[id]] += o.Weight; o.cold {
+				bears[p.own[id]] += o.Weight * o.able * p.FallMultiple
+			} else {
+				warm++
+			}
 		}
 	}
 	for _, c := range p.crowd {
@@ -414,7 +425,8 @@
 	for _, id := range ids {
 		switch o := p.offers[id]; {
 		case o.State != control.Ready,
-			o.cold && warm > 0 && (o.sick || newest[p.own[id]%row] > surge*math.Max(1, usual[p.own[id]%row])):
+			o.cold && warm > 0 && (o.sick || p.lost > coldLost && bears[p.own[id]] < work[p.own[id]] ||
+				newest[p.own[id]%row] > surge*math.Max(1, usual[p.own[id]%row])):
 			out[id] = true
 		case o.sick && !o.cold && may >= 1:
 			out[id] = true
@@ -460,7 +472,6 @@
 		}
 		r.sits = n
 	case control.Joined:
-		r.strike(n.Proxy, math.MaxUint64)
 		if came, ok := r.came[n.Proxy]; ok { // a hello tells a rough figure
 			n.Rate += (came - n.Rate) * r.past.Weight
 		}
@@ -468,25 +479,15 @@
 		r.here[n.Proxy] = &chair{n, r.now, -1}
 		r.loose++
 	case control.RecalledFleet:
-		r.past, r.sat, r.came = n, map[int]int{}, map[int]float64{}
-		for _, s := range n.Seats {
-			r.sat[s.Proxy] = s.Table
-		}
-		for _, u := range n.Usage {
-			r.came[u.Proxy] += u.Rate
-		}
+		r.remember(n)
 	case control.Left:
-		r.strike(n.Proxy, math.MaxUint64)
 		r.drop(n.Proxy)
 	case control.Answered:
 		mark := r.last - (r.last-n.Mark)&marksMask // marks go round on the way
 		r.post(thePacer, caught{mark: mark})
 		r.strike(n.Proxy, mark)
 	case marked:
-		r.last, r.wait[n.mark] = n.mark, map[int]bool{}
-		for _, proxy := range n.proxies {
-			r.wait[n.mark][proxy] = true
-		}
+		r.await(n)
 	}
 }
 
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -209,8 +209,28 @@
 	}
 }
 
-// drop forgets a proxy that has left.
+// remember keeps what an earlier governor knew of proxies.
+func (r *roll) remember(n control.RecalledFleet) {
+	r.past, r.sat, r.came = n, map[int]int{}, map[int]float64{}
+	for _, s := range n.Seats {
+		r.sat[s.Proxy] = s.Table
+	}
+	for _, u := range n.Usage {
+		r.came[u.Proxy] += u.Rate
+	}
+}
+
+// await notes whose answers to a mark are missing.
+func (r *roll) await(n marked) {
+	r.last, r.wait[n.mark] = n.mark, map[int]bool{}
+	for _, proxy := range n.proxies {
+		r.wait[n.mark][proxy] = true
+	}
+}
+
+// drop forgets a proxy that has left: no mark waits for it any more.
 func (r *roll) drop(proxy int) {
+	r.strike(proxy, math.MaxUint64)
 	if c := r.here[proxy]; c != nil && c.table < 0 {
 		r.loose--
 	}
--- a/brain/types.go
+++ b/brain/types.go
@@ -19,6 +19,7 @@
 		weight, size, ticket, tries, bad, answer float64
 		prior, faith                             float64 // remembered speed, and how many tries it counts for
 		doubt                                    float64 // part of its weight that it lacks as it was sick by memory alone
+		able                                     float64 // part of its usual work that it can do, if it is cold
 		cold, sick, trial                        bool
 	}
 	fleet struct { // planner to levels: tries a second, parts missed, of all and of most, answer times
@@ -91,6 +92,7 @@
 	calm   map[int][]float64 // the last answer times of each kind
 	judged int64
 	out    map[uint32]bool
+	lost   float64        // part of the flows, or of the tries if that is more
 	own    map[uint32]int // the table of each replica
 	same   bool           // nothing has changed since the last draw
 	tables int            // how many, once the first list has come
