An overload is answered once it outlasts what its sums are late

Sums come at 150 lines a second for 256 proxies x 3 groups and 120 replicas x 3 zones: one that comes tells of 2 to 4 s at once (period 0.5 s; probe of Met and Demand spans), so what is seen is 5 to 7 s old. Harmless in one small governor, harmful in all, which fall together. Lines at fault: levels.judge, which falls at the first look over the mark, whatever time its sums tell of.

Change: the line falls once the overload has been seen for as long as sums are longer than the settings' report period. Where they come each period nothing changes.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,7 @@
-// Package brain decides where forwarders (proxies) send flows: a governor that sees no flow and steers by
-// tables. Call New with the control.Provision of the deployment, then Turn with each batch of events; Turn
-// returns the orders to carry out, in order. Package control is the whole interface. A governor asks for its
-// own Wake and keeps no clock, nothing outside itself: same events, same orders. The ordinary path is a
-// reverse-order update (docs/design.md). Parts talk only through inboxes that Turn's one loop empties.
+// Package brain decides where forwarders (proxies) send flows: a governor sees no flow and steers by tables.
+// Call New with the control.Provision of the deployment, then Turn with each batch of events; it returns the
+// orders to carry out. Package control is the whole interface. No clock is kept: same events, same orders.
+// The ordinary path is a reverse-order update (docs/design.md). Parts talk only through inboxes.
 package brain
 
 import (
@@ -73,8 +72,7 @@
 		answer := float64(n.Answer) / float64(second)
 		r.met = append(r.met, sample{r.now, float64(n.Tries), float64(n.Missed), answer})
 		r.met = r.met[max(0, len(r.met)-samplesKept):]
-		r.faith, r.evidence = r.faith*faithLeft, math.Min(faithMost, r.evidence+float64(n.Tries))
-		r.proof = r.now
+		r.faith, r.evidence, r.proof = r.faith*faithLeft, math.Min(faithMost, r.evidence+float64(n.Tries)), r.now
 		return
 	case control.Recalled:
 		r.recall(n)
@@ -91,8 +89,7 @@
 }
 
 // recall believes what an earlier governor knew as far as its age leaves it; first sums overrule its speed.
-// The sick are on trial with little weight: to withdraw them would harm for longer where they have healed.
-// Nothing remembered makes the cold warm.
+// The sick are on trial with little weight: withdrawn, they harm for longer where they have healed.
 func (r *replica) recall(n control.Recalled) {
 	r.ticket, r.evidence, r.proof = cmp.Or(n.Ticket, r.ticket), n.Weight*n.Evidence, r.now-n.Age
 	r.prior, r.faith = math.Pow(n.Speed, n.Weight), n.Weight*math.Min(n.Evidence, faithMost)
@@ -511,9 +508,10 @@
 		l.past, l.since, l.judged, l.served = n, l.now, l.now, append(l.served, n.Weight*n.Served)
 		l.once, l.turned = n.Once && n.Weight >= faithLeft, l.now
 	case fleet:
-		l.came = slices.DeleteFunc(l.came, func(d sums) bool { return d.at <= l.now-demandSpan })
+		l.came, l.age = slices.DeleteFunc(l.came, func(d sums) bool { return d.at <= l.now-demandSpan }), 0
 		flows, by, fresh, all, missed := map[int]float64{}, map[int]float64{}, map[int]float64{}, 0, 0
 		for _, d := range l.came {
+			l.age += (d.Span - l.ReportEvery) / int64(len(l.came))
 			if by[d.Proxy] += float64(d.Flows); d.at > l.now-l.ReportEvery { // as of so long a time
 				fresh[d.Proxy] += float64(d.Flows) * float64(demandSpan) / float64(max(d.Span, l.ReportEvery, 1))
 			}
@@ -549,8 +547,7 @@
 		})
 		l.line = float64(len(l.groups)) * (1 - l.past.Weight*(1-l.past.Line))
 	}
-	budget := float64(l.Groups[l.groups[0]].LatencyBudget) / float64(second)
-	press := f.answer / strained / budget
+	press := f.answer * float64(second) / strained / float64(l.Groups[l.groups[0]].LatencyBudget)
 	if f.answer > lateMost*f.calm { // else misses are connections refused, silence, errors: no overload
 		press = math.Max(press, f.most/missedMost)
 	}
@@ -562,8 +559,12 @@
 	}
 	l.served = append(l.served, f.tries*(1-f.bad)/math.Max(1e-9, f.serves)) // each of those in
 	l.served = l.served[max(0, len(l.served)-2*samplesKept):]
+	if !over {
+		l.eased = l.now
+	}
 	switch all := float64(len(l.groups)); {
-	case l.now-l.fell < recent: // the samples still tell of the time before the last move
+	case l.now-l.fell < recent, // the samples still tell of the time before the last move
+		over && l.now-l.eased < l.age: // or of what may have passed before they came
 	case over && l.line < all:
 		if press > l.press { // what eases by itself needs no further fall
 			l.line *= lineDown
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -565,6 +565,34 @@
 	want(t, "back", l.line, 2.0)
 }
 
+// Where many proxies share one intake, sums tell of some seconds at once: an overload that has passed meanwhile would be
+// answered by blocking a calm fleet, by all governors together.
+func TestAnOverloadIsAnsweredOnceItOutlastsWhatItsSumsAreLate(t *testing.T) {
+	for span, falls := range map[int64][]bool{second: {true, true}, 4 * second: {false, true}} {
+		l := levelling(at(100 * second))
+		l.ReportEvery = second
+		for k := range l.came {
+			l.came[k].Span = span
+		}
+		over := fleet{tries: 100, answer: 2, serves: 1}
+		l.take(fleet{tries: 100, answer: 0.2, serves: 1})
+		for k, fall := range falls {
+			l.now += int64(k) * (span - second)
+			l.take(over)
+			want(t, "blocks", l.line < 2, fall)
+		}
+	}
+	l := levelling(at(100 * second))
+	l.came[0].Span, l.came[1].Span = 4*second, 4*second
+	l.take(fleet{tries: 100, answer: 0.2, serves: 1})
+	l.take(fleet{tries: 100, answer: 2, serves: 1})
+	l.now += 2 * second
+	l.take(fleet{tries: 100, answer: 0.2, serves: 1}) // eases in between
+	l.now += 2 * second
+	l.take(fleet{tries: 100, answer: 2, serves: 1})
+	want(t, "begins anew", l.line, 2.0)
+}
+
 func TestWhereLevelsAreNotFollowedOnlyTriesStop(t *testing.T) {
 	g := at(100 * second)
 	g.Admission = control.AdmitAll
--- a/brain/types.go
+++ b/brain/types.go
@@ -125,6 +125,7 @@
 	groups       []int     // by utility, the cheaper first where it is equal
 	line, press  float64   // how many of them are let in; how overloaded the fleet last was
 	judged, fell int64
+	eased, age   int64 // when it last was not overloaded; by how much sums tell of longer than they should
 	set          map[int]control.Level
 	strain, once bool
 	turned       int64 // when further tries were last stopped or let on
