--- a/brain/brain.go
+++ b/brain/brain.go
@@ -70,8 +70,7 @@
 		r.entry = n
 	case control.Met:
 		answer := float64(n.Answer) / float64(second)
-		r.met = append(r.met, sample{r.now, float64(n.Tries), float64(n.Missed), answer})
-		r.met = r.met[max(0, len(r.met)-samplesKept):]
+		r.met = newest(samplesKept, append(r.met, sample{r.now, float64(n.Tries), float64(n.Missed), answer}))
 		r.faith, r.evidence, r.proof = r.faith*faithLeft, math.Min(faithMost, r.evidence+float64(n.Tries)), r.now
 		return
 	case control.Recalled:
@@ -83,7 +82,7 @@
 	tries, bad, answer := r.lately()
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
-	sick := r.resting > 0 || r.cold() && r.judged == 0
+	sick := r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
 	r.post(thePlanner, offer{r.entry, r.box, size * r.speed, size * r.fleet.goal, r.ticket, tries, bad, answer,
 		r.prior, r.faith, r.doubt, r.able(), r.cold(), sick, r.trial > 0 && r.doubt == 0})
 }
@@ -205,8 +204,9 @@
 func (p *planner) norms() {
 	type sum struct{ good, answer, count, able float64 }
 	kinds, sizes, ids, all := map[int]sum{}, map[float64]bool{}, sorted(p.offers), p.Kinds
-	var shares []float64 // of the tries of each, missed
+	shares, work, bears := []float64{}, map[int]float64{}, map[int]float64{} // missed of each; by table
 	missed, tries, serves, quick := 0.0, 0.0, 0.0, math.Inf(1)
+	sent, size, gave, warm := 0.0, 1e-9, 1e-9, 1e-9 // tries, by weight; what the warm gave, by theirs
 	for _, calm := range p.calm {
 		quick = min(quick, slices.Min(calm))
 	}
@@ -224,6 +224,14 @@
 	}
 	for _, id := range ids {
 		o := p.offers[id]
+		if o.State == control.Ready {
+			if sent, work[p.own[id]] = sent+o.tries, work[p.own[id]]+o.Weight; o.cold {
+				bears[p.own[id]] += o.Weight * o.able * p.FallMultiple
+			} else {
+				gave, warm = gave+o.tries-o.bad, warm+o.Weight
+			}
+			size += o.Weight
+		}
 		if sizes[o.Weight] = true; !o.sick && !o.trial && !p.out[id] && o.State == control.Ready {
 			missed, tries, serves = missed+o.bad, tries+o.tries, serves+1
 			shares = append(shares, o.bad/math.Max(1, o.tries))
@@ -238,17 +246,19 @@
 		p.judged = p.now
 		for kind, k := range kinds {
 			if k.good >= sickTries {
-				p.calm[kind] = append(p.calm[kind], k.answer/k.good)
-				p.calm[kind] = p.calm[kind][max(0, len(p.calm[kind])-samplesKept):]
+				p.calm[kind] = newest(samplesKept, append(p.calm[kind], k.answer/k.good))
 			}
 		}
 	}
 	bad, fleetAble := missed/math.Max(1, tries), kinds[all].able/math.Max(1, kinds[all].count)
-	p.lost = max(bad, p.demand.lost)
 	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
-		n := norm{math.Inf(1), k.good / math.Max(1, k.count), 1, bad, p.lost}
+		n := norm{math.Inf(1), k.good / math.Max(1, k.count), 1, bad, 0}
+		// Could the cold of its table bear all that is tried, they are spared nothing: the warm would drown.
+		if bears[p.own[id]] < work[p.own[id]]*math.Max(1, sent/size/gave*warm) {
+			n.lost = max(bad, p.demand.lost)
+		}
 		good, late := o.tries-o.bad, o.answer/math.Max(1e-9, k.answer/math.Max(1, k.good))
 		if len(sizes) > 1 && late > slowAnswer {
 			n.goal = math.Max(slowest, 1/late)
@@ -273,10 +283,7 @@
 	f := fleet{tries: tries * float64(second) / float64(recent), bad: bad, serves: serves,
 		answer: kinds[all].answer / math.Max(1, kinds[all].good), calm: quick}
 	slices.Sort(shares) // a few that fail are no overload
-	shares = shares[:int(math.Ceil(mostPart*float64(len(shares))))]
-	for _, share := range shares {
-		f.most += share / float64(len(shares))
-	}
+	f.most = mean(shares[:int(math.Ceil(mostPart*float64(len(shares))))])
 	p.post(theLevels, f)
 }
 
@@ -400,18 +407,12 @@
 
 // shutOut says who is withdrawn: whoever drains or is gone, and the sick while a quarter of the warm is left,
 // so that no proxy is bare. The cold go while the flows of their zones surge: proxies soon avoid all others,
-// and who has just come gets everything, whatever its weight. So they go in a collapse, but not where those
-// of a table could bear all its work: the warm would drown. It harms where flows rise for good and quickly.
+// and who has just come gets everything, whatever its weight. It harms where flows rise for good and quickly.
 func (p *planner) shutOut(ids []uint32, row int) map[uint32]bool {
 	out, warm, usual, newest := map[uint32]bool{}, 0.0, make([]float64, row), make([]float64, row)
-	work, bears := map[int]float64{}, map[int]float64{} // by table
 	for _, id := range ids {
-		if o := p.offers[id]; o.State == control.Ready {
-			if work[p.own[id]] += o.Weight; o.cold {
-				bears[p.own[id]] += o.Weight * o.able * p.FallMultiple
-			} else {
-				warm++
-			}
+		if o := p.offers[id]; o.State == control.Ready && !o.cold {
+			warm++
 		}
 	}
 	for _, c := range p.crowd {
@@ -422,8 +423,7 @@
 	for _, id := range ids {
 		switch o := p.offers[id]; {
 		case o.State != control.Ready,
-			o.cold && warm > 0 && (o.sick || p.lost > coldLost && bears[p.own[id]] < work[p.own[id]] ||
-				newest[p.own[id]%row] > surge*math.Max(1, usual[p.own[id]%row])):
+			o.cold && warm > 0 && (o.sick || newest[p.own[id]%row] > surge*math.Max(1, usual[p.own[id]%row])):
 			out[id] = true
 		case o.sick && !o.cold && may >= 1:
 			out[id] = true
@@ -557,8 +557,7 @@
 		l.once, l.turned = once, l.now
 		l.say("one try only %v: %.2f missed", once, f.bad)
 	}
-	l.served = append(l.served, f.tries*(1-f.bad)/math.Max(1e-9, f.serves)) // each of those in
-	l.served = l.served[max(0, len(l.served)-2*samplesKept):]
+	l.served = newest(2*samplesKept, append(l.served, f.tries*(1-f.bad)/math.Max(1e-9, f.serves)))
 	if !over {
 		l.eased = l.now
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -137,27 +137,37 @@
 	}
 }
 
-// A few cold ones would be pushed over by all the tries of a collapse. But where most have just been replaced, to shut
-// them out leaves all work to the few that are warm, which drown for as long as the cold are out.
-func TestTheColdAreKeptOutOfACollapseUnlessTheyCouldBearIt(t *testing.T) {
-	g := at(100 * second)
-	g.FallMultiple = 4
-	for cold, kept := range map[int]bool{1: false, 3: false, 6: true} { // of ten, each half warm
-		var all []offer
-		var ids []uint32
-		for id := uint32(1); id <= 10; id++ {
+// A few cold ones would be pushed over by all the tries of a collapse, and more of them by those of an overload. But where
+// most of a table have just been replaced, to give them less leaves all work to the few that are warm, which drown for as
+// long as it goes on.
+func TestLossesCountForTheColdUnlessTheyCouldBearAllThatIsTried(t *testing.T) {
+	for _, c := range []struct {
+		cold  int // of ten, each half warm
+		tries float64
+		bear  bool
+	}{{1, 10, false}, {4, 10, false}, {6, 10, true}, {9, 10, true}, {6, 15, false}, {9, 15, true}, {9, 40, false}} {
+		g := at(10 * second)
+		g.FallMultiple = 4
+		p := planning(g)
+		for id := uint32(1); id <= 20; id++ { // the second ten are another table's
 			o := offered(id, 0, false, control.Ready)
-			o.cold, o.able = int(id) <= cold, 0.5
-			all, ids = append(all, o), append(ids, id)
+			o.cold, o.able, o.tries, o.bad = int(id) <= c.cold, 0.5, c.tries, c.tries-10 // each gives ten good answers
+			p.own[id] = int(id-1) / 10
+			planning(g, o)
 		}
-		p := planning(g, all...)
-		p.lost = coldLost / 2
-		want(t, "out in calm", len(p.shutOut(ids, 1)), 0)
-		p.lost = 2 * coldLost
-		if out := p.shutOut(ids, 1); len(out) != map[bool]int{false: cold}[kept] {
-			t.Errorf("%d cold of 10 in a collapse: %v out", cold, out)
+		planning(g, offered(21, 0, false, control.Gone)) // no work of anybody's
+		p.take(demand{lost: 0.8})
+		p.norms()
+		for box, lost := range map[int]float64{parts: map[bool]float64{false: 0.8}[c.bear], parts + 19: 0.8} {
+			if got := mail[norm](g, box)[0].lost; got != lost {
+				t.Errorf("%+v: replica %d hears of %v lost, want %v", c, box-parts+1, got, lost)
+			}
 		}
 	}
+	r := met(at(100*second), 0, 0, 0)
+	r.entry.Start = r.now - second
+	r.take(norm{goal: 1, lost: 2 * coldLost})
+	want(t, "out", mail[offer](&Governor{desk: *r.desk}, thePlanner)[0].sick, true)
 }
 
 func TestColdWaitsForTheFirstWordOfTheFleet(t *testing.T) {
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -54,6 +54,17 @@
 	return control.Chance(d.Seed, d.draws)
 }
 
+// newest leaves so many of a list, the last.
+func newest[T any](most int, all []T) []T { return all[max(0, len(all)-most):] }
+
+// mean of none is 0.
+func mean(all []float64) (sum float64) {
+	for _, v := range all {
+		sum += v / float64(len(all))
+	}
+	return sum
+}
+
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
 // settle empties the inboxes until nobody has a note left, in the order in which the notes came.
--- a/brain/types.go
+++ b/brain/types.go
@@ -92,7 +92,6 @@
 	calm   map[int][]float64 // the last answer times of each kind
 	judged int64
 	out    map[uint32]bool
-	lost   float64        // part of the flows, or of the tries if that is more
 	own    map[uint32]int // the table of each replica
 	same   bool           // nothing has changed since the last draw
 	tables int            // how many, once the first list has come
