Several governors together in virtual time, with an intake that adds up and crowds of faults

Need: the issue wants tests of several governors together (cold room, verdicts, arrivals of a lost governor's proxies) with all five rules asserted, rule 4 too, which no property test covered; the lab had one governor and sums without a bound.

Change: the emulator has as many governors as the provision names, each with its own channel, its own part of the sums and its own proxies; who loses its governor dials another, and comes home some seconds after it is back. Intake bounds the report lines a second, the oldest first, what comes for the same adds up. Crowds: a release of six in ten, a zone lost with its proxies that returns cold. Profile fleet: 5 governors, 150 proxies, 60 replicas, intake 40.

--- a/cmd/lab/seeds.go
+++ b/cmd/lab/seeds.go
@@ -24,7 +24,7 @@
 	profile := func() (seeds.Profile, error) {
 		p, ok := seeds.Profiles[name]
 		if !ok {
-			return p, fmt.Errorf("no profile %q: smoke, rules, restart or zones", name)
+			return p, fmt.Errorf("no profile %q: smoke, rules, restart, zones or fleet", name)
 		}
 		return p, nil
 	}
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -25,16 +25,20 @@
 // Kinds of faults. Each undoes itself after its span.
 var Kinds = []string{"silent", "slow", "failing", "restart", "drain", "replace", "cut", "governor", "governor-kept", "stall", "stream"}
 
+// Crowds are kinds of faults that strike many at once: a release that replaces six in ten replicas within the span, and a
+// zone whose replicas and proxies are lost for it, and are back with every replica cold.
+var Crowds = []string{"release", "zone"}
+
 // spans are those at which something in the governor or in the protocol has its edge: drawn times land on them, just
 // before and just after.
 var spans = []int64{transit, 2 * transit, gather, second / 4, second / 2, second, 2 * second, 2500 * milli, 3 * second, 4 * second, 5 * second, 10 * second}
 
-// Draw draws a script from a seed: some faults, many of them at an edge of an earlier one.
-func Draw(site Site, seed int64, from, until int64) (script []Fault) {
+// Draw draws a script from a seed: some faults of some kinds, many of them at an edge of an earlier one.
+func Draw(site Site, seed int64, from, until int64, kinds []string) (script []Fault) {
 	chance := rand.New(rand.NewSource(seed))
 	edge := func() int64 { return spans[chance.Intn(len(spans))] + []int64{-1, 0, 1, milli}[chance.Intn(4)] }
 	for range 2 + chance.Intn(6) {
-		f := Fault{At: from + chance.Int63n(until-from), Kind: Kinds[chance.Intn(len(Kinds))], Span: 200*milli + chance.Int63n(8*second)}
+		f := Fault{At: from + chance.Int63n(until-from), Kind: kinds[chance.Intn(len(kinds))], Span: 200*milli + chance.Int63n(8*second)}
 		if last := len(script) - 1; last >= 0 && chance.Intn(2) == 0 {
 			f.At = min(until-1, script[last].At+edge())
 		}
@@ -42,7 +46,7 @@
 			f.Span = edge()
 		}
 		switch f.Kind {
-		case "cut":
+		case "cut", "zone":
 			f.Who = chance.Intn(len(site.Names.Zones))
 		case "stall", "stream":
 			f.Who = chance.Intn(site.Proxies)
@@ -71,10 +75,7 @@
 	case "restart": // its flows are lost, and it comes back cold
 		r := w.Replicas[f.Who%len(w.Replicas)]
 		r.Mood = Failing
-		w.after(f.Span, func() {
-			r.Mood, r.lately = Well, nil
-			w.tellOf(r, control.Ready, w.now)
-		})
+		w.after(f.Span, func() { w.replace(r) })
 	case "drain":
 		r := w.Replicas[f.Who%len(w.Replicas)]
 		w.tellOf(r, control.Draining, r.Member.UpSince)
@@ -83,30 +84,46 @@
 		r := w.Replicas[f.Who%len(w.Replicas)]
 		r.Mood = Failing
 		w.tellOf(r, control.Gone, r.Member.UpSince)
-		w.after(f.Span, func() {
-			r.Mood, r.lately = Well, nil
-			w.tellOf(r, control.Ready, w.now)
-		})
+		w.after(f.Span, func() { w.replace(r) })
 	case "cut":
 		zone := w.Site.Names.Zones[f.Who]
 		w.cut[zone]++
 		w.after(f.Span, func() { w.heal(zone) })
 	case "governor", "governor-kept":
-		if w.Core == nil {
+		t := w.towers[f.Who%len(w.towers)]
+		if t.core == nil {
 			return
 		}
-		learned := w.Learned
-		w.Down()
+		learned := t.learned
+		w.down(t)
 		w.after(f.Span, func() {
-			if w.Core != nil {
+			if t.core != nil {
 				return
 			}
 			var past *memory.Past
 			if f.Kind == "governor-kept" && learned != nil {
 				past = memory.NewPast(*learned, w.now, learned.Taken.Age(memory.Moment{Wall: w.now}), 60*second)
 			}
-			w.Up(past)
+			w.up(t, past)
 		})
+	case "release":
+		leave := w.chance.Perm(len(w.Replicas))[:len(w.Replicas)*6/10]
+		for k, who := range leave {
+			r, at := w.Replicas[who], f.Span*int64(k)/int64(len(leave))
+			w.after(at, func() { w.tellOf(r, control.Draining, r.Member.UpSince) })
+			w.after(at+2*second, func() { w.replace(r) })
+		}
+	case "zone":
+		zone := w.Site.Names.Zones[f.Who]
+		w.cut[zone]++
+		for _, r := range w.Replicas {
+			if r.Member.Zone == zone {
+				r.Mood = Failing
+				w.after(second, func() { w.tellOf(r, control.Gone, r.Member.UpSince) }) // notice comes late
+				w.after(max(2*second, f.Span), func() { w.replace(r) })
+			}
+		}
+		w.after(f.Span, func() { w.heal(zone) })
 	case "stall":
 		p := w.proxies[f.Who%len(w.proxies)]
 		p.stalled = max(p.stalled, w.now+f.Span)
@@ -114,15 +131,23 @@
 		p := w.proxies[f.Who%len(w.proxies)]
 		if old := p.stream; old != 0 && w.cut[p.zone] == 0 {
 			w.join(p)
-			w.after(f.Span, func() { w.tell(governor.Left{Stream: old}) })
+			w.after(f.Span, func() { w.towers[p.tower].tell(governor.Left{Stream: old}) })
 		}
 	}
 }
 
-// tellOf changes what is listed of a replica, and tells the governor.
+// replace has a cold process take a replica's place.
+func (w *World) replace(r *Replica) {
+	r.Mood, r.lately = Well, nil
+	w.tellOf(r, control.Ready, w.now)
+}
+
+// tellOf changes what is listed of a replica, and tells the governors.
 func (w *World) tellOf(r *Replica, state control.State, upSince int64) {
 	r.Member.State, r.Member.UpSince, r.told = state, upSince, w.now
-	w.tell(governor.Listing{Revision: 1, At: w.now, Wall: w.now, Members: []governor.Member{r.Member}})
+	for _, t := range w.towers {
+		t.tell(governor.Listing{Revision: 1, At: w.now, Wall: w.now, Members: []governor.Member{r.Member}})
+	}
 }
 
 // heal ends one cut of a zone. Its proxies join anew; what was on its way is lost.
@@ -131,11 +156,13 @@
 		return
 	}
 	for _, p := range w.proxies {
-		if p.zone == zone && w.Core != nil {
+		if t := w.towers[p.tower]; p.zone == zone && t.core != nil {
 			if old := p.stream; old != 0 {
-				w.tell(governor.Left{Stream: old})
+				t.tell(governor.Left{Stream: old})
 			}
 			w.join(p)
+		} else if p.zone == zone {
+			w.dial(p)
 		}
 	}
 }
--- a/lab/emulator/rules.go
+++ b/lab/emulator/rules.go
@@ -82,7 +82,7 @@
 	if w.watched == nil {
 		return
 	}
-	if r.Member.State != control.Ready && p.stream != 0 && w.cut[p.zone] == 0 && w.now > max(r.told, p.joined, w.up, p.stalled)+graceMost {
+	if r.Member.State != control.Ready && p.stream != 0 && w.cut[p.zone] == 0 && w.now > max(r.told, p.joined, w.towers[p.tower].up, p.stalled)+graceMost {
 		w.breach(3, r.Member.ID, "gets flows of proxy %d, told at %.3fs", p.id, float64(r.told)/1e9)
 	}
 	if able := w.able(r); able < 1 {
@@ -91,7 +91,10 @@
 			r.lately = r.lately[1:]
 		}
 		usual := float64(r.places) / r.mean * float64(fallSpan) / float64(second)
-		steered := w.Core != nil && w.now-w.up > second+fallSpan // before that nobody could tell the proxies
+		steered := false // before that nobody could tell the proxies
+		for _, t := range w.towers {
+			steered = steered || t.core != nil && w.now-t.up > second+fallSpan
+		}
 		if n := float64(len(r.lately)); steered && w.now-r.Member.UpSince >= fallSpan && n > w.Site.Provision.FallMultiple*able*usual {
 			w.breach(4, r.Member.ID, "cold, got %.0f flows in 3 s, falls at %.0f", n, w.Site.Provision.FallMultiple*able*usual)
 		}
@@ -102,16 +105,17 @@
 func (w *World) queued(p *proxy, push governor.Push) (left int64) {
 	prov := w.Site.Provision
 	lines := len(push.Lines) + len(push.Shut) + len(push.Let) + len(push.Levels) + prov.MessageHead + 1
-	w.free = max(w.free, w.now) + int64(float64(lines)/prov.ChannelRate*float64(second))
-	if waits := float64(w.free-w.now) / float64(second) * prov.ChannelRate; waits > float64(prov.ChannelLimit) {
-		w.breach(5, "channel", "holds %.0f lines of %d", waits, prov.ChannelLimit)
+	t := w.towers[p.tower]
+	t.free = max(t.free, w.now) + int64(float64(lines)/prov.ChannelRate*float64(second))
+	if waits := float64(t.free-w.now) / float64(second) * prov.ChannelRate; waits > float64(prov.ChannelLimit) {
+		w.breach(5, fmt.Sprint("channel ", t.number), "holds %.0f lines of %d", waits, prov.ChannelLimit)
 	}
-	p.wrote = append(p.wrote, w.now)
-	for len(p.wrote) > 0 && p.wrote[0] <= w.now-prov.MessagesSpan {
-		p.wrote = p.wrote[1:]
+	wrote := append(p.wrote[p.tower], w.now)
+	for len(wrote) > 0 && wrote[0] <= w.now-prov.MessagesSpan {
+		wrote = wrote[1:]
 	}
-	if prov.MessagesMost > 0 && len(p.wrote) > prov.MessagesMost {
-		w.breach(5, fmt.Sprint("proxy ", p.id), "got %d messages in a span for %d", len(p.wrote), prov.MessagesMost)
+	if p.wrote[p.tower] = wrote; prov.MessagesMost > 0 && len(wrote) > prov.MessagesMost {
+		w.breach(5, fmt.Sprint("proxy ", p.id), "got %d messages in a span for %d", len(wrote), prov.MessagesMost)
 	}
-	return w.free
+	return t.free
 }
--- a/lab/emulator/steer.go
+++ b/lab/emulator/steer.go
@@ -11,30 +11,75 @@
 
 // This file is what stands between the flows and the governor: sums, usage, lists, messages and answers.
 
-// Up starts a governor. It is told of the list, of the past if there is one, and of the proxies as they join
-// within a third of a second; they keep the tables that they have.
+// tower is one governor's place, and what is on its way to it.
+type tower struct {
+	world   *World
+	number  int
+	core    *governor.Core // nil: it is down
+	notes   []any
+	turn    int64 // when the next is due; 0: none
+	free    int64 // when its channel has nothing more to send
+	up      int64 // since when it is there
+	learned *memory.Memory
+	reports []report // that wait, the oldest first
+	credit  float64  // lines that may be told
+}
+
+// report is a line that waits for the intake; what comes for the same adds up.
+type report struct {
+	of  any
+	add func(governor.Met, governor.Demand)
+	say func() any
+}
+
+// Up starts all governors; the past is told to the first.
 func (w *World) Up(past *memory.Past) {
+	for _, t := range w.towers {
+		w.up(t, past)
+		past = nil
+	}
+}
+
+// Core is the core of a governor, nil while it is down.
+func (w *World) Core(k int) *governor.Core { return w.towers[k].core }
+
+// up starts a governor. It is told of the list, of the past if there is one, and of the proxies as they join: those that
+// have no governor within a third of a second, those of its own that others have, some seconds later. They keep the tables
+// that they have.
+func (w *World) up(t *tower, past *memory.Past) {
 	p := w.Site.Provision
 	p.Seed = uint64(w.chance.Int63())
-	w.up = w.now
-	w.Core = governor.New(func() governor.Module {
+	t.up = w.now
+	t.core = governor.New(func() governor.Module {
 		if w.Spoil != nil {
 			return w.Spoil(brain.New(p))
 		}
 		return brain.New(p)
 	}, governor.NewCensus(w.Site.Names, p))
 	if past != nil {
-		w.tell(governor.Recall{Past: past})
+		t.tell(governor.Recall{Past: past})
 	}
-	w.list()
-	core := w.Core
+	w.list(t)
+	core := t.core
 	for _, p := range w.proxies {
-		p.wrote = nil // by another governor
+		if delete(p.wrote, t.number); p.id%len(w.towers) != t.number { // by an earlier governor
+			continue
+		}
 		w.after(w.chance.Int63n(second/3), func() {
-			if w.Core == core && w.cut[p.zone] == 0 && p.stream == 0 {
+			if t.core == core && w.cut[p.zone] == 0 && p.stream == 0 {
+				p.tower = t.number
 				w.join(p)
 			}
 		})
+		if len(w.towers) > 1 {
+			w.after(3*second+w.chance.Int63n(9*second), func() {
+				if t.core == core && w.cut[p.zone] == 0 && p.stream != 0 && p.tower != t.number {
+					w.towers[p.tower].tell(governor.Left{Stream: p.stream})
+					p.tower = t.number
+					w.join(p)
+				}
+			})
+		}
 	}
 }
 
@@ -42,73 +87,103 @@
 func (w *World) join(p *proxy) {
 	w.streams++
 	p.stream, p.joined, p.bare = w.streams, w.now, 0
-	w.tell(governor.Joined{Stream: p.stream, Proxy: p.id, Zone: p.zone, Blank: len(p.lines) == 0, Rate: 1})
+	w.towers[p.tower].tell(governor.Joined{Stream: p.stream, Proxy: p.id, Zone: p.zone, Blank: len(p.lines) == 0, Rate: 1})
 	w.look(p)
 }
 
-// Down kills the governor, and what it was told and was about to say with it.
+// dial has a proxy look for a governor that is up.
+func (w *World) dial(p *proxy) {
+	w.after(second/7+w.chance.Int63n(3*second/2), func() {
+		if p.stream != 0 || w.cut[p.zone] > 0 {
+			return
+		}
+		for _, k := range w.chance.Perm(len(w.towers)) {
+			if w.towers[k].core != nil {
+				p.tower = k
+				w.join(p)
+				return
+			}
+		}
+	})
+}
+
+// Down kills the governors, and what they were told and were about to say with them.
 func (w *World) Down() {
-	w.Core, w.notes, w.turn = nil, nil, 0
+	for _, t := range w.towers {
+		w.down(t)
+	}
+}
+
+func (w *World) down(t *tower) {
+	t.core, t.notes, t.turn, t.reports = nil, nil, 0, nil
 	for _, p := range w.proxies {
-		p.stream = 0
+		if p.tower == t.number {
+			p.stream = 0
+			if len(w.towers) > 1 {
+				w.dial(p)
+			}
+		}
 	}
 }
 
-// Change changes replicas and tells the governor of the list.
+// Change changes replicas and tells the governors of the list.
 func (w *World) Change(change func(k int, r *Replica)) {
 	for k, r := range w.Replicas {
 		change(k, r)
 	}
-	if w.Core != nil {
-		w.list()
+	for _, t := range w.towers {
+		if t.core != nil {
+			w.list(t)
+		}
 	}
 }
 
-func (w *World) list() {
+func (w *World) list(t *tower) {
 	l := governor.Listing{Revision: 1, Whole: true, At: w.now, Wall: w.now}
 	for _, r := range w.Replicas {
 		l.Members = append(l.Members, r.Member)
 	}
-	w.tell(l)
+	t.tell(l)
 }
 
-func (w *World) tell(note any) {
-	if w.Core == nil {
+func (t *tower) tell(note any) {
+	if t.core == nil {
 		return
 	}
-	w.notes = append(w.notes, note)
-	w.wake(w.now + gather)
+	t.notes = append(t.notes, note)
+	t.wake(t.world.now + gather)
 }
 
-func (w *World) wake(when int64) {
-	if w.turn != 0 && w.turn <= when {
+func (t *tower) wake(when int64) {
+	if t.turn != 0 && t.turn <= when {
 		return
 	}
-	core := w.Core
-	w.turn = max(when, w.now)
+	core, w := t.core, t.world
+	t.turn = max(when, w.now)
 	w.at(when, func() {
-		if w.Core != core || w.turn != w.now {
+		if t.core != core || t.turn != w.now {
 			return // a later one has taken its place
 		}
-		w.turn = 0
-		w.take()
+		t.turn = 0
+		w.take(t)
 	})
 }
 
-// take is one turn of the core.
-func (w *World) take() {
-	notes, begun := w.notes, int64(0)
-	w.notes = nil
+// take is one turn of a core.
+func (w *World) take(t *tower) {
+	notes, begun := t.notes, int64(0)
+	t.notes = nil
 	if w.Clock != nil {
 		begun = w.Clock()
 	}
-	o := w.Core.Turn(w.now, notes)
+	o := t.core.Turn(w.now, notes)
 	if w.Clock != nil {
 		w.Turns = append(w.Turns, w.Clock()-begun)
 	}
 	if o.Learned != nil {
-		w.Learned = o.Learned
-		w.Learned.Taken = memory.Moment{Wall: w.now}
+		t.learned = o.Learned
+		t.learned.Taken = memory.Moment{Wall: w.now}
+		w.Learned = w.towers[0].learned
 	}
 	for _, s := range o.Pushes {
 		k := slices.IndexFunc(w.proxies, func(p *proxy) bool { return p.stream == s.Stream })
@@ -120,12 +195,12 @@
 			w.Trace("%d push %d %+v", w.now, p.id, s.Push)
 		}
 		left := w.queued(p, s.Push)
-		w.notes = append(w.notes, governor.Written{Number: s.Number})
+		t.notes = append(t.notes, governor.Written{Number: s.Number})
 		p.applied = max(p.applied, left+transit, p.stalled) // in order, after a stall
 		w.at(p.applied, func() { w.apply(p, s) })
 	}
 	if o.Wake > 0 {
-		w.wake(o.Wake)
+		t.wake(o.Wake)
 	}
 }
 
@@ -163,7 +238,7 @@
 			if w.cut[p.zone] > 0 {
 				return
 			}
-			w.tell(governor.Answered{Stream: s.Stream, Mark: s.Push.Mark, Took: transit})
+			w.towers[p.tower].tell(governor.Answered{Stream: s.Stream, Mark: s.Push.Mark, Took: transit})
 		})
 	}
 }
@@ -171,18 +246,20 @@
 // sums tells what the proxies of a zone met, 0.7 to 1.6 s late.
 func (w *World) sums(zone string) {
 	late := 700*milli + w.chance.Int63n(900*milli)
-	for _, r := range w.Replicas {
-		s := r.met[zone]
-		if s == nil || s.tries == 0 {
-			continue
-		}
-		met := governor.Met{Zone: zone, Replica: r.Member.ID, Met: control.Met{Tries: s.tries, Missed: s.missed, Span: second, Held: -1}}
-		if good := s.tries - s.missed; good > 0 {
-			met.Answer = s.answers / int64(good)
-		}
-		*s = sum{}
-		if w.cut[zone] == 0 {
-			w.after(late, func() { w.tell(met) })
+	for _, t := range w.towers {
+		for _, r := range w.Replicas {
+			s := r.met[teller{zone, t.number}]
+			if s == nil || s.tries == 0 {
+				continue
+			}
+			met := governor.Met{Zone: zone, Replica: r.Member.ID, Met: control.Met{Tries: s.tries, Missed: s.missed, Span: second, Held: -1}}
+			if good := s.tries - s.missed; good > 0 {
+				met.Answer = s.answers / int64(good)
+			}
+			*s = sum{}
+			if w.cut[zone] == 0 {
+				w.after(late, func() { t.hear([2]string{zone, met.Replica}, met, governor.Demand{}) })
+			}
 		}
 	}
 }
@@ -191,12 +268,53 @@
 	for g, name := range w.Site.Names.Groups {
 		if p.came[g] > 0 && p.stream != 0 && w.cut[p.zone] == 0 {
 			d := governor.Demand{Stream: p.stream, Group: name, Demand: control.Demand{Proxy: p.id, Flows: p.came[g], Missed: p.missed[g], Span: second}}
-			w.after(transit, func() { w.tell(d) })
+			t := w.towers[p.tower]
+			w.after(transit, func() { t.hear([2]any{p.stream, name}, governor.Met{}, d) })
 		}
 		p.came[g], p.missed[g] = 0, 0
 	}
 }
 
+// hear takes in a line of a report, or lets it wait for the intake.
+func (t *tower) hear(of any, met governor.Met, d governor.Demand) {
+	for k := range t.reports {
+		if t.reports[k].of == of {
+			t.reports[k].add(met, d)
+			return
+		}
+	}
+	r := report{of: of}
+	r.add = func(m governor.Met, more governor.Demand) {
+		if good, came := int64(met.Tries-met.Missed), int64(m.Tries-m.Missed); good+came > 0 {
+			met.Answer = (met.Answer*good + m.Answer*came) / (good + came)
+		}
+		met.Tries, met.Missed, met.Span = met.Tries+m.Tries, met.Missed+m.Missed, met.Span+m.Span
+		d.Flows, d.Missed, d.Span = d.Flows+more.Flows, d.Missed+more.Missed, d.Span+more.Span
+	}
+	r.say = func() any {
+		if d.Group != "" {
+			return d
+		}
+		return met
+	}
+	if t.world.Site.Intake == 0 {
+		t.tell(r.say())
+		return
+	}
+	t.reports = append(t.reports, r)
+}
+
+// takeIn tells the governors as many lines as their intake lets through.
+func (w *World) takeIn() {
+	for _, t := range w.towers {
+		t.credit = min(t.credit+float64(w.Site.Intake)/10, float64(w.Site.Intake))
+		for ; len(t.reports) > 0 && t.credit >= 1; t.credit-- {
+			t.tell(t.reports[0].say())
+			t.reports = t.reports[1:]
+		}
+	}
+}
+
 // Bare counts joined proxies that have no line to a replica that they do not shut out.
 func (w *World) Bare() (n int) {
 	for _, p := range w.proxies {
--- a/lab/emulator/world.go
+++ b/lab/emulator/world.go
@@ -41,7 +41,13 @@
 	told    int64   // when the governor was last told of it
 	lately  []int64 // tries of the last 3 s, while it is cold
 	waiting []func()
-	met     map[string]*sum // by the zone of the proxies, since they were last told
+	met     map[teller]*sum // since they were last told
+}
+
+// teller is who sums flows: the collector of a zone, for one governor.
+type teller struct {
+	zone  string
+	tower int
 }
 
 type sum struct {
@@ -53,6 +59,7 @@
 	id     int
 	zone   string
 	stream governor.Stream
+	tower  int // it is joined to, or was last
 	lines  map[string]float64
 	shut   map[string]bool
 	levels map[string]governor.Level
@@ -61,11 +68,11 @@
 	picks  []weighed // what may be picked; nil: to be worked out
 	total  float64
 
-	joined  int64   // since when the stream is there
-	stalled int64   // messages are applied after that
-	applied int64   // when the last one was
-	bare    int64   // since when it has had no line; 0: it has some
-	wrote   []int64 // when messages for it were sent, of the last span
+	joined  int64           // since when the stream is there
+	stalled int64           // messages are applied after that
+	applied int64           // when the last one was
+	bare    int64           // since when it has had no line; 0: it has some
+	wrote   map[int][]int64 // when governors sent messages for it, of the last span
 }
 
 type weighed struct {
@@ -91,6 +98,7 @@
 type Site struct {
 	Replicas, Proxies int
 	Load              float64 // of what all replicas can serve
+	Intake            int     // lines of reports a second that each governor gets, the oldest first; 0: any number
 	Names             provision.Names
 	Provision         control.Provision
 }
@@ -99,8 +107,7 @@
 type World struct {
 	Site     Site
 	Replicas []*Replica
-	Core     *governor.Core // nil: no governor is up
-	Learned  *memory.Memory // the last that the core has told
+	Learned  *memory.Memory // the last that the first governor has told
 	Turns    []int64        // real nanoseconds of each turn, if Clock is set
 	Clock    func() int64
 
@@ -110,8 +117,7 @@
 	now     int64
 	events  schedule
 	ordered int64
-	notes   []any
-	turn    int64 // when the next is due; 0: none
+	towers  []*tower
 	streams governor.Stream
 	from    int64 // flows that come from then to until are counted
 	until   int64
@@ -122,8 +128,6 @@
 	Trace    func(text string, args ...any)        // of each step that matters; nil: none
 	watched  map[string]bool                       // nil: rules are not checked
 	cut      map[string]int                        // zones that are cut off, so many times
-	free     int64                                 // when the channel has nothing more to send
-	up       int64                                 // since when the governor is there
 }
 
 type event struct {
@@ -165,7 +169,7 @@
 	able := 0.0
 	for k := range site.Replicas {
 		kind := k / 2 % 2
-		r := &Replica{places: 8, mean: 0.1 * float64(1+kind), met: map[string]*sum{}, Member: governor.Member{
+		r := &Replica{places: 8, mean: 0.1 * float64(1+kind), met: map[teller]*sum{}, Member: governor.Member{
 			ID: fmt.Sprintf("s-%04d", k), Zone: site.Names.Zones[k%2], Kind: site.Names.Kinds[kind], Weight: 1}}
 		able += float64(r.places) / r.mean
 		w.Replicas, w.by[r.Member.ID] = append(w.Replicas, r), r
@@ -173,7 +177,7 @@
 	rate := able * site.Load / float64(site.Proxies)
 	for k := range site.Proxies {
 		p := &proxy{id: k, zone: site.Names.Zones[k%2], lines: map[string]float64{}, shut: map[string]bool{}, levels: map[string]governor.Level{},
-			came: make([]int, len(site.Names.Groups)), missed: make([]int, len(site.Names.Groups))}
+			wrote: map[int][]int64{}, came: make([]int, len(site.Names.Groups)), missed: make([]int, len(site.Names.Groups))}
 		w.proxies = append(w.proxies, p)
 		w.arrive(p, rate)
 		w.every(second, func() { w.usage(p) })
@@ -181,6 +185,12 @@
 	for _, zone := range site.Names.Zones {
 		w.every(second, func() { w.sums(zone) })
 	}
+	for k := range max(1, site.Provision.Governors) {
+		w.towers = append(w.towers, &tower{world: w, number: k})
+	}
+	if site.Intake > 0 {
+		w.every(second/10, w.takeIn)
+	}
 	return w
 }
 
@@ -291,7 +301,7 @@
 		return
 	}
 	w.sent(f.p, r)
-	sum, begun := r.sum(f.p.zone), w.now
+	sum, begun := r.sum(teller{f.p.zone, f.p.tower}), w.now
 	if f.p.zone != r.Member.Zone && w.cut[f.p.zone]+w.cut[r.Member.Zone] > 0 { // no word of it ever comes
 		w.at(f.came+w.Site.Provision.Groups[f.group].Expiry, missed(sum))
 		return
@@ -330,11 +340,11 @@
 
 func missed(s *sum) func() { return func() { s.tries, s.missed = s.tries+1, s.missed+1 } }
 
-func (r *Replica) sum(zone string) *sum {
-	if r.met[zone] == nil {
-		r.met[zone] = &sum{}
+func (r *Replica) sum(by teller) *sum {
+	if r.met[by] == nil {
+		r.met[by] = &sum{}
 	}
-	return r.met[zone]
+	return r.met[by]
 }
 
 // enter runs a flow, or lets it wait for a place.
--- a/lab/seeds/seeds.go
+++ b/lab/seeds/seeds.go
@@ -28,6 +28,8 @@
 type Profile struct {
 	Site  func() emulator.Site
 	Kinds []string // empty: all
+	// Crowds are those of many replicas at once, one in each script.
+	Crowds []string
 	// Spoil takes guards out of the module, to show that the checks can fail; nil: it is as it is.
 	Spoil func(governor.Module) governor.Module
 }
@@ -38,6 +40,15 @@
 	"rules":   {Site: func() emulator.Site { return emulator.NewSite(12, 24, 0.4) }},
 	"restart": {Site: func() emulator.Site { return emulator.NewSite(12, 24, 0.4) }, Kinds: []string{"governor", "governor-kept", "restart", "silent", "stream"}},
 	"zones":   {Site: func() emulator.Site { return emulator.NewSite(12, 24, 0.3) }, Kinds: []string{"cut", "restart", "governor", "stall"}},
+	"fleet":   {Site: fleet, Kinds: []string{"governor", "cut", "silent", "failing", "replace"}, Crowds: emulator.Crowds},
+}
+
+// fleet is five governors that hear nothing of each other, and of flows through an intake that is too narrow for all
+// sums: they add up for seconds.
+func fleet() emulator.Site {
+	s := emulator.NewSite(60, 150, 0.5)
+	s.Provision.Governors, s.Provision.DrainGrace, s.Intake = 5, 2*second, 40
+	return s
 }
 
 // Result is one run.
@@ -50,10 +61,13 @@
 
 // Draw is the script of a seed.
 func (p Profile) Draw(seed int64) []emulator.Fault {
-	script := emulator.Draw(p.Site(), seed, faultsFrom, faultsUntil)
+	script := emulator.Draw(p.Site(), seed, faultsFrom, faultsUntil, emulator.Kinds)
 	if len(p.Kinds) > 0 {
 		script = slices.DeleteFunc(script, func(f emulator.Fault) bool { return !slices.Contains(p.Kinds, f.Kind) })
 	}
+	if len(p.Crowds) > 0 {
+		script = append(script, emulator.Draw(p.Site(), seed, faultsFrom, faultsUntil, p.Crowds)[0])
+	}
 	return script
 }
 
--- a/lab/seeds/seeds_test.go
+++ b/lab/seeds/seeds_test.go
@@ -26,6 +26,50 @@
 	}
 }
 
+// Five governors that hear nothing of each other, each of a part of the proxies, late: six in ten replicas are replaced at
+// once, or a zone is lost with its proxies and returns cold, while governors die and all their proxies come to the others.
+func TestGovernorsTogetherHoldAllRules(t *testing.T) {
+	p := Profiles["fleet"]
+	p.Run(1, 6, runtime.GOMAXPROCS(0), func(r Result) {
+		if len(r.Breaches) > 0 {
+			t.Errorf("seed %d: %v of %v", r.Seed, r.Breaches, r.Script)
+		}
+	})
+}
+
+// rash gives whoever has just started many times the weight that the module orders.
+type rash struct {
+	governor.Module
+	starts map[uint32]int64
+}
+
+func (s rash) Turn(now int64, events []control.Event) []control.Order {
+	for _, ev := range events {
+		if l, is := ev.(control.Listed); is {
+			for _, e := range l.Entries {
+				s.starts[e.Replica] = e.Start
+			}
+		}
+	}
+	orders := s.Module.Turn(now, events)
+	for k, o := range orders {
+		if line, is := o.(control.SetLine); is && s.starts[line.Replica] > 0 {
+			line.Weight *= 40
+			orders[k] = line
+		}
+	}
+	return orders
+}
+
+func TestGovernorsThatPushTheColdOverAreCaught(t *testing.T) {
+	p := Profiles["fleet"]
+	p.Spoil = func(m governor.Module) governor.Module { return rash{m, map[uint32]int64{}} }
+	r := p.Play(1, []emulator.Fault{{At: 10 * second, Kind: "replace", Who: 7, Span: 2 * second}}, nil)
+	if len(r.Breaches) == 0 || r.Breaches[0].Rule != 4 {
+		t.Errorf("nobody was seen to be pushed over: %v", r.Breaches)
+	}
+}
+
 // spoilt passes a module's orders on, but for some.
 type spoilt struct {
 	governor.Module
