The first fall of the line allows for tries that are not told of yet

Flows and tries come in different lines, and those of tries later; what is known to be served is then no measure of what can be. All governors do it at once when a fleet is hit. Line at fault: levels.judge, "left := lineFirst * max(served) * serves" beside flows of another time.

Change: while all is let in, all that came was tried; so what was served counts for more by as much as fewer tries are told of than flows.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -570,7 +570,8 @@
 		}
 		l.press, l.fell = press, l.now
 	case over:
-		left := lineFirst * slices.Max(l.served) * f.serves
+		// All that came was tried: where fewer tries are told of than flows, fewer answers are as well.
+		left := lineFirst * slices.Max(l.served) * f.serves * math.Max(1, total(flows)/math.Max(1, f.tries))
 		l.line, l.press, l.fell = 0, press, l.now
 		for _, g := range l.groups {
 			l.line += math.Min(1, math.Max(0, left)/math.Max(1, flows[g]))
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -65,6 +65,13 @@
 	return sum
 }
 
+func total[K comparable](all map[K]float64) (sum float64) {
+	for _, v := range all {
+		sum += v
+	}
+	return sum
+}
+
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
 // settle empties the inboxes until nobody has a note left, in the order in which the notes came.
