Sums of flows add in one order; descriptors that run out and turns by size are tested and measured

Need: the fall of the line added a map's values in the order in which they came, and the last digit of a sum goes by it: same events, same orders. Bad input at this size asks that the limit of descriptors is survived; nothing tested the listener that has none left. The issue wants turn time, allocations and bytes a proxy at four sizes, before and after.

Change: total adds by key. A test has Accept fail for want of descriptors: who is named stays, who is not makes room, the tries are paused, the next comer is taken. BenchmarkATurnAtSize.

--- a/brain/mail.go
+++ b/brain/mail.go
@@ -65,9 +65,10 @@
 	return sum
 }
 
-func total[K comparable](all map[K]float64) (sum float64) {
-	for _, v := range all {
-		sum += v
+// total adds in the order of the keys: the last digit of a sum goes by its order.
+func total[K cmp.Ordered](all map[K]float64) (sum float64) {
+	for _, k := range sorted(all) {
+		sum += all[k]
 	}
 	return sum
 }
--- a/internal/governor/budget_test.go
+++ b/internal/governor/budget_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"math/rand"
+	"runtime"
+	"slices"
 	"testing"
+	"time"
 
 	"lilacbend/brain"
 	"lilacbend/control"
@@ -366,3 +369,47 @@
 		}
 	}
 }
+
+// Turns of a governor that all proxies have joined, with the sums of a quarter of a second each: their time, what they
+// allocate, and what a proxy holds.
+func BenchmarkATurnAtSize(b *testing.B) {
+	for _, c := range []struct{ proxies, replicas int }{{480, 60}, {1280, 120}, {2400, 200}, {10000, 1000}} {
+		b.Run(fmt.Sprintf("%dx%d", c.proxies, c.replicas), func(b *testing.B) {
+			var before, joined, start, end runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			w := newChannelWorld(1, c.proxies, c.replicas, 1, 1<<20, 1<<20, trueLines)
+			for k := range w.proxies {
+				w.join(k)
+			}
+			for range 40 {
+				w.pass(second / 4)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&joined)
+			var spans []time.Duration
+			allocs := uint64(0)
+			for b.Loop() {
+				for range 40 { // of a hundred and fifty lines a second
+					m := governor.Met{Zone: "a", Replica: w.names[w.Intn(len(w.names))]}
+					m.Tries, m.Missed, m.Answer, m.Span = 20, w.Intn(2), second/10+int64(w.Intn(int(second/20))), second
+					w.notes = append(w.notes, m)
+				}
+				w.now += second / 4
+				notes := w.notes
+				w.notes = nil
+				runtime.ReadMemStats(&start)
+				began := time.Now()
+				w.core.Turn(w.now, notes)
+				spans = append(spans, time.Since(began))
+				runtime.ReadMemStats(&end)
+				allocs += end.Mallocs - start.Mallocs
+			}
+			slices.Sort(spans)
+			b.ReportMetric(float64(spans[len(spans)/2])/1e6, "p50-ms")
+			b.ReportMetric(float64(spans[len(spans)*99/100])/1e6, "p99-ms")
+			b.ReportMetric(float64(allocs)/float64(len(spans)), "allocs/turn")
+			b.ReportMetric(float64(joined.HeapAlloc-before.HeapAlloc)/float64(c.proxies), "B/proxy")
+		})
+	}
+}
--- a/internal/streams/server_test.go
+++ b/internal/streams/server_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"slices"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,10 +19,18 @@
 
 // running serves on loopback until the test ends, and checks that nothing is left behind.
 func running(t *testing.T, s *Server) string {
+	return runningOn(t, s, loopback(t))
+}
+
+func loopback(t *testing.T) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return l
+}
+
+func runningOn(t *testing.T, s *Server, l net.Listener) string {
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error)
 	go func() { ended <- s.Serve(ctx, l) }()
@@ -248,6 +258,42 @@
 	}
 }
 
+// short has no descriptor left for a while.
+type short struct {
+	net.Listener
+	out   atomic.Bool
+	tries atomic.Int64
+}
+
+func (l *short) Accept() (net.Conn, error) {
+	if l.out.Load() {
+		l.tries.Add(1)
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// The limit of descriptors is survived: who is named stays, who has not said who it is makes room, nobody turns in a busy
+// loop, and the next comers are taken once there is one again.
+func TestNoDescriptorIsLeftForAWhile(t *testing.T) {
+	s, l := server(100), &short{Listener: loopback(t)}
+	at := runningOn(t, s, l)
+	named := call(t, at, "hello id 1 site a rps 2 new 1")
+	told(t, s, 1)
+	l.out.Store(true)
+	call(t, at).ends(t) // taken by the call that had begun
+	began := time.Now()
+	late := call(t, at, "probe") // waits in the listener's queue
+	time.Sleep(5 * acceptPause)
+	if most := int64(time.Since(began)/acceptPause) + 4; l.tries.Load() > most {
+		t.Errorf("%d tries, %d in this time", l.tries.Load(), most)
+	}
+	l.out.Store(false)
+	late.hears(t, "alive")
+	named.say(t, "ack id 1 seq 1 ms 1")
+	told(t, s, 1)
+}
+
 func TestNamedPeersAreNotPutOut(t *testing.T) {
 	s := server(descriptorsKept + 2)
 	at := running(t, s)
