--- a/lab/emulator/steer.go
+++ b/lab/emulator/steer.go
@@ -27,9 +27,24 @@
 
 // report is a line that waits for the intake; what comes for the same adds up.
 type report struct {
-	of  any
-	add func(governor.Met, governor.Demand)
-	say func() any
+	of     any
+	met    governor.Met
+	demand governor.Demand // of no group: it is what was met
+}
+
+func (r *report) add(m governor.Met, d governor.Demand) {
+	if good, came := int64(r.met.Tries-r.met.Missed), int64(m.Tries-m.Missed); good+came > 0 {
+		r.met.Answer = (r.met.Answer*good + m.Answer*came) / (good + came)
+	}
+	r.met.Tries, r.met.Missed, r.met.Span = r.met.Tries+m.Tries, r.met.Missed+m.Missed, r.met.Span+m.Span
+	r.demand.Flows, r.demand.Missed, r.demand.Span = r.demand.Flows+d.Flows, r.demand.Missed+d.Missed, r.demand.Span+d.Span
+}
+
+func (r *report) note() any {
+	if r.demand.Group != "" {
+		return r.demand
+	}
+	return r.met
 }
 
 // Up starts all governors; the past is told to the first.
@@ -283,22 +298,9 @@
 			return
 		}
 	}
-	r := report{of: of}
-	r.add = func(m governor.Met, more governor.Demand) {
-		if good, came := int64(met.Tries-met.Missed), int64(m.Tries-m.Missed); good+came > 0 {
-			met.Answer = (met.Answer*good + m.Answer*came) / (good + came)
-		}
-		met.Tries, met.Missed, met.Span = met.Tries+m.Tries, met.Missed+m.Missed, met.Span+m.Span
-		d.Flows, d.Missed, d.Span = d.Flows+more.Flows, d.Missed+more.Missed, d.Span+more.Span
-	}
-	r.say = func() any {
-		if d.Group != "" {
-			return d
-		}
-		return met
-	}
+	r := report{of, met, d}
 	if t.world.Site.Intake == 0 {
-		t.tell(r.say())
+		t.tell(r.note())
 		return
 	}
 	t.reports = append(t.reports, r)
@@ -309,7 +311,7 @@
 	for _, t := range w.towers {
 		t.credit = min(t.credit+float64(w.Site.Intake)/10, float64(w.Site.Intake))
 		for ; len(t.reports) > 0 && t.credit >= 1; t.credit-- {
-			t.tell(t.reports[0].say())
+			t.tell(t.reports[0].note())
 			t.reports = t.reports[1:]
 		}
 	}
