--- a/cmd/lab/seeds.go
+++ b/cmd/lab/seeds.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/urfave/cli/v3"
 
+	"lilacbend/internal/form"
 	"lilacbend/lab/seeds"
 )
 
@@ -99,6 +100,30 @@
 				}
 				return nil
 			}},
+		{Name: "script", Usage: "write the script of a seed as a file to be changed and played: script SEED", ArgsUsage: "SEED", Flags: []cli.Flag{which},
+			Action: func(_ context.Context, cmd *cli.Command) error {
+				p, seed, err := one(cmd)
+				if err == nil {
+					fmt.Print(seeds.Script{Profile: name, Seed: seed, Faults: p.Draw(seed)})
+				}
+				return err
+			}},
+		{Name: "play", Usage: "play a script of one's own: play FILE", ArgsUsage: "FILE",
+			Action: func(_ context.Context, cmd *cli.Command) error {
+				raw, err := form.Open(cmd.Args().First())
+				if err != nil {
+					return err
+				}
+				s, err := seeds.ReadScript(cmd.Args().First(), raw)
+				if err != nil {
+					return err
+				}
+				r := seeds.Profiles[s.Profile].Play(s.Seed, s.Faults, nil)
+				if show(r); len(r.Breaches) > 0 {
+					return errBroken
+				}
+				return nil
+			}},
 		{Name: "shrink", Usage: "find the smallest script of a seed that still breaks the same rule: shrink SEED", ArgsUsage: "SEED", Flags: []cli.Flag{which},
 			Action: func(_ context.Context, cmd *cli.Command) error {
 				p, seed, err := one(cmd)
