--- a/brain/brain.go
+++ b/brain/brain.go
@@ -255,7 +255,7 @@
 		o := p.offers[id]
 		k := kinds[o.Kind]
 		n := norm{math.Inf(1), k.good / math.Max(1, k.count), 1, bad, 0}
-		// Could the cold of its table bear all that is tried, they are spared nothing: the warm would drown.
+		// The cold of a table who could bear all that is tried hear of no loss: the warm would drown.
 		if bears[p.own[id]] < work[p.own[id]]*math.Max(1, sent/size/gave*warm) {
 			n.lost = max(bad, p.demand.lost)
 		}
--- a/cmd/lab/seeds.go
+++ b/cmd/lab/seeds.go
@@ -110,11 +110,15 @@
 			}},
 		{Name: "play", Usage: "play a script of one's own: play FILE", ArgsUsage: "FILE",
 			Action: func(_ context.Context, cmd *cli.Command) error {
-				raw, err := form.Open(cmd.Args().First())
+				file := cmd.Args().First()
+				if file == "" {
+					return errors.New("name the file of a script")
+				}
+				raw, err := form.Open(file)
 				if err != nil {
 					return err
 				}
-				s, err := seeds.ReadScript(cmd.Args().First(), raw)
+				s, err := seeds.ReadScript(file, raw)
 				if err != nil {
 					return err
 				}
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -130,8 +130,9 @@
 	case "stream": // a new stream comes before the end of the old one is seen
 		p := w.proxies[f.Who%len(w.proxies)]
 		if old := p.stream; old != 0 && w.cut[p.zone] == 0 {
+			t := w.towers[p.tower]
 			w.join(p)
-			w.after(f.Span, func() { w.towers[p.tower].tell(governor.Left{Stream: old}) })
+			w.after(f.Span, func() { t.tell(governor.Left{Stream: old}) })
 		}
 	}
 }
--- a/lab/emulator/steer.go
+++ b/lab/emulator/steer.go
@@ -106,8 +106,12 @@
 	w.look(p)
 }
 
-// dial has a proxy look for a governor that is up.
+// dial has a proxy look for another governor that is up, until there is one. Where there is one alone, its proxies join as
+// it comes up.
 func (w *World) dial(p *proxy) {
+	if len(w.towers) == 1 {
+		return
+	}
 	w.after(second/7+w.chance.Int63n(3*second/2), func() {
 		if p.stream != 0 || w.cut[p.zone] > 0 {
 			return
@@ -119,6 +123,7 @@
 				return
 			}
 		}
+		w.dial(p)
 	})
 }
 
@@ -134,9 +139,7 @@
 	for _, p := range w.proxies {
 		if p.tower == t.number {
 			p.stream = 0
-			if len(w.towers) > 1 {
-				w.dial(p)
-			}
+			w.dial(p)
 		}
 	}
 }
