Lab: peers on loopback in the hands of a test, for orders of events that are forced

Tests of crossings need the other side of a connection that holds bytes back, resets, stops reading or closes at a given instant. One package serves all of them. Nothing in the program changes.

--- /dev/null
+++ b/lab/peers/peers.go
@@ -0,0 +1,215 @@
+// Package peers has what tests of crossings need of the other side of a connection: peers on loopback that hold bytes
+// back, reset, stop reading, or close at a given instant. An order of events is forced by what a peer has seen, never by
+// a pause. Whatever does not come within Patience fails the test.
+package peers
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"lilacbend/internal/resp"
+)
+
+// Patience bounds each wait: far over what a loaded machine takes, so that only what never comes fails.
+const Patience = 20 * time.Second
+
+// Conn is one end of a connection, in the hands of a test.
+type Conn struct {
+	net.Conn
+	Read *bufio.Reader // what came is read here
+	resp *resp.Reader
+	pool *resp.Pool
+	t    testing.TB
+}
+
+func wrap(t testing.TB, conn net.Conn) *Conn {
+	conn.SetDeadline(time.Now().Add(Patience))
+	t.Cleanup(func() { conn.Close() })
+	c := &Conn{Conn: conn, Read: bufio.NewReader(conn), pool: resp.NewPool(1 << 20), t: t}
+	c.resp = resp.NewReader(c.Read, c.pool)
+	return c
+}
+
+// Dial connects to an address.
+func Dial(t testing.TB, address string) *Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return wrap(t, conn)
+}
+
+// DialWhenUp connects to an address on which somebody will listen soon.
+func DialWhenUp(t testing.TB, address string) *Conn {
+	t.Helper()
+	var conn net.Conn
+	Until(t, "nobody listens on "+address, func() (up bool) {
+		var err error
+		conn, err = net.Dial("tcp", address)
+		return err == nil
+	})
+	return wrap(t, conn)
+}
+
+// Listener takes connections in when the test says so; until then they wait in the kernel's queue, connected but unanswered.
+type Listener struct {
+	net.Listener
+	t testing.TB
+}
+
+// Listen listens on an address of loopback that nobody else uses.
+func Listen(t testing.TB) *Listener { return ListenOn(t, "127.0.0.1:0") }
+
+// ListenOn listens on an address.
+func ListenOn(t testing.TB, address string) *Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return &Listener{l, t}
+}
+
+// At is the address.
+func (l *Listener) At() string { return l.Addr().String() }
+
+// Take accepts the next connection.
+func (l *Listener) Take() *Conn {
+	l.t.Helper()
+	l.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(Patience))
+	conn, err := l.Accept()
+	if err != nil {
+		l.t.Fatalf("nobody came: %v", err)
+	}
+	return wrap(l.t, conn)
+}
+
+// None says that nobody comes for so long. For what must not happen only: it orders nothing.
+func (l *Listener) None(span time.Duration) {
+	l.t.Helper()
+	l.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(span))
+	if conn, err := l.Accept(); err == nil {
+		conn.Close()
+		l.t.Error("somebody came")
+	}
+}
+
+// Free is an address of loopback that nobody listens on.
+func Free(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Raw writes bytes as they are.
+func (c *Conn) Raw(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.Conn, text); err != nil {
+		c.t.Errorf("writing %.60q: %v", text, err)
+	}
+}
+
+// Drip writes each byte by itself.
+func (c *Conn) Drip(text string) {
+	c.t.Helper()
+	for k := range len(text) {
+		c.Raw(text[k : k+1])
+	}
+}
+
+// Say writes messages, each a line of words, as RESP2.
+func (c *Conn) Say(messages ...string) {
+	c.t.Helper()
+	for _, text := range messages {
+		c.Raw(Message(text))
+	}
+}
+
+// Message is a line of words as RESP2.
+func Message(text string) string {
+	var b strings.Builder
+	if _, err := resp.Write(&b, resp.NewPool(1<<20), strings.Fields(text)...); err != nil {
+		panic(err)
+	}
+	return b.String()
+}
+
+// Next reads one RESP2 message as a line of words; false: the connection has ended.
+func (c *Conn) Next() (string, bool) {
+	words, err := c.resp.Next()
+	return strings.Join(words, " "), err == nil
+}
+
+// Hears reads messages until one begins with a text, and returns it.
+func (c *Conn) Hears(begins string) string {
+	c.t.Helper()
+	for {
+		text, ok := c.Next()
+		if !ok {
+			c.t.Fatalf("ended before %q", begins)
+		}
+		if strings.HasPrefix(text, begins) {
+			return text
+		}
+	}
+}
+
+// Request reads the head of an HTTP/1.1 request up to the empty line, and returns its first line.
+func (c *Conn) Request() string {
+	c.t.Helper()
+	first := ""
+	for {
+		line, err := c.Read.ReadString('\n')
+		if err != nil {
+			c.t.Fatalf("no request after %q: %v", first, err)
+		}
+		if line = strings.TrimRight(line, "\r\n"); line == "" {
+			return first
+		}
+		if first == "" {
+			first = line
+		}
+	}
+}
+
+// Ends waits for the end of what comes, reading all before it, and says whether it was a reset.
+func (c *Conn) Ends() (reset bool) {
+	c.t.Helper()
+	_, err := io.Copy(io.Discard, c.Read)
+	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+		c.t.Error("the connection does not end")
+	}
+	return err != nil
+}
+
+// Reset closes with a reset, whatever waits to be sent.
+func (c *Conn) Reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Conn.Close()
+}
+
+// Narrow has the kernel keep little of what comes and is not read.
+func (c *Conn) Narrow() { c.Conn.(*net.TCPConn).SetReadBuffer(1) }
+
+// Until waits for a condition that something else brings about.
+func Until(t testing.TB, otherwise string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(otherwise)
+		}
+	}
+}
