Two lists of one turn, and old marks after a failed module: told apart by count, not by time

Seen by tests of the crossing, in the core alone: (1) known and the first answer, or changes and a whole list, taken in with one turn share its time, and roster.listed told who is in a whole list by seen == now; a replica that only the first one named stayed Ready in the roster: a fresh module would be told of it (standing), and its name was kept for ever. Lists are counted now. (2) After a panic the fresh module's marks begin at 1 while streams still owe answers to the old one's; those were passed on (Answered Mark 2, Mark 3 where it had sent none), and brain's roll takes a mark above its last for one from before the round: 3 - (3-98)&65535 is below 0, which strikes all that waits. Marks of a module that failed count for the channel alone now. Ruled out: an answer by a replaced stream, its Left after the Joined of the next, both in one turn, gone and back under one id within a list or across two: tests hold as the code stood. TestTwoListsOfOneTurn and TestOldMarksTellAFreshModuleNothing failed before.

--- a/internal/governor/core.go
+++ b/internal/governor/core.go
@@ -91,7 +91,8 @@
 	away    bool   // told to the module as having left, as it is silent
 }
 
-// sent is a message with a mark, and its number in the channel's account; asked: the mark is the core's own.
+// sent is a message with a mark, and its number in the channel's account; asked: the mark is the core's own, or that of a
+// module which has failed.
 type sent struct {
 	mark, number uint64
 	asked        bool
@@ -123,6 +124,12 @@
 		c.sit(s, -1)
 		s.whole = false
 		c.unsure(s)
+		for k := range s.marks { // a fresh module counts anew: an answer to these is none to its own
+			s.marks[k].asked = true
+		}
+		if s.held != nil {
+			s.held.marked = false
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/governor/crossings_test.go
@@ -0,0 +1,106 @@
+package governor
+
+import (
+	"reflect"
+	"testing"
+
+	"lilacbend/control"
+)
+
+// Orders of events that cross within one turn, or around the end of a module or a stream: docs/crossings.md.
+
+// Lists that are taken in with one turn share its time: whoever the last whole one leaves out is gone all the same, or a fresh
+// module would be told of it as ready, and its name kept for ever.
+func TestTwoListsOfOneTurn(t *testing.T) {
+	for name, lists := range map[string][]any{
+		"whole, whole":          {list(true, "xr", "yr"), list(true, "yr")},
+		"changes, whole":        {list(true, "yr"), list(false, "xr"), list(true, "yr")},
+		"whole, changes, whole": {list(true, "xr", "yr"), list(false, "xt"), list(true, "yr")},
+	} {
+		c, _ := core()
+		c.Turn(7, lists)
+		if l := c.standing(); len(l.Entries) != 1 || c.roster.known[l.Entries[0].Replica].name != "y" {
+			t.Errorf("%s: a fresh module is told of %+v", name, l.Entries)
+		}
+		if c.sweep(8 + nameKept); c.roster.numbers["x"] != 0 || c.roster.numbers["y"] == 0 {
+			t.Errorf("%s: names kept %v", name, c.roster.numbers)
+		}
+	}
+}
+
+// One that is gone and back within one list, or across two of one turn, is as the last word says, whatever came before it.
+func TestTheLastWordOfATurnHolds(t *testing.T) {
+	up := func(m Member, since int64) Member { m.UpSince = since; return m }
+	x := list(false, "xr").Members[0]
+	gone := list(false, "xg").Members[0]
+	for name, lists := range map[string][]Listing{
+		"one list":  {{Members: []Member{gone, up(x, 900e9)}}},
+		"two lists": {{Members: []Member{gone}}, {Members: []Member{up(x, 900e9)}}},
+	} {
+		c, s := core()
+		c.Turn(1, []any{list(true, "xr")})
+		var notes []any
+		for _, l := range lists {
+			l.At, l.Wall = 1000e9, 1000e9
+			notes = append(notes, l)
+		}
+		c.Turn(2, notes)
+		var last control.Entry
+		for _, e := range s.told {
+			for _, entry := range e.(control.Listed).Entries {
+				last = entry
+			}
+		}
+		if want := (control.Entry{Replica: 1, Zone: 1, Kind: 1, Weight: 1, Start: 900e9}); last != want || c.roster.known[1].State != control.Ready {
+			t.Errorf("%s: the module is told %+v last", name, last)
+		}
+	}
+}
+
+// Answers to what a module that failed had sent tell the one after it nothing: its marks begin anew, and one taken for an
+// answer to them would end a step before the proxies have it.
+func TestOldMarksTellAFreshModuleNothing(t *testing.T) {
+	mark := func(n uint64) control.Mark { return control.Mark{Number: n} }
+	c, s := core(orders{line(0, 1, 1), control.Bind{Proxy: 4}, mark(2)}, orders{line(0, 1, 2), mark(3)}, panics,
+		orders{line(0, 1, 1), control.Bind{Proxy: 4}, mark(2)})
+	c.Turn(0, []any{list(true, "xr"), Joined{Stream: 1, Proxy: 4, Zone: "a", Blank: true}})
+	c.Turn(1, nil)
+	if c.Turn(2, nil); c.Count.Renewed != 1 || c.account.Waits() == 0 {
+		t.Fatalf("renewed %d, %d lines wait", c.Count.Renewed, c.account.Waits())
+	}
+	for k, want := range [][]control.Event{nil, nil, {control.Answered{Proxy: 4, Mark: 2}}} { // the old 2 and 3, then the new 2
+		at := uint64([]int{2, 3, 2}[k])
+		if c.Turn(int64(3+k), []any{Answered{Stream: 1, Mark: at}}); !reflect.DeepEqual(s.told, want) {
+			t.Errorf("answer %d to mark %d: told %+v", k, at, s.told)
+		}
+	}
+	if c.account.Waits() != 0 {
+		t.Errorf("%d lines wait after all answers", c.account.Waits())
+	}
+}
+
+// An answer that comes by a stream which has been replaced, after its successor has joined, frees nothing of the successor's
+// and tells the module nothing.
+func TestAnAnswerByAStreamThatWasReplaced(t *testing.T) {
+	bind := orders{line(0, 1, 1), control.Bind{Proxy: 4}, control.Mark{Number: 1}}
+	joined := func(stream Stream) Joined { return Joined{Stream: stream, Proxy: 4, Zone: "a", Blank: true} }
+	c, s := core(bind, orders{control.Bind{Proxy: 4}, control.Mark{Number: 2}})
+	c.Turn(0, []any{list(true, "xr"), joined(1)})
+	o := c.Turn(1, []any{joined(2)})
+	if waits := c.account.Waits(); len(o.End) != 1 || o.End[0] != 1 || text(o) != "2: full x=1 #2" || waits == 0 {
+		t.Fatalf("ended %v, %s", o.End, text(o))
+	}
+	for _, n := range []any{Answered{Stream: 1, Mark: 1}, Answered{Stream: 1, Mark: 2}, Left{1}} {
+		waits := c.account.Waits()
+		if c.Turn(2, []any{n}); s.told != nil || c.account.Waits() != waits || c.seats[4] == nil || c.seats[4].id != 2 {
+			t.Errorf("%+v: told %+v, %d lines of %d wait", n, s.told, c.account.Waits(), waits)
+		}
+	}
+	// Its end before the joining of the next, all in one turn, in either order: one proxy, by the later stream.
+	for _, notes := range [][]any{{Left{2}, joined(3)}, {joined(4), Left{3}}, {joined(6), joined(5)}, {Left{4}, Left{6}, joined(7), Left{7}, joined(8)}} {
+		c.Turn(3, notes)
+	}
+	if len(c.streams) != 1 || len(c.seats) != 1 || c.seats[4].id != 8 {
+		t.Errorf("seats %v, streams %v", c.seats, c.streams)
+	}
+}
--- a/internal/governor/roster.go
+++ b/internal/governor/roster.go
@@ -25,6 +25,7 @@
 	known   map[uint32]*member
 	shut    []string // forgotten, though some streams may still shut them out
 	last    uint32
+	lists   int // taken in so far
 }
 
 type member struct {
@@ -34,6 +35,7 @@
 	kind    string
 	upSince int64
 	seen    int64 // when it was last listed and not gone
+	list    int   // the last one that named it: two lists may be taken in with one turn, at one time
 }
 
 func newRoster() roster {
@@ -51,6 +53,7 @@
 // New are those that were not known, or have started or moved since.
 func (c *Core) listed(l Listing, now int64) (ev control.Listed, fresh []control.Entry, odd int) {
 	ev, c.revision = control.Listed{Full: l.Whole}, l.Revision
+	c.roster.lists++
 	for _, m := range l.Members {
 		id, ok := c.roster.numbers[m.ID]
 		if !ok && (m.ID == "" || m.Odd || len(c.roster.known) >= namesMost) {
@@ -84,12 +87,12 @@
 				fresh = append(fresh, r.Entry)
 			}
 		}
-		r.seen = now
+		r.seen, r.list = now, c.roster.lists
 		ev.Entries = append(ev.Entries, r.Entry)
 	}
 	if l.Whole {
 		for _, r := range c.roster.known {
-			if r.seen != now {
+			if r.list != c.roster.lists {
 				r.State = control.Gone
 			}
 		}
