A probe is answered through an overflow of its stream's outbox

The protocol owes a probe the answer alive on any connection. Outbox.put dropped an answer while the outbox was emptied (emptied and not anew), and an overflow dropped those that waited with the pushes: a stream that reads slowly and probes was never answered again. Shown by a test that hung on Next. Answers owed are counted beside the items now, bounded as before (32 of one stream), and go out at the next end of a message. The test of the bound looked into items; it now looks at the count and takes each of them out.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -20,6 +20,8 @@
 	// A proxy is written to a few times a second, and reads at once: so many wait only where it has stopped
 	// reading, and then its whole present state is shorter than they are.
 	itemsMost = 64
+	// So many probes of one stream may wait for their answer: who sends more reads none.
+	probesMost = itemsMost / 2
 )
 
 // Tally counts what passes the sockets.
@@ -140,6 +142,7 @@
 	end      func()
 	exchange *Exchange
 	items    []Item
+	probes   int  // to be answered: owed whatever becomes of the items
 	emptied  bool // items were dropped: nothing goes until the whole state comes
 	asked    bool // for it
 	over     bool
@@ -160,13 +163,12 @@
 	ring(b.bell)
 }
 
-// Alive answers a probe that came on the stream; who reads none of the answers gets no more of them.
+// Alive answers a probe that came on the stream, at the next end of a message; who reads none of the answers gets no more of them.
 func (b *Outbox) Alive() {
 	b.exchange.mu.Lock()
 	defer b.exchange.mu.Unlock()
-	if len(b.items) < itemsMost/2 {
-		b.put(Item{Alive: true})
-	}
+	b.probes = min(probesMost, b.probes+1)
+	ring(b.bell)
 }
 
 // Next waits for the next item; false: the stream is over, or done is closed.
@@ -177,6 +179,11 @@
 			b.exchange.mu.Unlock()
 			return Item{}, false
 		}
+		if b.probes > 0 {
+			b.probes--
+			b.exchange.mu.Unlock()
+			return Item{Alive: true}, true
+		}
 		if len(b.items) > 0 {
 			i := b.items[0]
 			b.items = b.items[1:]
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -69,13 +69,14 @@
 	for range itemsMost {
 		out.Alive()
 	}
-	if len(out.items) != itemsMost/2 || out.emptied {
-		t.Errorf("%d answers to probes wait", len(out.items))
+	if out.probes != itemsMost/2 || len(out.items) != 0 || out.emptied {
+		t.Errorf("%d answers to probes wait", out.probes)
 	}
-	if i, ok := out.Next(done); !ok || !i.Alive {
-		t.Errorf("got %+v", i)
+	for range itemsMost / 2 {
+		if i, ok := out.Next(done); !ok || !i.Alive {
+			t.Errorf("got %+v", i)
+		}
 	}
-	out.items = nil
 	close(done)
 	if _, ok := out.Next(done); ok {
 		t.Error("goes on after the end of its connection")
@@ -84,3 +85,27 @@
 		t.Error("a closed outbox stays")
 	}
 }
+
+// A probe that comes before, with, or after the overflow of its stream's outbox is answered: its answer is owed, and none of what
+// was dropped stands for it.
+func TestAProbeIsAnsweredThroughAnOverflow(t *testing.T) {
+	x := New()
+	out, done := x.Open(3, nil), make(chan struct{})
+	out.Alive()
+	for n := range uint64(itemsMost + 1) {
+		x.Send(governor.Sent{Stream: 3, Push: mark(n)})
+	}
+	out.Alive()
+	if !out.emptied || len(out.items) != 0 {
+		t.Fatalf("%d items wait", len(out.items))
+	}
+	for range 2 {
+		if i, ok := out.Next(done); !ok || !i.Alive {
+			t.Errorf("got %+v", i)
+		}
+	}
+	go func() { <-x.Bell(); x.Send(governor.Sent{Stream: 3, Push: governor.Push{Anew: true}}) }()
+	if i, ok := out.Next(done); !ok || !i.Anew {
+		t.Errorf("got %+v", i)
+	}
+}
