A stranger's last answers outlive its unread bytes; evictions and panics of writers end cleanly

Three crossings at a connection, each shown by a test that failed before: (1) peer.ended wrote the error and closed; with bytes of the stranger unread the kernel resets the connection, and the answers owed, an alive before it too, are thrown away on the other side (heard an end instead of alive). Now our side is closed first and the rest is read for 0.5 s at most, in the joining's place and under the 3 s that a stranger is owed. (2) A stranger put out for want of room while its joining is being read was named all the same: the core was told Joined for a closed connection, and a collector took the place of the one that lives (it became dispensable). Server.name refuses who has lost its place. (3) A panic in peer.write was nobody's: it ended the program. Both sides have one guard. Ruled out, with tests that hold as the code stood: the end with a writer blocked, half a message and a lingering stranger; an end or reset between two parts; bytes one by one and a reset in the middle of a message. TestWhatCameBeforeTheDeadlineIsRead builds its peer by hand and now gives it a place, as admit does; it asserts what it did.

--- /dev/null
+++ b/internal/streams/crossings_test.go
@@ -0,0 +1,217 @@
+package streams
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"lilacbend/internal/governor"
+	"lilacbend/internal/resp"
+	"lilacbend/lab/peers"
+)
+
+// Crossings at a connection, each in an order that is forced: docs/crossings.md.
+
+// atRead does something at the instant at which bytes have come, before anybody has looked at them.
+type atRead struct {
+	net.Conn
+	do func()
+}
+
+func (c *atRead) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.do != nil {
+		c.do()
+		c.do = nil
+	}
+	return n, err
+}
+
+// Who is put out for want of room at the very instant of its joining is not told to have joined: it would be bound, charged and
+// called left for a connection that is closed already, and a collector would take the place of one that lives.
+func TestAnEvictionAtTheInstantOfTheJoining(t *testing.T) {
+	for _, joins := range []string{"hello id 1 site a rps 2 new 1", "agent site a"} {
+		s := server(descriptorsKept + 3)
+		running(t, s)
+		l := peers.Listen(t)
+		first := peers.Dial(t, l.At())
+		s.admit(l.Take().Conn)
+		first.Say("agent site a", "outcomes site a target s-5 count 1 fail 0 mean 1 over 1")
+		told(t, s, 1)
+		second := peers.Dial(t, l.At())
+		s.admit(&atRead{l.Take().Conn, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if !s.evict() {
+				t.Error("nobody is dispensable")
+			}
+		}})
+		second.Say(joins)
+		second.Ends()
+		peers.Until(t, "the connection is not over", func() bool { return s.exchange.Tally.Ended.Load() == 1 })
+		first.Say("outcomes site a target s-5 count 2 fail 0 mean 1 over 1")
+		if notes := told(t, s, 1); len(notes) != 1 || notes[0].(governor.Met).Tries != 2 {
+			t.Errorf("%s: told %+v", joins, notes)
+		}
+		s.mu.Lock()
+		if zone := s.zones["a"]; zone == nil || zone.place != nil || s.queue.Len() != 0 || len(s.peers) != 1 {
+			t.Errorf("%s: the collector that lives is %+v, %d dispensable of %d", joins, zone, s.queue.Len(), len(s.peers))
+		}
+		s.mu.Unlock()
+	}
+}
+
+// The last answers owed arrive though the stranger has sent more than anybody reads: closed at once, the connection would be
+// reset and they would be lost.
+func TestTheLastAnswerOutlivesUnreadBytes(t *testing.T) {
+	s := server(100)
+	at := running(t, s)
+	more := strings.Repeat("*1\r\n$4\r\nnope\r\n", 4*resp.BufferSize/14)
+	for range 10 {
+		c := peers.Dial(t, at)
+		c.Raw(peers.Message("probe") + "what is this\r\n" + more)
+		if text, _ := c.Next(); text != "alive" {
+			t.Errorf("a probe is answered %q", text)
+		}
+		if text, _ := c.Next(); !strings.HasPrefix(text, "error reason ") {
+			t.Errorf("a stranger is told %q", text)
+		}
+		if c.Ends() {
+			t.Error("reset")
+		}
+		c.Close()
+	}
+	peers.Until(t, "strangers stay", func() bool { return s.exchange.Tally.Ended.Load() == 10 })
+}
+
+// The end of the program waits for nobody who lingers, reads nothing, or is in the middle of a message.
+func TestTheEndWaitsForNobody(t *testing.T) {
+	s := server(100)
+	at := running(t, s) // its end is checked after the test
+	stranger := peers.Dial(t, at)
+	stranger.Raw("nonsense\r\n")
+	stranger.Hears("error") // and it goes on
+	half := peers.Dial(t, at)
+	half.Say("hello id 1 site a rps 2 new 1")
+	half.Raw("*3\r\n$3\r\nack\r\n$2\r\ni")
+	deaf := peers.Dial(t, at)
+	deaf.Narrow()
+	deaf.Say("hello id 2 site a rps 2 new 1")
+	told(t, s, 2)
+	var lines []governor.Line
+	for range 3 * linesMost {
+		lines = append(lines, governor.Line{Replica: strings.Repeat("s", 100), Weight: 1})
+	}
+	var stream governor.Stream
+	s.mu.Lock()
+	for p := range s.peers {
+		if p.id == 2 {
+			stream = p.stream
+		}
+	}
+	s.mu.Unlock()
+	for range 16 { // some megabytes: more than any kernel keeps for it
+		s.exchange.Send(governor.Sent{Stream: stream, Push: governor.Push{Full: true, Lines: lines}})
+	}
+	peers.Until(t, "nothing is written", func() bool { return s.exchange.Tally.Pushes.Load() > 0 })
+}
+
+// A stream that breaks, is reset or is ended by us between two parts of a message ends there: what came before is no whole
+// message, and the next stream of the proxy begins with one.
+func TestAStreamEndsBetweenTwoParts(t *testing.T) {
+	s := server(100)
+	running(t, s)
+	l := peers.Listen(t)
+	join := func() (*peers.Conn, governor.Stream) {
+		c := peers.Dial(t, l.At()).Narrow()
+		s.admit(l.Take().Narrow().Conn)
+		c.Say("hello id 1 site a rps 2 new 1")
+		return c, told(t, s, 1)[0].(governor.Joined).Stream
+	}
+	var lines []governor.Line
+	for range 2*linesMost + 1 {
+		lines = append(lines, governor.Line{Replica: strings.Repeat("s", 100), Weight: 1})
+	}
+	message := governor.Push{Full: true, Lines: lines, Marked: true, Mark: 7}
+	for name, end := range map[string]func(*peers.Conn, governor.Stream){
+		"ended by us": func(_ *peers.Conn, stream governor.Stream) { s.exchange.End(stream) },
+		"reset":       func(c *peers.Conn, _ governor.Stream) { c.Reset() },
+	} {
+		c, stream := join()
+		s.exchange.Send(governor.Sent{Stream: stream, Number: 1, Push: message})
+		if text, ok := c.Next(); !ok || !strings.HasSuffix(text, " continued 1") {
+			t.Errorf("%s: the first part ends %q", name, text[max(0, len(text)-20):])
+		}
+		end(c, stream)
+		for {
+			text, ok := c.Next()
+			if !ok {
+				break
+			}
+			if !strings.HasSuffix(text, " continued 1") {
+				t.Errorf("%s: a last part has come: %q", name, text[max(0, len(text)-20):])
+			}
+		}
+		if notes := told(t, s, 1); len(notes) != 1 || notes[0] != (governor.Left{Stream: stream}) {
+			t.Errorf("%s: told %+v", name, notes)
+		}
+		for _, n := range s.exchange.Take() {
+			if _, written := n.(governor.Written); written {
+				t.Errorf("%s: half a message counts as written", name)
+			}
+		}
+	}
+	c, stream := join()
+	s.exchange.Send(governor.Sent{Stream: stream, Number: 2, Push: message})
+	for k := range 3 {
+		if text, ok := c.Next(); !ok || strings.HasSuffix(text, " continued 1") != (k < 2) || strings.HasPrefix(text, "push full 1") != (k == 0) {
+			t.Errorf("part %d: %.30q", k, text)
+		}
+	}
+}
+
+// Messages in the smallest pieces are as whole ones, and a reset in the middle of one tells what came before it alone.
+func TestSmallestPiecesAndAResetInTheMiddle(t *testing.T) {
+	s := server(100)
+	at := running(t, s)
+	c := peers.Dial(t, at)
+	c.Drip(peers.Message("probe") + peers.Message("hello id 3 site b rps 2 new 0") + peers.Message("ack id 3 seq 9 ms 1.5"))
+	c.Hears("alive")
+	notes := told(t, s, 2)
+	if notes[0].(governor.Joined).Proxy != 3 || notes[1].(governor.Answered).Mark != 9 {
+		t.Errorf("told %+v", notes)
+	}
+	c.Drip("*7\r\n$3\r\nack\r\n$2\r\nid\r\n$1\r\n3\r\n$3\r\nseq\r\n$2\r\n1")
+	c.Reset()
+	if notes := told(t, s, 1); len(notes) != 1 || notes[0] != (governor.Left{Stream: notes[0].(governor.Left).Stream}) {
+		t.Errorf("told %+v", notes)
+	}
+}
+
+// A panic while a message is written ends its connection as one while it is read does, and nobody else's.
+func TestAPanicOfTheWriterEndsItsConnectionAlone(t *testing.T) {
+	s := server(100)
+	at := running(t, s)
+	good := peers.Dial(t, at)
+	good.Say("hello id 1 site a rps 2 new 1")
+	first := told(t, s, 1)[0].(governor.Joined).Stream
+	l := peers.Listen(t)
+	bad := peers.Dial(t, l.At())
+	s.admit(failing{l.Take().Conn})
+	bad.Say("hello id 2 site a rps 2 new 1")
+	second := told(t, s, 1)[0].(governor.Joined).Stream
+	for _, stream := range []governor.Stream{second, first} {
+		s.exchange.Send(governor.Sent{Stream: stream, Push: governor.Push{Shut: []string{"s-1"}}})
+	}
+	bad.Ends()
+	if notes := told(t, s, 1); notes[0] != (governor.Left{Stream: second}) || s.exchange.Tally.Panics.Load() != 1 {
+		t.Errorf("told %+v, %d panics", notes, s.exchange.Tally.Panics.Load())
+	}
+	if text, _ := good.Next(); text != "push eject s-1" {
+		t.Errorf("the other hears %q", text)
+	}
+}
+
+type failing struct{ net.Conn }
+
+func (failing) Write([]byte) (int, error) { panic("scripted") }
--- a/internal/streams/peer.go
+++ b/internal/streams/peer.go
@@ -23,6 +23,10 @@
 // The reason why a stranger is sent away goes into an empty buffer, or not at all: nothing waits for it.
 const partingMost = 50 * time.Millisecond
 
+// What a stranger has sent or is sending is read for so long after that, and thrown away, unless it closes before: with the joining
+// deadline it stays well under the 3 s in which a stranger is owed its answer.
+const lingerMost = 500 * time.Millisecond
+
 // A stranger's message holds who it is, in less than a buffer. What had come before its deadline may be some
 // more; of one that goes on for ever no more is read.
 const helloMost, lateMost = resp.BufferSize, 4 * resp.BufferSize
@@ -55,12 +59,7 @@
 func (p *peer) attend() {
 	defer p.server.all.Done()
 	defer p.leave()
-	defer func() {
-		if v := recover(); v != nil {
-			p.server.exchange.Tally.Panics.Add(1)
-			p.server.log.Error("connection failed", "peer", p.role, "panic", v, "stack", string(debug.Stack()))
-		}
-	}()
+	defer p.guard()
 	r := resp.NewReader(patient{p}, p.server.pool)
 	defer r.Close()
 	r.Bound(helloMost)
@@ -81,6 +80,14 @@
 	}
 }
 
+// guard stops a panic at its connection, on the side that reads as on the one that writes.
+func (p *peer) guard() {
+	if v := recover(); v != nil {
+		p.server.exchange.Tally.Panics.Add(1)
+		p.server.log.Error("connection failed", "peer", p.role, "panic", v, "stack", string(debug.Stack()))
+	}
+}
+
 // patient reads for a peer that has to join by a deadline. After it, as after a stall, what has come all the
 // same is read, but nothing is waited for.
 type patient struct{ *peer }
@@ -118,6 +125,8 @@
 	t := &p.server.exchange.Tally
 	what := "connection ended: unreadable"
 	switch {
+	case errors.Is(err, errEvicted): // counted when it was
+		return
 	case errors.Is(err, errLate):
 		what = "connection ended: nobody joined"
 		t.Late.Add(1)
@@ -134,6 +143,16 @@
 	if p.role == stranger {
 		p.conn.SetWriteDeadline(time.Now().Add(partingMost))
 		resp.Write(p.conn, p.server.pool, "error", "reason", err.Error())
+		p.linger()
+	}
+}
+
+// linger lets the last answers arrive: a connection closed with bytes that nobody has read is reset, and a reset throws away
+// what the other side has not read yet, an "alive" before this one too.
+func (p *peer) linger() {
+	if half, ok := p.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		p.conn.SetReadDeadline(time.Now().Add(lingerMost))
+		io.CopyN(io.Discard, p.conn, resp.Largest)
 	}
 }
 
@@ -153,6 +172,7 @@
 var (
 	errStrange = errors.New("not ours")
 	errLate    = errors.New("not joined in time")
+	errEvicted = errors.New("its place went to another")
 )
 
 // hear takes one message in.
@@ -182,14 +202,15 @@
 	case "agent":
 		zone := f.text("site")
 		if f.fault(p.server.census.Collector(zone)); f.err == nil {
-			p.role = collector
-			p.server.name(p, zone)
+			f.fault(p.server.name(p, collector, zone))
 		}
 	case "hello":
 		h := hello(f)
 		if f.fault(p.server.census.Proxy(h)); f.err == nil {
-			h.Stream, p.id, p.role = p.stream, h.Proxy, proxy
-			p.server.name(p, "")
+			f.fault(p.server.name(p, proxy, ""))
+		}
+		if f.err == nil {
+			h.Stream, p.id = p.stream, h.Proxy
 			p.out = p.server.exchange.Open(p.stream, func() { p.conn.Close() })
 			p.server.all.Add(1)
 			go p.write()
@@ -253,6 +274,7 @@
 func (p *peer) write() {
 	defer p.server.all.Done()
 	defer p.conn.Close()
+	defer p.guard()
 	tally := &p.server.exchange.Tally
 	for {
 		item, ok := p.out.Next(p.done)
--- a/internal/streams/server.go
+++ b/internal/streams/server.go
@@ -114,18 +114,24 @@
 }
 
 // name says that a peer is known now. A collector takes the place of the one before it in its zone, which may
-// have vanished without a word: that one is not ended, but is dispensable from then on.
-func (s *Server) name(p *peer, zone string) {
+// have vanished without a word: that one is not ended, but is dispensable from then on. Whose place went to another while its
+// joining was read is not named: nothing is told of a connection that is closed already.
+func (s *Server) name(p *peer, as role, zone string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if _, here := s.peers[p]; !here {
+		return errEvicted
+	}
 	s.unqueue(p)
 	p.conn.SetReadDeadline(time.Time{})
+	p.role = as
 	if p.zone = zone; p.role == collector {
 		if before := s.zones[zone]; before != nil {
 			before.place = s.queue.PushBack(before)
 		}
 		s.zones[zone] = p
 	}
+	return nil
 }
 
 // drop frees the place of a peer; twice does no harm.
--- a/internal/streams/server_test.go
+++ b/internal/streams/server_test.go
@@ -202,6 +202,9 @@
 		time.Sleep(50 * time.Millisecond) // both messages have come
 		conn.SetReadDeadline(time.Now().Add(-time.Second))
 		p := &peer{server: s, conn: conn, done: make(chan struct{})}
+		s.mu.Lock()
+		s.peers[p] = struct{}{} // it has a place, as one that was taken in
+		s.mu.Unlock()
 		ended := make(chan struct{})
 		s.all.Add(1)
 		go func() { p.attend(); close(ended) }()
--- a/lab/peers/peers.go
+++ b/lab/peers/peers.go
@@ -201,8 +201,16 @@
 	c.Conn.Close()
 }
 
-// Narrow has the kernel keep little of what comes and is not read.
-func (c *Conn) Narrow() { c.Conn.(*net.TCPConn).SetReadBuffer(1) }
+// narrow is what the kernel keeps of what is on its way, in bytes: little beside a long message, and enough to be quick.
+const narrow = 1 << 16
+
+// Narrow has the kernel keep little of what comes and is not read, and of what is written and not taken.
+func (c *Conn) Narrow() *Conn {
+	tcp := c.Conn.(*net.TCPConn)
+	tcp.SetReadBuffer(narrow)
+	tcp.SetWriteBuffer(narrow)
+	return c
+}
 
 // Until waits for a condition that something else brings about.
 func Until(t testing.TB, otherwise string, holds func() bool) {
