Told to end while it waits for its address, a governor ends with 0; silence is judged by the channel's settings

(1) Seen with a real process on an address in use: SIGTERM during the wait came back as 'cannot listen: address already in use' and exit code 1; serve.go listen looked at the context for its loop, not for its answer. It ends with 0 now, at once, and the wait is said once in the log. Charges of messages dropped, never written, half written, written and reset stay, and none for good.

--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -47,7 +47,10 @@
 	signal.Notify(asked, syscall.SIGUSR1)
 	defer signal.Stop(asked)
 	debug.SetMemoryLimit(int64(memoryPart * float64(c.memory)))
-	listener, err := listen(ctx, c.listen)
+	listener, err := listen(ctx, c.listen, log)
+	if err != nil && ctx.Err() != nil { // told to end while it waited for its address: that is no fault
+		return nil
+	}
 	if err != nil {
 		return fmt.Errorf("cannot listen: %w", err)
 	}
@@ -112,12 +115,22 @@
 	}
 }
 
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	for since := time.Now(); ; time.Sleep(inUsePause) {
-		l, err := net.Listen("tcp", address)
-		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(since) > inUseMost || ctx.Err() != nil {
+// listen waits for an address in use, for as long as whoever came before may take to end, or until ctx ends.
+func listen(ctx context.Context, address string, log *slog.Logger) (net.Listener, error) {
+	since := time.Now()
+	for waits := false; ; waits = true {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(since) > inUseMost {
 			return l, err
 		}
+		if !waits {
+			log.Warn("the address is in use, waiting for it", "listen", address, "at_most", inUseMost)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(inUsePause):
+		}
 	}
 }
 
--- /dev/null
+++ b/cmd/lilacbend/shutdown_test.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+
+	"lilacbend/lab/peers"
+)
+
+// Ends and starts that cross with something else, in real processes: docs/crossings.md.
+
+// Told to end while it waits for an address that its predecessor still holds, a governor ends well; told nothing, it takes the
+// address once it is free.
+func TestToldToEndWhileTheAddressIsInUse(t *testing.T) {
+	for name, end := range map[string][]syscall.Signal{"term": {syscall.SIGTERM}, "hangup, term, term": {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM}} {
+		l := peers.Listen(t)
+		c := run(t, configured(t, map[string]any{"listen": l.At(), "discovery": "127.0.0.1:1"})).until("the address is in use")
+		c.ends(0, end...)
+		if c.says("msg=serving") {
+			t.Errorf("%s: it serves", name)
+		}
+	}
+	l := peers.Listen(t)
+	c := run(t, configured(t, map[string]any{"listen": l.At(), "discovery": "127.0.0.1:1"})).until("the address is in use")
+	l.Close()
+	conn := peers.DialWhenUp(t, l.At())
+	conn.Say("probe")
+	conn.Hears("alive")
+	c.ends(0, syscall.SIGTERM)
+}
+
+// The end waits for nobody: a proxy that reads nothing while it is written to, half a message, a stranger that lingers, a
+// collector in the middle of a report, discovery in the middle of a body, and a second and third signal. The address is free
+// for the successor at once.
+func TestTheEndOfAProcessWithAllInFlight(t *testing.T) {
+	disco, at := peers.Listen(t), peers.Free(t)
+	var members []map[string]any
+	for k := range 3000 {
+		members = append(members, map[string]any{"id": fmt.Sprint(strings.Repeat("replica-", 12), k), "host_port": "127.0.0.1:9", "locality": "a",
+			"flavor": "m1", "cell": 1, "phase": "Ready", "size": 1.0, "up_since_ms": 0})
+	}
+	file := configured(t, map[string]any{"listen": at, "discovery": disco.At(), "known": map[string]any{"revision": 1, "complete": true, "members": members}})
+	for range 2 { // the second is the successor of the first
+		c := run(t, file)
+		call := disco.Take()
+		call.Request()
+		call.Raw("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n{\"revision\":2,")
+		var open []*peers.Conn
+		for id, says := range []string{"hello id 0 site a rps 2 new 1", "hello id 1 site a rps 2 new 1", "agent site a", "nonsense"} {
+			conn := peers.DialWhenUp(t, at)
+			if open = append(open, conn); id == 0 {
+				conn.Narrow()
+			}
+			conn.Say(says)
+		}
+		open[1].Hears("push full 1 endpoints replica-")
+		open[1].Raw("*7\r\n$3\r\nack\r\n$2\r\ni")
+		open[2].Raw("*11\r\n$8\r\noutcomes\r\n$4\r\nsi")
+		open[3].Hears("error")
+		c.ends(0, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM)
+		if l, err := net.Listen("tcp", at); err != nil {
+			t.Errorf("the address is not free: %v", err)
+		} else {
+			l.Close()
+		}
+		if !c.says("msg=counters") {
+			t.Error("no counters at the end")
+		}
+		call.Reset()
+		for _, conn := range open {
+			conn.Close()
+		}
+	}
+}
+
+// A successor serves from what it knows to whoever comes back before discovery has answered, and the drain that discovery then
+// tells of reaches them at once; answers to marks of the earlier life free nothing and tell nothing.
+func TestProxiesComeBackBeforeDiscoveryHasAnswered(t *testing.T) {
+	disco, at := peers.Listen(t), peers.Free(t)
+	file := configured(t, map[string]any{"listen": at, "discovery": disco.At()})
+	c := run(t, file)
+	call := disco.Take()
+	call.Request()
+	proxy := peers.DialWhenUp(t, at)
+	proxy.Say("hello id 3 site a rps 20 new 0", "ack id 3 seq 1 ms 1", "ack id 3 seq 77 ms 1", "demand id 3 lane lookup count 9 fail 0 over 500")
+	if text := proxy.Hears("push"); !strings.Contains(text, "endpoints") || !strings.Contains(text, "box-2:") {
+		t.Errorf("told %q", text)
+	}
+	body := `{"revision":99,"complete":false,"members":[]}`
+	call.Raw(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)) // changes, where all of it was asked for
+	call.Ends()
+	call = disco.Take()
+	if first := call.Request(); strings.Contains(first, "since") {
+		t.Errorf("asked %q before it has a list from discovery", first)
+	}
+	body = exampleList(t, 100, "box-2")
+	call.Raw(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	for !strings.Contains(proxy.Hears("push"), "eject box-2") {
+	}
+	c.ends(0, syscall.SIGTERM)
+}
--- a/internal/channel/account_test.go
+++ b/internal/channel/account_test.go
@@ -170,3 +170,42 @@
 		}
 	})
 }
+
+// What was charged and then dropped, never written, half written, or written and reset may wait in the channel still: it stays
+// charged until something shows that it has left, and none of it for good.
+func TestWhateverBecomesOfAMessageItsChargeStaysAndGoes(t *testing.T) {
+	for name, end := range map[string]func(a *Account, n uint64){
+		"dropped, its stream lives":      func(*Account, uint64) {},
+		"never written, its stream ends": func(a *Account, n uint64) { a.Left(1, 1) },
+		"half written, its stream ends":  func(a *Account, n uint64) { a.Left(1, second/10) },
+		"written, and reset":             func(a *Account, n uint64) { a.Written(n, second/10); a.Left(1, second/5) },
+		"reset, and its writer told after": func(a *Account, n uint64) {
+			a.Left(1, second/10)
+			a.Written(n, second/5)
+		},
+	} {
+		a := account()
+		end(a, a.Charge(1, 16, 0))
+		early := a.Charge(2, 6, pieces)
+		if a.Answered(2, early, pieces+second/4); a.Waits() != 20 {
+			t.Errorf("%s: %d lines wait after an answer to what was written in about the same moment", name, a.Waits())
+		}
+		late := a.Charge(3, 6, pieces+second)
+		if a.Answered(3, late, 2*pieces); a.Waits() != 0 != (name == "dropped, its stream lives") {
+			t.Errorf("%s: %d lines wait after an answer to what was written long after", name, a.Waits())
+		}
+		own := a.Charge(1, 6, 3*pieces) // by its next stream, or by this one once it reads again
+		if a.Answered(1, own, 3*pieces+second/4); a.Waits() != 0 || len(a.open) != 0 {
+			t.Errorf("%s: %d lines wait after its own answer", name, a.Waits())
+		}
+		a = account()
+		end(a, a.Charge(1, 16, 0))
+		if a.Age(lostSpan); a.Waits() != 20 {
+			t.Errorf("%s: %d lines wait with nobody to answer", name, a.Waits())
+		}
+		a.Sweep(2 * lostSpan) // what nobody answered counts as got just now
+		if a.Sweep(4 * lostSpan); a.Waits() != 0 || len(a.open)+len(a.proxies) != 0 {
+			t.Errorf("%s: %d lines wait for good, %d open, %d proxies", name, a.Waits(), len(a.open), len(a.proxies))
+		}
+	}
+}
--- a/internal/governor/census.go
+++ b/internal/governor/census.go
@@ -14,6 +14,8 @@
 	// of more than any proxy can send in it, was spoilt on the way.
 	spanMost, countMost = int64(600 * 1e9), 1 << 24
 	rateMost            = 1e6
+	// A channel may be slower than stated, and a proxy or a governor may stand still: so many times, for so long.
+	slowChannel, stall = 5, int64(2 * 1e9)
 	// Good answers come before the client gives up, and sums carry some noise.
 	expiriesMost = 4
 )
@@ -25,6 +27,7 @@
 	kinds   int   // of the provision, those that it does not name among them
 	answer  int64 // the longest mean time that can be
 	grace   int64 // of drains
+	silence int64 // in which who owes an answer gives it, unless it has vanished
 	bounds  channel.Bounds
 }
 
@@ -32,6 +35,11 @@
 func NewCensus(names provision.Names, p control.Provision) Census {
 	c := Census{names: names, proxies: p.Proxies, kinds: p.Kinds, grace: p.DrainGrace, bounds: channel.Bounds{Lines: p.ChannelLimit,
 		Rate: p.ChannelRate, Head: p.MessageHead, Messages: p.MessagesMost, Span: p.MessagesSpan, Transit: p.WorstTransit}}
+	c.silence = silenceLeast
+	if p.ChannelRate > 0 { // told as left sooner, all of a fleet would join anew by a channel that is full, and fill it again
+		full := int64(float64(p.ChannelLimit) / p.ChannelRate * 1e9)
+		c.silence = max(c.silence, slowChannel*full+2*p.WorstTransit+stall)
+	}
 	for _, g := range p.Groups {
 		c.answer = max(c.answer, expiriesMost*g.Expiry)
 	}
--- a/internal/governor/core.go
+++ b/internal/governor/core.go
@@ -20,10 +20,10 @@
 	renewPause = int64(1e9)
 	sweepPause = int64(5 * 1e9) // names are kept for some times as long
 	// A machine that vanishes says nothing, and its stream stays open. A proxy that has been silent for so
-	// long though it owes an answer is told to the module as having left, until it speaks again: longer than
-	// a full channel at a fifth of its pace and a stall take together. Its stream is neither ended nor left
+	// long though it owes an answer is told to the module as having left, until it speaks again: no sooner than
+	// a full channel at a fifth of its pace and a stall take together, see Census. Its stream is neither ended nor left
 	// out of what goes to it, so one that was only slow has missed nothing.
-	silenceMost = int64(10 * 1e9)
+	silenceLeast = int64(10 * 1e9)
 )
 
 // Module decides. It is brain.Governor.
@@ -269,7 +269,7 @@
 // silent says who owes an answer for too long.
 func (c *Core) silent(now int64) (left []control.Event) {
 	var gone []int
-	for ; len(c.owing) > 0 && now-c.owing[0].since > silenceMost; c.owing = c.owing[1:] {
+	for ; len(c.owing) > 0 && now-c.owing[0].since > c.silence; c.owing = c.owing[1:] {
 		if d := c.owing[0]; d.stream.owes == d.since && !d.stream.away && c.seats[d.stream.joined.Proxy] == d.stream {
 			d.stream.away = true
 			c.Count.Silent++
--- a/internal/governor/crossings_test.go
+++ b/internal/governor/crossings_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"lilacbend/control"
+	"lilacbend/provision"
 )
 
 // Orders of events that cross within one turn, or around the end of a module or a stream: docs/crossings.md.
@@ -104,3 +105,27 @@
 		t.Errorf("seats %v, streams %v", c.seats, c.streams)
 	}
 }
+
+// A channel that holds more than others do, and is slow, answers later: nobody is called left for that, or all of a fleet would be
+// bound anew through it.
+func TestSilenceIsJudgedByWhatTheChannelHolds(t *testing.T) {
+	for _, w := range []struct {
+		lines       int
+		rate        float64
+		transit     int64
+		longest     int64
+		description string
+	}{{1800, 1200, 250e6, 10e9, "10 s are enough"}, {4000, 1000, 500e6, 23e9, "4 s of lines, five times as slow, there and back, and a stall"}} {
+		s := &script{turns: []orders{{line(0, 1, 1), control.Bind{Proxy: 4}, control.Mark{Number: 1}}}}
+		names := provision.Names{Groups: []string{"read"}, Zones: []string{"a"}, Kinds: []string{"m1"}}
+		c := New(func() Module { return s }, NewCensus(names, control.Provision{Proxies: 9, Groups: []control.TrafficGroup{{Expiry: 2e9}},
+			ChannelLimit: w.lines, ChannelRate: w.rate, WorstTransit: w.transit}))
+		c.Turn(5, []any{list(true, "xr"), Joined{Stream: 1, Proxy: 4, Zone: "a"}})
+		if c.Turn(5+w.longest, nil); s.told != nil {
+			t.Errorf("%s: told %+v in time", w.description, s.told)
+		}
+		if c.Turn(6+w.longest, nil); !reflect.DeepEqual(s.told, []control.Event{control.Left{Proxy: 4}}) {
+			t.Errorf("%s: told %+v later", w.description, s.told)
+		}
+	}
+}
