--- a/internal/streams/crossings_test.go
+++ b/internal/streams/crossings_test.go
@@ -1,9 +1,11 @@
 package streams
 
 import (
+	"context"
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"lilacbend/internal/governor"
 	"lilacbend/internal/resp"
@@ -86,8 +88,12 @@
 
 // The end of the program waits for nobody who lingers, reads nothing, or is in the middle of a message.
 func TestTheEndWaitsForNobody(t *testing.T) {
-	s := server(100)
-	at := running(t, s) // its end is checked after the test
+	s, l := server(100), loopback(t)
+	at := l.Addr().String()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan error)
+	go func() { ended <- s.Serve(ctx, l) }()
 	stranger := peers.Dial(t, at)
 	stranger.Raw("nonsense\r\n")
 	stranger.Hears("error") // and it goes on
@@ -114,6 +120,15 @@
 		s.exchange.Send(governor.Sent{Stream: stream, Push: governor.Push{Full: true, Lines: lines}})
 	}
 	peers.Until(t, "nothing is written", func() bool { return s.exchange.Tally.Pushes.Load() > 0 })
+	stop() // with all of them open
+	select {
+	case err := <-ended:
+		if err != nil || s.pool.Lent() != 0 || len(s.peers) != 0 {
+			t.Errorf("left behind: %d buffers, %d peers, %v", s.pool.Lent(), len(s.peers), err)
+		}
+	case <-time.After(peers.Patience):
+		t.Error("it does not end")
+	}
 }
 
 // A stream that breaks, is reset or is ended by us between two parts of a message ends there: what came before is no whole
