Settings: deployments without zones, kinds or a cold rule start, and are heard

Found by reading, and seen with the tests here on the program as it was: - Without zones the census refused every collector and every proxy ("no zone"), and hello, agent and outcomes without `site` were strangers. One census function now knows; where no zones are named all peers are in one. - zones, kinds, cold_from, warm_after_ms, tip_multiple had to be there; shards=0.0 was "sites with slices". Now what a deployment lacks is taken for none, a cold replica without figures for the least able. - Sums of more than 600 s were spoilt, even where reports come every 900 s: the bound is some reports now. - A message had a part for each traffic group: 200 groups made 201 parts of 64. Past 64, levels that say the same share one. - A weight over what a float32 holds was written +Inf, which a proxy resets its stream for. - Taken, though they cannot be served: usual_how over 3 (sent to proxies as it stood), a class twice, empty or with `+`, zones over what a stranger's message holds, times at or below 0 or over the range, pending_max=1e300 (turned negative) or less than two messages of a table. Each is refused with its key.

--- a/internal/governor/census.go
+++ b/internal/governor/census.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	// Sums wait while their counters cannot be reached. What tells of a longer time than any such outage, or
-	// of more than any proxy can send in it, was spoilt on the way.
-	spanMost, countMost = int64(600 * 1e9), 1 << 24
-	rateMost            = 1e6
+	// Sums wait while their counters cannot be reached. What tells of a longer time than any such outage, and than
+	// some reports, or of more than any proxy can send in it, was spoilt on the way. No setting bounds counts or rates: these
+	// are far over what one machine sends, and under what a sum of thousands could overflow by.
+	spanMost, reportsMost = int64(600 * 1e9), 4
+	countMost, rateMost   = 1 << 24, 1e6
 	// A channel may be slower than stated, and a proxy or a governor may stand still: so many times, for so long.
 	slowChannel, stall = 5, int64(2 * 1e9)
 	// Good answers come before the client gives up, and sums carry some noise.
@@ -26,6 +27,7 @@
 	proxies int
 	kinds   int   // of the provision, those that it does not name among them
 	answer  int64 // the longest mean time that can be
+	span    int64 // the longest time that sums can tell of
 	grace   int64 // of drains
 	silence int64 // in which who owes an answer gives it, unless it has vanished
 	bounds  channel.Bounds
@@ -33,8 +35,9 @@
 
 // NewCensus makes a census of what the provision names.
 func NewCensus(names provision.Names, p control.Provision) Census {
-	c := Census{names: names, proxies: p.Proxies, kinds: p.Kinds, grace: p.DrainGrace, bounds: channel.Bounds{Lines: p.ChannelLimit,
-		Rate: p.ChannelRate, Head: p.MessageHead, Messages: p.MessagesMost, Span: p.MessagesSpan, Transit: p.WorstTransit}}
+	c := Census{names: names, proxies: p.Proxies, kinds: p.Kinds, grace: p.DrainGrace,
+		span: max(spanMost, reportsMost*p.ReportEvery), bounds: channel.Bounds{Lines: p.ChannelLimit, Rate: p.ChannelRate,
+			Head: p.MessageHead, Messages: p.MessagesMost, Span: p.MessagesSpan, Transit: p.WorstTransit}}
 	c.silence = silenceLeast
 	if p.ChannelRate > 0 { // told as left sooner, all of a fleet would join anew by a channel that is full, and fill it again
 		full := int64(float64(p.ChannelLimit) / p.ChannelRate * 1e9)
@@ -48,12 +51,17 @@
 
 // Collector says what is wrong with a collector of a zone.
 func (c Census) Collector(zone string) error {
-	if !slices.Contains(c.names.Zones, zone) {
+	if !c.zone(zone) {
 		return fmt.Errorf("no zone %.40q", zone)
 	}
 	return nil
 }
 
+// zone says whether there is such a zone. Where the settings name none all are in one, whatever peers call it.
+func (c Census) zone(name string) bool {
+	return len(c.names.Zones) == 0 || slices.Contains(c.names.Zones, name)
+}
+
 // Proxy says what is wrong with a joining.
 func (c Census) Proxy(h Joined) error {
 	if h.Proxy < 0 || h.Proxy >= c.proxies || h.Rate > rateMost {
@@ -63,10 +71,10 @@
 }
 
 func (c Census) met(m Met) bool {
-	return slices.Contains(c.names.Zones, m.Zone) && m.Tries <= countMost && m.Missed <= m.Tries &&
-		m.Answer <= c.answer && m.Span <= spanMost
+	return c.zone(m.Zone) && m.Tries <= countMost && m.Missed <= m.Tries &&
+		m.Answer <= c.answer && m.Span <= c.span
 }
 
 func (c Census) usage(d Demand) bool {
-	return d.Flows <= countMost && d.Missed <= countMost && d.Span <= spanMost
+	return d.Flows <= countMost && d.Missed <= countMost && d.Span <= c.span
 }
--- a/internal/streams/peer.go
+++ b/internal/streams/peer.go
@@ -200,7 +200,7 @@
 func (p *peer) meet(f *fields) {
 	switch f.kind {
 	case "agent":
-		zone := f.text("site")
+		zone := f.zone()
 		if f.fault(p.server.census.Collector(zone)); f.err == nil {
 			f.fault(p.server.name(p, collector, zone))
 		}
--- a/internal/streams/words.go
+++ b/internal/streams/words.go
@@ -68,6 +68,12 @@
 	return n
 }
 
+// zone reads where a peer stands. It may be left out, as there are deployments without zones: the census knows.
+func (f *fields) zone() string {
+	name, _ := f.has("site")
+	return name
+}
+
 // perhaps reads a figure that may be left out: nothing stands on it alone.
 func (f *fields) perhaps(name string) float64 {
 	if _, ok := f.has(name); !ok {
@@ -89,7 +95,7 @@
 
 func hello(f *fields) governor.Joined {
 	blank, _ := f.has("new")
-	return governor.Joined{Proxy: f.whole("id"), Zone: f.text("site"), Rate: f.perhaps("rps"), Blank: blank == "1"}
+	return governor.Joined{Proxy: f.whole("id"), Zone: f.zone(), Rate: f.perhaps("rps"), Blank: blank == "1"}
 }
 
 func ack(f *fields) governor.Answered {
@@ -97,7 +103,7 @@
 }
 
 func met(f *fields) governor.Met {
-	m := governor.Met{Zone: f.text("site"), Replica: f.text("target")}
+	m := governor.Met{Zone: f.zone(), Replica: f.text("target")}
 	m.Tries, m.Missed, m.Answer, m.Span = f.whole("count"), f.whole("fail"), f.ms("mean"), f.ms("over")
 	m.Held = -1
 	if report, ok := f.has("util"); ok {
@@ -116,7 +122,30 @@
 	return d
 }
 
-func figure(v float64) string { return strconv.FormatFloat(v, 'f', -1, 32) }
+// figure writes a weight or a share: no more of it than a proxy reads, and never infinity.
+func figure(v float64) string { return strconv.FormatFloat(math.Min(v, math.MaxFloat32), 'f', -1, 32) }
+
+// partsMost is how many parts a message may have, by the protocol.
+const partsMost = 64
+
+// alike puts levels that say the same into one part each, in the order of the first: a part for every traffic group could
+// be more than a message may have, and shares and ways of trying again are few.
+func alike(levels []governor.Level) (all []governor.Level) {
+	at := map[governor.Level]int{}
+	for _, l := range levels {
+		name := l.Group
+		l.Group = ""
+		k, seen := at[l]
+		if !seen {
+			k = len(all)
+			at[l], all = k, append(all, l)
+			all[k].Group = name
+			continue
+		}
+		all[k].Group += "+" + name
+	}
+	return all
+}
 
 // parts writes a push as the messages that make it up, the mark with the last.
 func parts(p governor.Push) [][]string {
@@ -140,7 +169,11 @@
 		}
 		out = append(out, part)
 	}
-	for _, l := range p.Levels {
+	levels := p.Levels
+	if len(out)+len(levels) > partsMost {
+		levels = alike(levels)
+	}
+	for _, l := range levels {
 		out = append(out, []string{"push", "routes", l.Group, "admit", figure(l.Share), "policy", strconv.Itoa(int(l.Tries))})
 	}
 	if p.Marked {
--- /dev/null
+++ b/internal/streams/words_test.go
@@ -0,0 +1,82 @@
+package streams
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+
+	"lilacbend/control"
+	"lilacbend/internal/exchange"
+	"lilacbend/internal/governor"
+	"lilacbend/internal/resp"
+	"lilacbend/provision"
+)
+
+// A part for each traffic group would be more than a message may have: levels that say the same share one.
+func TestLevelsOfManyGroupsFitOneMessage(t *testing.T) {
+	p := governor.Push{Full: true, Lines: []governor.Line{{Replica: "x", Weight: 1}}, Marked: true, Mark: 7}
+	for k := range 200 {
+		l := governor.Level{Group: fmt.Sprintf("g-%d", k), Share: 1, Tries: control.TryIfNeverRan}
+		if l.Share = 1; k > 150 {
+			l.Share = 0
+		}
+		if k == 150 {
+			l.Share = 0.35
+		}
+		p.Levels = append(p.Levels, l)
+	}
+	messages := parts(p)
+	var named []string
+	for k, words := range messages {
+		f := read(words)
+		if _, goes := f.has("continued"); goes != (k < len(messages)-1) {
+			t.Errorf("part %d of %d: %v", k, len(messages), words)
+		}
+		if routes, has := f.has("routes"); has {
+			for _, name := range strings.Split(routes, "+") {
+				share, _ := f.has("admit")
+				at := slices.IndexFunc(p.Levels, func(l governor.Level) bool { return l.Group == name })
+				if share != figure(p.Levels[at].Share) {
+					t.Errorf("%s gets %s", name, share)
+				}
+				named = append(named, name)
+			}
+		}
+	}
+	slices.Sort(named)
+	if named = slices.Compact(named); len(named) != 200 || len(messages) > partsMost {
+		t.Errorf("%d groups in %d parts", len(named), len(messages))
+	}
+	if p.Levels = p.Levels[:partsMost-1]; len(parts(p)) != partsMost { // as many as fit go as ever
+		t.Errorf("%d parts", len(parts(p)))
+	}
+}
+
+func TestNoFigureIsInfinite(t *testing.T) {
+	for v, want := range map[float64]string{1e300: figure(math.MaxFloat32), 0.35: "0.35", 0: "0"} {
+		if got := figure(v); got != want || strings.Contains(got, "Inf") {
+			t.Errorf("%v is written %s", v, got)
+		}
+	}
+}
+
+// A deployment without zones: peers may leave out where they stand.
+func TestPeersThatNameNoZone(t *testing.T) {
+	x := exchange.New()
+	census := governor.NewCensus(provision.Names{Groups: []string{"a"}},
+		control.Provision{Proxies: 2, Groups: []control.TrafficGroup{{Expiry: 1e9}}})
+	s := New(x, resp.NewPool(1<<20), slog.New(slog.DiscardHandler), 99, census)
+	at := running(t, s)
+	call(t, at, "agent", "outcomes target x count 1 fail 0 mean 1 over 1000")
+	want := governor.Met{Replica: "x", Met: control.Met{Tries: 1, Answer: 1e6, Span: 1e9, Held: -1}}
+	if notes := told(t, s, 1); notes[0] != want {
+		t.Errorf("%+v", notes)
+	}
+	call(t, at, "hello id 1 new 1", "probe").hears(t, "alive")
+	if notes := told(t, s, 1); notes[0] != (governor.Joined{Stream: 2, Proxy: 1, Blank: true}) {
+		t.Errorf("%+v", notes)
+	}
+}
--- a/provision/provision_test.go
+++ b/provision/provision_test.go
@@ -65,6 +65,58 @@
 	}
 }
 
+// Settings of deployments that lack a rule, zones or kinds, or write a number otherwise.
+func TestWhatADeploymentCanLack(t *testing.T) {
+	lines := strings.NewReplacer("invariants.cold_from=0.18\n", "", "invariants.drain_grace_ms=2500.0\n", "",
+		"invariants.tip_multiple=4.0\n", "", "invariants.warm_after_ms=18000.0\n", "", "kinds=small-2c,wide-4c\n", "kinds=\n",
+		"zones=lahore,islamabad,multan\n", "", "domain.shards=0\n", "domain.shards=0.0\n").Replace(sheetText)
+	p, err := FromLines(lines).Provision(9)
+	if err != nil || p.Zones+p.Kinds != 0 || p.DrainGrace+p.WarmAfter != 0 || p.FallMultiple != 1 || p.ColdShare != 0 {
+		t.Errorf("%v %+v", err, p)
+	}
+	if n, err := FromLines(lines + "lanes.0.name=a-1\n").Names(); err != nil || len(n.Zones) != 0 || len(n.Kinds) != 0 {
+		t.Errorf("%v %+v", err, n)
+	}
+}
+
+func TestWhatCannotBeServedIsNamed(t *testing.T) {
+	for _, c := range [][3]string{
+		{"slo_ms=1200.0", "slo_ms=0", "lanes.0.slo_ms=0 is not above 0"},
+		{"deadline_ms=4000.0", "deadline_ms=-1", "lanes.0.deadline_ms=-1 is not above 0"},
+		{"deadline_ms=4000.0", "deadline_ms=1e15", "lanes.0.deadline_ms=1e+15 is not a time"},
+		{"window_ms=2500.0", "window_ms=-1", "lanes.0.window_ms=-1 is not a time"},
+		{"usual_how=1", "usual_how=4", "domain.usual_how=4 is no way"},
+		{"pending_max=1800.0", "pending_max=1e300", "domain.pending_max=1e+300 is not a number of lines"},
+		{"pending_max=1800.0", "pending_max=25.9", "domain.pending_max=25 is too small"},
+		{"envelope=4.0", "envelope=-1", "domain.envelope=-1 is not a number of lines"},
+		{"cold_from=0.18", "cold_from=1.1", "invariants.cold_from=1.1 is not a share"},
+		{"tip_multiple=4.0", "tip_multiple=0", "invariants.tip_multiple=0 is not above 0"},
+		{"shards=0", "shards=", "domain.shards=\"\" is not a number"},
+	} {
+		if !strings.Contains(sheetText, c[0]) {
+			t.Fatal(c[0])
+		}
+		_, err := FromLines(strings.Replace(sheetText, c[0], c[1], 1)).Provision(9)
+		if err == nil || !strings.Contains(err.Error(), c[2]) {
+			t.Errorf("got %v, want %q", err, c[2])
+		}
+	}
+	if _, err := FromLines(strings.Replace(sheetText, "pending_max=1800.0", "pending_max=26.9", 1)).Provision(9); err != nil {
+		t.Error(err)
+	}
+	for _, c := range [][2]string{
+		{"zones=a,b,a\nlanes.count=0\n", `setting zones: "a" is there twice`},
+		{"zones=a," + strings.Repeat("z", 1025) + "\nlanes.count=0\n", "setting zones: "},
+		{"lanes.count=2\nlanes.0.name=a\nlanes.1.name=a\n", `setting lanes.name: "a" is there twice`},
+		{"lanes.count=1\nlanes.0.name=a+b\n", `setting lanes.name: "a+b" cannot stand`},
+		{"lanes.count=1\nlanes.0.name=\n", `setting lanes.name: "" cannot stand`},
+	} {
+		if _, err := FromLines(c[0]).Names(); err == nil || !strings.Contains(err.Error(), c[1]) {
+			t.Errorf("got %v, want %q", err, c[1])
+		}
+	}
+}
+
 func TestJSONReadsLikeLines(t *testing.T) {
 	f, err := FromJSON([]byte(`{"zones":["a, b","c"],"kinds":[],"domain":{"cycle_ms":500.0,"by_class":[true,false]},
 		"lanes":[{"name":"x"},{"name":"y"}],"absent":null}`))
