--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -32,6 +32,8 @@
 	// A governor that is started anew may come while the one before it is still ending: an address in use is
 	// tried for longer than that takes, and then is a fault.
 	inUseMost, inUsePause = time.Second, 20 * time.Millisecond
+	// The inbox is sized for proxies that tell of a few traffic groups each; of so many more it is doubled, and so on.
+	groupsUsual = 4
 	// SIGKILL may follow 0.7 s after SIGTERM: connections get so long to end.
 	partingMost = 300 * time.Millisecond
 )
@@ -57,7 +59,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	base, x := clock{time.Now()}, exchange.New()
-	x.Expect(c.provision.Proxies)
+	x.Expect(c.provision.Proxies * (1 + len(c.names.Groups)/groupsUsual)) // each tells its usage of every group
 	census := governor.NewCensus(c.names, c.provision)
 	core := governor.New(func() governor.Module { return brain.New(c.provision) }, census)
 	kept := openArchive(c.rules.State, &c, core, x, base, log)
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -47,7 +47,7 @@
 		}
 		switch f.Kind {
 		case "cut", "zone":
-			f.Who = chance.Intn(len(site.Names.Zones))
+			f.Who = chance.Intn(len(site.zones()))
 		case "stall", "stream":
 			f.Who = chance.Intn(site.Proxies)
 		default:
@@ -86,7 +86,7 @@
 		w.tellOf(r, control.Gone, r.Member.UpSince)
 		w.after(f.Span, func() { w.replace(r) })
 	case "cut":
-		zone := w.Site.Names.Zones[f.Who]
+		zone := w.Site.zones()[f.Who]
 		w.cut[zone]++
 		w.after(f.Span, func() { w.heal(zone) })
 	case "governor", "governor-kept":
@@ -114,7 +114,7 @@
 			w.after(at+2*second, func() { w.replace(r) })
 		}
 	case "zone":
-		zone := w.Site.Names.Zones[f.Who]
+		zone := w.Site.zones()[f.Who]
 		w.cut[zone]++
 		for _, r := range w.Replicas {
 			if r.Member.Zone == zone {
