A reload that finds the file half written is read again until it can be used

Seen in a child process: SIGHUP while the file was half written, empty or missing gave "the new configuration cannot be used", and the change was lost: follow went back to wait for a signal that nobody sends twice (the lines after r.read in serve.go). Now it is read again after 50 ms, half as often each time, down to once a second, until it can be used, the next SIGHUP or the end; said and counted once. TestSIGHUPBeforeTheFileIsWhole fails without it ("nobody came" at the new discovery), in each of the three ways.

Orders that hold, each test seen to fail by a defect in a scratch copy: SIGHUP during the wait, with SIGTERM and after it (fails where SIGHUP is not caught); a second SIGHUP during the wait (fails where it does not end the wait); the pace in virtual time (fails at 1 ms); there and back; proxies before discovery has answered (fails where the first call is a watch). A child under the race detector sleeps a second at its end by itself, which GORACE takes away.

--- /dev/null
+++ b/cmd/lilacbend/reload_test.go
@@ -0,0 +1,304 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lilacbend/internal/exchange"
+	"lilacbend/internal/registry"
+	"lilacbend/lab/peers"
+)
+
+const governorProcess = "LILACBEND_TEST_GOVERNOR"
+
+// Started with that in its environment, the test binary is the program: signals want a process of their own.
+func init() {
+	if os.Getenv(governorProcess) != "" {
+		os.Args = os.Args[:1]
+		main()
+		os.Exit(0)
+	}
+}
+
+const wholeList = "GET /registry/instances HTTP/1.1"
+
+// configuration is the example's, with another discovery.
+func configuration(t *testing.T, discovery string) []byte {
+	raw, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	moved := bytes.Replace(raw, []byte("127.0.0.1:8500"), []byte(discovery), 1)
+	if bytes.Equal(raw, moved) {
+		t.Fatal("the example names another discovery")
+	}
+	return moved
+}
+
+func write(t *testing.T, file string, raw []byte) {
+	t.Helper()
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// replace puts a whole file in the place of another at once.
+func replace(t *testing.T, file string, raw []byte) {
+	t.Helper()
+	write(t, file+".new", raw)
+	if err := os.Rename(file+".new", file); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// times counts a text in the log.
+func (l *lines) times(text string) int {
+	l.Lock()
+	defer l.Unlock()
+	return strings.Count(l.String(), text)
+}
+
+// program is a governor in a process of its own.
+type program struct {
+	*exec.Cmd
+	out   *lines
+	ended chan error
+}
+
+func launch(t *testing.T, file, listen string) *program {
+	p := &program{exec.Command(os.Args[0]), &lines{}, make(chan error, 1)}
+	p.Env = append(os.Environ(), governorProcess+"=1", "GORACE=atexit_sleep_ms=0", "PROXY_CONFIG="+file, "PROXY_LISTEN="+listen)
+	stderr, err := p.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		io.Copy(struct{ io.Writer }{p.out}, stderr) // its Write alone locks
+		p.ended <- p.Wait()
+	}()
+	t.Cleanup(func() { p.Process.Kill() })
+	return p
+}
+
+// says waits for a line of the log.
+func (p *program) says(t *testing.T, text string) {
+	t.Helper()
+	peers.Until(t, "the log never says "+text, func() bool { return p.out.has(text) })
+}
+
+// ends waits for the end that a signal asked for: exit 0 within 0.7 s.
+func (p *program) ends(t *testing.T, since time.Time) {
+	t.Helper()
+	select {
+	case err := <-p.ended:
+		if took := time.Since(since); err != nil || took > 700*time.Millisecond {
+			t.Errorf("ended after %v: %v", took, err)
+		}
+	case <-time.After(peers.Patience):
+		t.Error("it does not end")
+	}
+}
+
+// A file that is half written, empty or missing when SIGHUP comes is taken over once it is whole, without a second SIGHUP,
+// and is complained of once.
+func TestSIGHUPBeforeTheFileIsWhole(t *testing.T) {
+	for name, spoil := range map[string]func(file string, whole []byte){
+		"half written": func(file string, whole []byte) { write(t, file, whole[:len(whole)/2]) },
+		"empty":        func(file string, _ []byte) { write(t, file, nil) },
+		"missing":      func(file string, _ []byte) { os.Remove(file) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			file, before, after := filepath.Join(t.TempDir(), "config.json"), peers.Listen(t), peers.Listen(t)
+			write(t, file, configuration(t, before.At()))
+			p := launch(t, file, peers.Free(t))
+			if got := before.Take().Request(); got != wholeList {
+				t.Errorf("asked %q", got)
+			}
+			spoil(file, configuration(t, after.At()))
+			p.Process.Signal(syscall.SIGHUP)
+			p.says(t, "cannot be used")
+			replace(t, file, configuration(t, after.At()))
+			if got := after.Take().Request(); got != wholeList {
+				t.Errorf("asked %q", got)
+			}
+			since := time.Now()
+			p.Process.Signal(syscall.SIGTERM)
+			p.ends(t, since)
+			for text, times := range map[string]int{"cannot be used": 1, "read again": 1, "in.reloads=1 ": 1, "errors.misread=1 ": 1} {
+				if got := p.out.times(text); got != times {
+					t.Errorf("%q %d times, want %d", text, got, times)
+				}
+			}
+		})
+	}
+}
+
+// SIGHUP round the end changes nothing of it: while a file is waited for, together with SIGTERM, and after it.
+func TestSIGHUPWhileItEnds(t *testing.T) {
+	file, agent, at := filepath.Join(t.TempDir(), "config.json"), peers.Listen(t), peers.Free(t)
+	write(t, file, configuration(t, agent.At()))
+	p := launch(t, file, at)
+	agent.Take().Request()
+	os.Remove(file)
+	p.Process.Signal(syscall.SIGHUP)
+	p.says(t, "cannot be used")
+	since := time.Now()
+	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		p.Process.Signal(s)
+	}
+	p.ends(t, since)
+	peers.ListenOn(t, at) // it is free for the successor
+}
+
+// reloading runs the part of a governor that reads its configuration again; a signal is sent when follow takes it.
+func reloading(t *testing.T, file, discovery string) (chan<- os.Signal, *exchange.Exchange, *lines) {
+	c, x, out := exampleCharter(t, "127.0.0.1:1"), exchange.New(), &lines{}
+	asked, log := make(chan os.Signal), slog.New(slog.NewTextHandler(out, nil))
+	ctx, stop := context.WithCancel(context.Background())
+	client := registry.New(discovery, 0, x, log, func() int64 { return 1 }, 1)
+	moved, read := make(chan struct{}), make(chan struct{})
+	go func() { defer close(moved); client.Run(ctx) }()
+	go func() {
+		defer close(read)
+		reload{asked, told{discovery: discovery, file: file}}.follow(ctx, c, client, x, log)
+	}()
+	t.Cleanup(func() { stop(); <-moved; <-read })
+	return asked, x, out
+}
+
+// Twice at once, to the same address, and from A to B and back to A: the last file read is the one that counts.
+func TestSIGHUPThereAndBack(t *testing.T) {
+	file, a, b := filepath.Join(t.TempDir(), "config.json"), peers.Listen(t), peers.Listen(t)
+	asked, x, _ := reloading(t, file, a.At())
+	first := a.Take()
+	first.Request()
+	write(t, file, configuration(t, a.At()))
+	asked <- syscall.SIGHUP // to where it is
+	asked <- syscall.SIGHUP // taken once the first has been read
+	peers.Until(t, "not read twice", func() bool { return x.Tally.Reloads.Load() == 2 })
+	if dials := x.Tally.Dials.Load(); dials != 1 {
+		t.Errorf("%d dials", dials)
+	}
+	replace(t, file, configuration(t, b.At()))
+	asked <- syscall.SIGHUP
+	there := b.Take()
+	first.Ends()
+	there.Request()
+	replace(t, file, configuration(t, a.At()))
+	asked <- syscall.SIGHUP
+	back := a.Take()
+	there.Ends()
+	if got := back.Request(); got != wholeList || x.Tally.Reloads.Load() != 4 || x.Tally.Misread.Load() != 0 {
+		t.Errorf("asked %q, %d reloads", got, x.Tally.Reloads.Load())
+	}
+}
+
+// In virtual time: a file that is not whole for long is read once in rereadMost, and taken over by then.
+func TestAFileThatIsWaitedForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		file, x, asked := filepath.Join(t.TempDir(), "config.json"), exchange.New(), make(chan os.Signal)
+		c, log := exampleCharter(t, "127.0.0.1:1"), slog.New(slog.DiscardHandler)
+		client := registry.New(c.discovery, 0, x, log, func() int64 { return 1 }, 1)
+		read := make(chan struct{})
+		go func() { defer close(read); reload{asked, told{file: file}}.follow(t.Context(), c, client, x, log) }()
+		t.Cleanup(func() { <-read })
+		start := time.Now()
+		asked <- syscall.SIGHUP
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		write(t, file, configuration(t, "127.0.0.1:2"))
+		for x.Tally.Reloads.Load() == 0 && time.Since(start) < time.Minute {
+			time.Sleep(time.Millisecond)
+		}
+		// 50, 100, ... 800 ms apart, which is 1.55 s in all, then a second each: the next one is at 10.55 s.
+		want := 31*rereadFirst + 9*rereadMost
+		if took := time.Since(start); took < want || took > want+2*time.Millisecond || x.Tally.Misread.Load() != 1 {
+			t.Errorf("taken over after %v, want %v; %d misread", took, want, x.Tally.Misread.Load())
+		}
+	})
+}
+
+// A second SIGHUP while a file is waited for is answered at once; each that finds it of no use is a line.
+func TestSIGHUPWhileAFileIsWaitedFor(t *testing.T) {
+	file, a, b := filepath.Join(t.TempDir(), "config.json"), peers.Listen(t), peers.Listen(t)
+	asked, x, out := reloading(t, file, a.At())
+	a.Take().Request()
+	asked <- syscall.SIGHUP
+	asked <- syscall.SIGHUP
+	peers.Until(t, "not read twice", func() bool { return x.Tally.Misread.Load() == 2 })
+	replace(t, file, configuration(t, b.At()))
+	asked <- syscall.SIGHUP
+	if got := b.Take().Request(); got != wholeList {
+		t.Errorf("asked %q", got)
+	}
+	if n := x.Tally.Misread.Load(); n != 2 || out.times("cannot be used") != 2 {
+		t.Errorf("%d misread, said %d times", n, out.times("cannot be used"))
+	}
+}
+
+// The list of the configuration is out of date: it serves the proxies that come before discovery has answered, which is
+// asked for the whole list; who drains by then is withdrawn.
+func TestProxiesThatComeBeforeDiscoveryHasAnswered(t *testing.T) {
+	agent, at := peers.Listen(t), peers.Free(t)
+	c := exampleCharter(t, at)
+	c.discovery = agent.At()
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- serve(ctx, c, reload{}, slog.New(slog.DiscardHandler)) }()
+	defer func() { stop(); <-ended }()
+	proxy := peers.DialWhenUp(t, at)
+	proxy.Say("hello id 3 site a rps 20 new 1")
+	first := proxy.Hears("push full 1 endpoints box-")
+	conn := agent.Take()
+	if got := conn.Request(); got != wholeList {
+		t.Errorf("asked %q", got)
+	}
+	name := strings.SplitN(strings.Fields(first)[4], ":", 2)[0]
+	var members []map[string]any
+	for _, m := range c.known.Members {
+		phase := "Ready"
+		if m.ID == name {
+			phase = "Terminating"
+		}
+		members = append(members, map[string]any{"id": m.ID, "host_port": m.Address, "locality": m.Zone, "flavor": m.Kind,
+			"phase": phase})
+	}
+	body, err := json.Marshal(map[string]any{"revision": 9, "complete": true, "members": members})
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Raw(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	for {
+		text := proxy.Hears("push ")
+		if words := strings.Fields(text); withdraws(words, name) {
+			break
+		}
+	}
+}
+
+// withdraws says whether a push keeps its proxy away from a replica.
+func withdraws(words []string, name string) bool {
+	for k := 1; k+1 < len(words); k += 2 {
+		for _, part := range strings.Split(words[k+1], ",") {
+			if words[k] == "eject" && part == name || words[k] == "endpoints" && part == name+":0" {
+				return true
+			}
+		}
+	}
+	return false
+}
