A withdrawal is ordered though one proxy is at its message cap or the module thinks the channel full

The core charges and holds by proxy and lets withdrawals go first, so the module need not keep them back: control.Provision.HostHolds, set by the governor and the laboratory. Ruled out: the list (told at 17.1 s by its log), the message itself (a proxy that had room got it). TestOneCappedProxyHoldsUpNoWithdrawal fails without it for five proxies of five.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -64,8 +64,7 @@
 	switch n := n.(type) {
 	case control.Entry:
 		if n.Start != r.entry.Start && n.State == control.Ready {
-			r.met, r.resting, r.trial, r.relapse, r.heard = nil, 0, 0, 0, r.now
-			r.faith, r.evidence, r.doubt = 0, 0, 0
+			r.met, r.resting, r.trial, r.relapse, r.heard, r.faith, r.evidence, r.doubt = nil, 0, 0, 0, r.now, 0, 0, 0
 		}
 		r.entry = n
 	case control.Met:
@@ -302,8 +301,7 @@
 	slices.SortStableFunc(ids, tickets) // where a table has no room for all of its own
 	tables, row, total, all := p.tables, p.rows(p.tables), 1e-9, 1e-9
 	t := target{map[line]float64{}, p.shutOut(ids, row)}
-	need, home, serves := make([]float64, tables), make([]float64, tables), make([]float64, tables)
-	doubts := 0.0
+	need, home, serves, doubts := make([]float64, tables), make([]float64, tables), make([]float64, tables), 0.0
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
 			if home[p.own[id]] += o.size; !t.out[id] {
@@ -314,9 +312,8 @@
 			}
 		}
 	}
-	// That most were sick tells of what has passed, or of us.
-	doubted := doubts < doubtMost*float64(len(ids))
-	for table := range home { // a few sick are their zones' trouble; when most are, guests must come
+	doubted := doubts < doubtMost*float64(len(ids)) // that most were sick tells of what has passed, or of us
+	for table := range home {                       // a few sick are their zones' trouble; when most are, guests must come
 		if serves[table]*spares[p.Pick] < deadPart*home[table] {
 			home[table] = serves[table]
 		}
@@ -802,6 +799,9 @@
 	})
 	p.step.adds = 0
 	p.urgent = slices.DeleteFunc(p.urgent, func(o control.Order) bool {
+		if w, is := o.(control.Withdraw); is && w.Out && p.HostHolds { // one capped proxy holds up no other
+			return p.write(o, math.Inf(1), math.Inf(1))
+		}
 		return p.write(o, urgentPart, urgentMsgs)
 	})
 	if m.proxies = sorted(p.reached); len(m.proxies) > 0 {
--- a/cmd/lilacbend/charter.go
+++ b/cmd/lilacbend/charter.go
@@ -125,7 +125,8 @@
 	if c.names, err = facts.Names(); err != nil {
 		return charter{}, fmt.Errorf("settings: %w", err)
 	}
-	c.provision.Kinds++ // one more for kinds that the settings do not name
+	c.provision.Kinds++          // one more for kinds that the settings do not name
+	c.provision.HostHolds = true // the core does, by the channel's account
 	c.known.Whole = true
 	return c, nil
 }
--- a/control/control.go
+++ b/control/control.go
@@ -98,7 +98,10 @@
 	WorstTransit int64
 	MessagesMost int // messages to one proxy within MessagesSpan; 0 is no limit
 	MessagesSpan int64
-	ReportEvery  int64
+	// HostHolds: what the channel or a proxy's cap has no room for is held outside by the host, for that proxy alone, and
+	// withdrawals go first. Else each order goes out as it is given.
+	HostHolds   bool
+	ReportEvery int64
 
 	DrainGrace   int64   // after the news of its end nobody may send to a replica any more; 0: not known
 	ColdShare    float64 // least part of its capacity a replica starts with
--- a/internal/governor/budget_test.go
+++ b/internal/governor/budget_test.go
@@ -85,7 +85,7 @@
 func newChannelWorld(seed int64, proxies, replicas, governors, limit, rate int, cost func(governor.Push) int) *channelWorld {
 	w := &channelWorld{Rand: rand.New(rand.NewSource(seed)), cost: cost, states: map[string]governor.Member{}, now: second, pace: 1}
 	w.provision = control.Provision{Seed: uint64(seed), Governors: governors, Zones: 2, Kinds: 2, Proxies: proxies * governors, ChannelRate: float64(rate),
-		ChannelLimit: limit, MessageHead: 4, WorstTransit: second / 4, DrainGrace: 8 * second, MessagesMost: 12, MessagesSpan: 10 * second, ReportEvery: second,
+		ChannelLimit: limit, MessageHead: 4, WorstTransit: second / 4, DrainGrace: 8 * second, MessagesMost: 12, MessagesSpan: 10 * second, HostHolds: true, ReportEvery: second,
 		ColdShare: 0.2, WarmAfter: 20 * second, FallMultiple: 3, Admission: control.AdmitShare, TryFactor: 1, UsualTries: control.TryIfNeverRan,
 		Groups: []control.TrafficGroup{{Utility: 1, LatencyBudget: second, Expiry: 3 * second, Effect: control.Retriable},
 			{Utility: 3, LatencyBudget: second, Expiry: 3 * second, Effect: control.NonRetriable}}}
--- /dev/null
+++ b/internal/governor/capped_test.go
@@ -0,0 +1,70 @@
+package governor_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"lilacbend/brain"
+	"lilacbend/control"
+	"lilacbend/internal/governor"
+	"lilacbend/provision"
+)
+
+// A proxy that joins again and again uses up its cap of messages. A drain that is told then reaches the others of its table all
+// the same, within the grace: the core holds what is for that one alone, and the module must not keep the order back from all.
+func TestOneCappedProxyHoldsUpNoWithdrawal(t *testing.T) {
+	const grace = 2 * second
+	p := control.Provision{Seed: 5, Governors: 1, Zones: 1, Kinds: 2, Proxies: 6, ChannelRate: 1200, ChannelLimit: 1800, MessageHead: 4,
+		WorstTransit: second / 4, DrainGrace: grace, MessagesMost: 6, MessagesSpan: 10 * second, HostHolds: true, ReportEvery: second / 2,
+		ColdShare: 0.2, WarmAfter: 10 * second, FallMultiple: 3, Admission: control.AdmitShare, TryFactor: 1, UsualTries: control.TryIfNeverRan,
+		Groups: []control.TrafficGroup{{Utility: 1, LatencyBudget: second, Expiry: 3 * second, Effect: control.Retriable}}}
+	names := provision.Names{Groups: []string{"read"}, Zones: []string{"a"}, Kinds: []string{"m1"}}
+	core := governor.New(func() governor.Module { return brain.New(p) }, governor.NewCensus(names, p))
+	list := func(drains string) governor.Listing {
+		l := governor.Listing{Whole: true, At: second, Wall: second}
+		for k := range 6 {
+			m := governor.Member{ID: fmt.Sprint("s-", k), Zone: "a", Kind: "m1", Weight: 1}
+			if m.ID == drains {
+				m.State = control.Draining
+			}
+			l.Members = append(l.Members, m)
+		}
+		return l
+	}
+	stream, owner, left := governor.Stream(0), map[governor.Stream]int{}, map[int]bool{}
+	join := func(proxy int) governor.Joined {
+		stream++
+		owner[stream] = proxy
+		return governor.Joined{Stream: stream, Proxy: proxy, Zone: "a", Rate: 10, Blank: true}
+	}
+	notes := []any{list("")}
+	for proxy := range p.Proxies {
+		notes = append(notes, join(proxy))
+	}
+	told := int64(0)
+	for now := second; now < 12*second; now += second / 10 {
+		o := core.Turn(now, notes)
+		notes = nil
+		for _, s := range o.Pushes {
+			if s.Push.Marked && s.Stream > 0 {
+				notes = append(notes, governor.Written{Number: s.Number}, governor.Answered{Stream: s.Stream, Mark: s.Push.Mark})
+			}
+			drops := slices.Contains(s.Push.Lines, governor.Line{Replica: "s-0"}) || slices.Contains(s.Push.Shut, "s-0")
+			if told > 0 && drops && now <= told+grace {
+				left[owner[s.Stream]] = true
+			}
+		}
+		switch {
+		case now < 26*second/10 && (now/(second/10))%4 == 0: // with the first that is all that may be used but for one
+			notes = append(notes, join(0))
+		case told == 0 && now >= 3*second:
+			told, notes = now, append(notes, list("s-0"))
+		}
+	}
+	for proxy := 1; proxy < p.Proxies; proxy++ {
+		if !left[proxy] {
+			t.Errorf("proxy %d still sends to the one that drains", proxy)
+		}
+	}
+}
--- a/lab/emulator/world.go
+++ b/lab/emulator/world.go
@@ -156,7 +156,7 @@
 	return Site{Replicas: replicas, Proxies: proxies, Load: load,
 		Names: provision.Names{Groups: []string{"read", "order"}, Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"}},
 		Provision: control.Provision{Seed: 7, Governors: 1, Zones: 2, Kinds: 3, Proxies: proxies, ChannelRate: 20000,
-			ChannelLimit: 40 * proxies, MessageHead: 4, WorstTransit: second / 2, MessagesMost: 30, MessagesSpan: 10 * second,
+			ChannelLimit: 40 * proxies, MessageHead: 4, WorstTransit: second / 2, MessagesMost: 30, MessagesSpan: 10 * second, HostHolds: true,
 			ReportEvery: second, ColdShare: 0.2, WarmAfter: 20 * second, FallMultiple: 3, Admission: control.AdmitShare,
 			TryFactor: 1.5, UsualTries: control.TryIfNeverRan, Groups: []control.TrafficGroup{
 				{Utility: 1, LatencyBudget: second, Expiry: 3 * second, Effect: control.Retriable},
