What a governor is told counts over the time in which it came; ends wait for no peer that reads nothing

Seen, each by its test on the tree before: (1) governors that end four streams, 0.56 s in all: "demand ... count 7 fail 0 over 1000.110", though the flows came over 1.56 s; a sidecar without a governor for 30 s would have told thirty times what comes. (2) A collector started again between two reports of a sidecar: the next sums were written to the old connection without an error, arrived nowhere and were not counted as lost. (3) Two governors: a data race on Collector.ledgers, read by one goroutine as the slice grows. (4) A governor that reads nothing, a report half written: SIGTERM waited 1.70 s for the write's bound; a sidecar's teller likewise, over 1 s. (5) OldSumsFade: sums of a governor that was away were told later over all of its absence, if none came meanwhile. Ruled out: the core's counts (whole, each handed over once); the codec (a half message is never read as a whole).

Cause: (1) report counted its span from the stream's start, and the core's usage goes back to the last telling. (2) Teller looked at nothing before it wrote. (4) tell and Teller.Run had no end by their context in a write. (5) only ledger.add dropped what was old. Change: the span belongs to the client, across streams, and what came in over ten seconds without a governor is dropped; a look at the connection before a report; the connection ends with the context; ledgers fade at both ends, and hold two reports where those come seldom.

Also tested, and holding: a governor lost between two parts of a message, within one, and as its mark is answered, then another or the same again: no half is taken for a whole, no mark of the earlier stream answered on the new one (defect shown: the parts kept across streams); a governor that ends its collector's connection between two reports (defect shown: its end not watched); sums that wait for a governor that is away. All -race -count=20 -cpu 2.

--- a/internal/steering/client.go
+++ b/internal/steering/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -53,6 +54,7 @@
 	Log       *slog.Logger
 
 	pool    *resp.Pool
+	counted time.Time // when what came was last taken from the core
 	draws   uint64
 	steered atomic.Bool
 	now     atomic.Pointer[string]
@@ -68,7 +70,7 @@
 
 // Run holds a stream until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	c.pool = resp.NewPool(2 << 20)
+	c.pool, c.counted = resp.NewPool(2<<20), time.Now()
 	backoff, at := backoffFirst, c.ID%max(1, len(c.Governors)) // sidecars begin at different ones
 	for ctx.Err() == nil && len(c.Governors) > 0 {
 		began := time.Now()
@@ -177,14 +179,20 @@
 func (c *Client) report(ctx context.Context, w *writer, conn net.Conn) {
 	tick := time.NewTicker(demandEvery)
 	defer tick.Stop()
-	for last := time.Now(); ; {
+	if time.Since(c.counted) > heldMost { // what came while there was no governor tells nothing of now
+		c.Core.Usage()
+		c.counted = time.Now()
+	}
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
-		span := time.Since(last)
-		last = last.Add(span)
+		// Not since this stream began: flows also came between the last one's end and this one, and told as those of a
+		// second they would be many times what comes.
+		span := time.Since(c.counted)
+		c.counted = c.counted.Add(span)
 		for g, u := range c.Core.Usage() {
 			if u.Flows == 0 && u.Missed == 0 {
 				continue
@@ -218,6 +226,13 @@
 	return err
 }
 
+// over says whether the other side, which says nothing, has ended the connection.
+func (w *writer) over() bool {
+	w.conn.SetReadDeadline(time.Now().Add(time.Millisecond)) // over the time a look takes; an end that is there is seen at once
+	_, err := w.conn.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func number(v float64) string { return strconv.FormatFloat(v, 'f', 3, 64) }
--- a/internal/steering/collector.go
+++ b/internal/steering/collector.go
@@ -23,7 +23,8 @@
 	sidecarSilence = 30 * time.Second
 	// Replicas of which sums are held for one governor; more are made up.
 	targetsMost = 1 << 14
-	// Sums for a governor that is not there are held for so long: older ones tell nothing of now.
+	// Sums for a governor that is not there are held for so long, or for two reports if that is more: older ones tell
+	// nothing of now.
 	heldMost = 10 * time.Second
 )
 
@@ -38,15 +39,21 @@
 	mu     sync.Mutex
 	totals map[string]*total
 	since  time.Time
+	held   time.Duration
 }
 
-func (l *ledger) add(target string, tries, missed int, mean float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now := time.Now(); now.Sub(l.since) > heldMost {
+// fade drops what is too old to tell, so that a governor that comes back hears of now alone; the ledger is locked.
+func (l *ledger) fade(now time.Time) {
+	if now.Sub(l.since) > l.held {
 		clear(l.totals)
 		l.since = now
 	}
+}
+
+func (l *ledger) add(target string, tries, missed int, mean float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fade(time.Now())
 	t := l.totals[target]
 	if t == nil {
 		if len(l.totals) >= targetsMost {
@@ -62,6 +69,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	l.fade(now)
 	all, span = l.totals, now.Sub(l.since)
 	l.totals, l.since = map[string]*total{}, now
 	return all, span
@@ -89,8 +97,9 @@
 	var all sync.WaitGroup
 	defer all.Wait()
 	for k, to := range c.Governors {
-		c.ledgers = append(c.ledgers, &ledger{totals: map[string]*total{}, since: time.Now()})
-		all.Go(func() { c.forward(ctx, to, c.ledgers[k], uint64(k)) })
+		l := &ledger{totals: map[string]*total{}, since: time.Now(), held: max(heldMost, 2*c.Every)}
+		c.ledgers = append(c.ledgers, l)
+		all.Go(func() { c.forward(ctx, to, l, uint64(k)) })
 	}
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
@@ -188,6 +197,7 @@
 		return fmt.Errorf("dial: %w", err)
 	}
 	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })() // the end does not wait for a governor that reads nothing
 	w := &writer{conn: conn, pool: c.pool}
 	if err := w.say("agent", "site", c.Zone); err != nil {
 		return fmt.Errorf("joining: %w", err)
@@ -235,6 +245,8 @@
 	Sums  func() map[string]*forward.Sum
 	Seed  uint64
 	Lost  atomic.Int64 // sums that no collector took
+
+	conn atomic.Pointer[net.Conn] // that is told on now, or was last
 }
 
 // Run tells until ctx ends.
@@ -246,6 +258,11 @@
 			w.conn.Close()
 		}
 	}()
+	defer context.AfterFunc(ctx, func() {
+		if at := t.conn.Load(); at != nil {
+			(*at).Close() // the end does not wait for a collector that reads nothing
+		}
+	})()
 	tick := time.NewTicker(t.Every)
 	defer tick.Stop()
 	for {
@@ -255,23 +272,30 @@
 		case <-tick.C:
 		}
 		sums := t.Sums()
+		if w != nil && w.over() { // it would take the first words without an error, and nobody would read them
+			w.conn.Close()
+			w = nil
+		}
 		if w == nil { // one try for each telling: sums of now are due again soon
 			dialer := net.Dialer{Timeout: t.Every}
 			if conn, err := dialer.DialContext(ctx, "tcp", t.To); err == nil {
 				w = &writer{conn: conn, pool: pool}
+				if t.conn.Store(&conn); ctx.Err() != nil { // it ended as the connection came up
+					conn.Close()
+				}
 			}
 		}
 		if w == nil {
 			t.Lost.Add(int64(len(sums)))
 			continue
 		}
-		for _, id := range slices.Sorted(maps.Keys(sums)) {
+		for k, id := range slices.Sorted(maps.Keys(sums)) {
 			s, mean := sums[id], 0.0
 			if good := s.Tries - s.Missed; good > 0 {
 				mean = float64(s.Answers) / float64(good) / 1e6
 			}
 			if w.say("met", "target", id, "count", strconv.Itoa(s.Tries), "fail", strconv.Itoa(s.Missed), "mean", number(mean)) != nil {
-				t.Lost.Add(1)
+				t.Lost.Add(int64(len(sums) - k))
 				w.conn.Close()
 				w = nil
 				break
--- /dev/null
+++ b/internal/steering/crossings_test.go
@@ -0,0 +1,269 @@
+package steering
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lilacbend/internal/forward"
+	"lilacbend/lab/peers"
+)
+
+// steered runs a client towards listeners until the test ends.
+func steered(t *testing.T, c Core, to ...*peers.Listener) *Client {
+	cl := &Client{Zone: "a", Groups: []string{"x"}, Core: c, Log: slog.New(slog.DiscardHandler)}
+	for _, l := range to {
+		cl.Governors = append(cl.Governors, l.At())
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { cl.Run(ctx); close(ended) }()
+	t.Cleanup(func() { stop(); <-ended })
+	return cl
+}
+
+// A governor is lost between two parts of a message, in the middle of a part, or as a mark is being answered. Whoever
+// comes next, another or the same one again, begins a message of its own: no half is taken for a whole, none is put
+// together of two streams, and no mark of the earlier stream is answered on the new one.
+func TestAGovernorIsLostInTheMiddleOfAMessage(t *testing.T) {
+	whole := peers.Message("push full 1 endpoints a:1,b:1 nonce_out 5")
+	for name, c := range map[string]struct {
+		first   string
+		applied int // of the first stream
+	}{
+		"between two parts":         {peers.Message("push full 1 endpoints a:1 continued 1"), 0},
+		"in the middle of a part":   {whole[:len(whole)-4], 0},
+		"with a part and a half":    {peers.Message("push full 1 endpoints a:1 continued 1") + whole[:20], 0},
+		"as its mark is answered":   {whole, 1},
+		"behind a message, in half": {whole + whole[:30], 1},
+	} {
+		for _, same := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, ", same ", same), func(t *testing.T) {
+				t.Parallel()
+				core := &core{}
+				one := peers.Listen(t)
+				next := one
+				if !same {
+					next = peers.Listen(t)
+				}
+				steered(t, core, one, next)
+				stream := one.Take()
+				stream.Hears("hello id 0 site a rps 0.000 new 1")
+				stream.Raw(c.first)
+				peers.Until(t, "not applied", func() bool { return core.pushes() == c.applied })
+				stream.Reset() // with an answer under way, or unread
+				stream = next.Take()
+				stream.Hears(fmt.Sprint("hello id 0 site a rps 0.000 new ", 1-c.applied))
+				stream.Say("push eject b nonce_out 6") // were it a last part, it would be one with the first
+				for {
+					text, ok := stream.Next()
+					if !ok {
+						t.Fatal("the new stream has ended")
+					}
+					if strings.HasPrefix(text, "ack ") {
+						if !strings.HasPrefix(text, "ack id 0 seq 6 ") {
+							t.Errorf("%q on a stream that told mark 6", text)
+						}
+						break
+					}
+				}
+				core.mu.Lock()
+				defer core.mu.Unlock()
+				if last := core.applied[len(core.applied)-1]; len(core.applied) != c.applied+1 || len(last) != 1 || len(last[0].Lines) != 0 || len(last[0].Shut) != 1 {
+					t.Errorf("%+v", core.applied)
+				}
+			})
+		}
+	}
+}
+
+// Flows come while governors end one stream after the other. What the next one that stays is told counts over all of the
+// time in which it came, not over the second since that stream began.
+func TestWhatCameBetweenStreamsIsToldOverItsTime(t *testing.T) {
+	g := peers.Listen(t)
+	core := &core{usage: []forward.Usage{{Flows: 7}}}
+	began := time.Now()
+	steered(t, core, g)
+	for range 4 {
+		stream := g.Take()
+		stream.Hears("hello")
+		stream.Reset()
+	}
+	stream := g.Take()
+	stream.Hears("hello")
+	gap := time.Since(began)
+	text := stream.Hears("demand id 0 lane x count 7 fail 0 over ")
+	over, err := strconv.ParseFloat(text[strings.LastIndex(text, " ")+1:], 64)
+	if least := ms(gap + demandEvery - 100*time.Millisecond); err != nil || over < least {
+		t.Errorf("%q, though the first flow came %v before the hello", text, gap)
+	}
+}
+
+// collects runs a collector until the test ends or stops it, which takes no longer than a governor may take to end.
+func collects(t *testing.T, every time.Duration, to ...*peers.Listener) (c *Collector, at string, stop func()) {
+	l := peers.Listen(t)
+	c = &Collector{Zone: "a", Every: every, Most: 10, Log: slog.New(slog.DiscardHandler)}
+	for _, g := range to {
+		c.Governors = append(c.Governors, g.At())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { c.Serve(ctx, l.Listener); close(ended) }()
+	stop = sync.OnceFunc(func() {
+		began := time.Now()
+		cancel()
+		<-ended
+		if took := time.Since(began); took > 700*time.Millisecond {
+			t.Errorf("it took %v to end", took)
+		}
+	})
+	t.Cleanup(stop)
+	return c, l.At(), stop
+}
+
+// A governor ends a collector's connection between two reports: the next sums go over the next connection, and once.
+func TestAGovernorEndsAConnectionBetweenTwoReports(t *testing.T) {
+	there := peers.Listen(t)
+	_, at, _ := collects(t, 50*time.Millisecond, there)
+	governor := there.Take()
+	governor.Hears("agent site a")
+	sidecar := peers.Dial(t, at)
+	sidecar.Say("met target b count 3 fail 1 mean 10")
+	governor.Hears("outcomes site a target b count 3 fail 1 mean 10.000 over ")
+	governor.Reset() // between two reports
+	next := there.Take()
+	next.Hears("agent site a") // it has been noticed
+	sidecar.Say("met target b count 5 fail 0 mean 20")
+	next.Hears("outcomes site a target b count 5 fail 0 mean 20.000 over ")
+}
+
+// Two governors, one of which is not there when sidecars tell: it hears the sums once it is, over the time in which they came.
+func TestSumsWaitForAGovernorThatIsAway(t *testing.T) {
+	there, away := peers.Listen(t), peers.Free(t)
+	l := peers.Listen(t)
+	c := &Collector{Zone: "a", Governors: []string{there.At(), away}, Every: 50 * time.Millisecond, Most: 10, Log: slog.New(slog.DiscardHandler)}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { c.Serve(ctx, l.Listener); close(ended) }()
+	defer func() { stop(); <-ended }()
+	sidecar := peers.Dial(t, l.At())
+	governor := there.Take()
+	for _, count := range []int{3, 4} {
+		sidecar.Say(fmt.Sprint("met target b count ", count, " fail 1 mean 10"))
+		governor.Hears(fmt.Sprint("outcomes site a target b count ", count, " fail 1 mean 10.000 over "))
+	}
+	back := peers.ListenOn(t, away).Take()
+	back.Hears("outcomes site a target b count 7 fail 2 mean 10.000 over ")
+}
+
+// Sums are kept for a governor that is away for so long and no longer, and never told as if they were of now.
+func TestOldSumsFade(t *testing.T) {
+	l := &ledger{totals: map[string]*total{}, since: time.Now().Add(-time.Second), held: 2 * time.Second}
+	l.add("b", 3, 0, 1)
+	l.since = l.since.Add(-2 * time.Second)
+	if all, span := l.take(); len(all) != 0 || span > time.Second {
+		t.Errorf("%d told over %v", len(all), span)
+	}
+	l.add("b", 3, 0, 1)
+	l.since = l.since.Add(-time.Second)
+	if all, span := l.take(); len(all) != 1 || span < time.Second {
+		t.Errorf("%d told over %v", len(all), span)
+	}
+}
+
+// A governor reads nothing, so a report is written in half when the collector is told to end: it ends at once.
+func TestACollectorEndsWithAReportHalfWritten(t *testing.T) {
+	g := peers.Listen(t)
+	c, _, stop := collects(t, 50*time.Millisecond, g)
+	governor := g.Take()
+	governor.Narrow()
+	governor.Hears("agent site a")
+	long := strings.Repeat("x", 100)
+	feed, fed := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(fed)
+		for k := 0; ; k++ {
+			select {
+			case <-feed:
+				return
+			default:
+				c.hear([]string{"met", "target", long + strconv.Itoa(k%targetsMost), "count", "1", "fail", "0", "mean", "1"})
+			}
+		}
+	}()
+	told, since := int64(0), time.Now()
+	peers.Until(t, "it is never held up", func() bool {
+		if now := c.Told.Load(); now != told || now == 0 {
+			told, since = now, time.Now()
+		}
+		return time.Since(since) > 300*time.Millisecond // six reports are due, and none goes on
+	})
+	close(feed)
+	<-fed
+	stop()
+}
+
+// A collector is started again between two reports of a sidecar: each sum that is told arrives or is counted as lost.
+func TestACollectorIsStartedAgainBetweenTwoReports(t *testing.T) {
+	l := peers.Listen(t)
+	due, taken := make(chan int), atomic.Int64{}
+	teller := &Teller{To: l.At(), Every: 10 * time.Millisecond, Sums: func() map[string]*forward.Sum {
+		n, ok := <-due
+		if !ok {
+			return nil
+		}
+		taken.Add(1)
+		return map[string]*forward.Sum{"b": {Tries: n}, "c": {Tries: n}}
+	}}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { teller.Run(ctx); close(ended) }()
+	for n := 1; n <= 5; n++ {
+		due <- n
+		collector := l.Take()
+		for _, target := range []string{"b", "c"} {
+			collector.Hears(fmt.Sprintf("met target %s count %d ", target, n))
+		}
+		collector.Close() // before the next sums are due
+	}
+	close(due)
+	stop()
+	<-ended
+	if teller.Lost.Load() != 0 {
+		t.Errorf("%d lost", teller.Lost.Load())
+	}
+}
+
+// A collector that reads nothing holds up no end of a sidecar.
+func TestATellerEndsThoughItsCollectorReadsNothing(t *testing.T) {
+	l := peers.Listen(t)
+	sums := map[string]*forward.Sum{}
+	for k := range targetsMost {
+		sums[strings.Repeat("x", 100)+strconv.Itoa(k)] = &forward.Sum{Tries: 1}
+	}
+	calls := atomic.Int64{}
+	teller := &Teller{To: l.At(), Every: 10 * time.Millisecond, Sums: func() map[string]*forward.Sum { calls.Add(1); return sums }}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { teller.Run(ctx); close(ended) }()
+	l.Take().Narrow()
+	told, since := int64(0), time.Now()
+	peers.Until(t, "it is never held up", func() bool {
+		if now := calls.Load(); now != told {
+			told, since = now, time.Now()
+		}
+		return time.Since(since) > 300*time.Millisecond
+	})
+	stop()
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("it goes on")
+	}
+}
