A connection's last word reaches its client, and its end ends what still runs on it

Seen, each by its test on the tree before: (1) a drain that is over while a flow with a body, or one with another behind it, is in hand on HTTP/1.1: the sidecar went on until the expiry (an hour at the most). (2) A flow that comes as its idle connection is ended: 408 in the middle of its head. (3) A client that leaves after `stall` is no longer noticed, its place held until the expiry. (4) An early answer of 1 MiB to a client that sends on: 118,733 bytes arrived, then a reset. (5) A drain while an HTTP/2 client has yet to read: 115,215 bytes of 1 MiB, as its window update met a closed socket. (6) A write that failed in the middle of a frame: the connection stayed, and streams that still came ran and could not be answered. (7) Bodies that are not as long as they say: after 16 pieces of 16 KiB their connection had no room left, for all its other streams. (8) A head of over 16 KiB on HTTP/2 was passed on without what was cut off. (9) /health said 200 during a drain.

Cause: (1) h1.end closed the connection, which only a watch notices; (2) part sets a deadline after it has looked at busy, so it falls into a read of the flow; (3) watch took the bound of one read for the end of watching; (4, 5) a close over unread bytes, or before them, is answered by a reset; (6) write left its broken connection open; (7) dataIn gave no room back for what it threw away; (8) a head that was truncated and still made sense went on. By reading, in the same places: a stream that part has named as the last counted as in hand only some lines later, so that the connection could hang up before its answer; end and the words of going away set a write deadline that the next write replaced, so that a drain could last `stall` longer.

Change: h1.end cuts its flow; a deadline that is not a read's own is read on after; a watch lasts as long as its flow; after a last answer our half is closed and the rest read (HTTP/1.1: only with bytes unread); a failed write closes; last bounds all writes from then on; a stream is in hand from where it counts as taken; what is thrown away leaves room.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -169,7 +169,8 @@
 	return lost
 }
 
-func (s *Server) parting() bool {
+// Parting says whether no new connection is taken, since Part.
+func (s *Server) Parting() bool {
 	select {
 	case <-s.draining:
 		return true
--- a/internal/front/h1.go
+++ b/internal/front/h1.go
@@ -30,6 +30,7 @@
 	conn   net.Conn
 	busy   atomic.Bool // a flow is being read or answered
 	ended  atomic.Bool
+	unread bool // the last answer has gone out, and not all that the client sent has been read
 
 	// Used by one flow after the other.
 	in     patientReader
@@ -43,12 +44,13 @@
 func (c *h1) end() {
 	c.ended.Store(true)
 	c.conn.Close()
+	c.leash.Cut() // nobody may be watching: behind a flow with a body, or before another flow
 }
 
 // part ends the connection unless a flow is in hand; that one's answer says that it was the last.
 func (c *h1) part() {
 	if !c.busy.Load() {
-		c.conn.SetReadDeadline(time.Unix(1, 0)) // a flow that comes at this moment is still read: see attend
+		c.conn.SetReadDeadline(time.Now().Add(partPause)) // a flow that is on its way is still read, and has the last answer
 	}
 }
 
@@ -61,21 +63,34 @@
 		}
 	}()
 	var first [1]byte
-	for !c.server.parting() {
+	for {
 		c.conn.SetReadDeadline(time.Now().Add(c.server.Idle))
-		if c.server.parting() {
-			return
+		if c.server.Parting() {
+			c.conn.SetReadDeadline(time.Now().Add(partPause))
 		}
 		if n, err := c.conn.Read(first[:]); n == 0 || err != nil {
 			return
 		}
 		c.busy.Store(true)
 		more := c.flows(first[0])
-		c.busy.Store(false)
 		if !more {
+			if c.unread && !c.ended.Load() {
+				c.linger()
+			}
 			return
 		}
+		c.busy.Store(false)
+	}
+}
+
+// linger lets a client read its last answer though it has sent what nobody reads: a connection closed over unread bytes
+// is reset, which destroys what of the answer has not gone out yet.
+func (c *h1) linger() {
+	if t, ok := c.conn.(interface{ CloseWrite() error }); !ok || t.CloseWrite() != nil {
+		return
 	}
+	c.conn.SetReadDeadline(time.Now().Add(c.server.Stall))
+	io.Copy(io.Discard, c.conn)
 }
 
 // flows serves what comes until nothing more waits; false: the connection is over.
@@ -119,7 +134,7 @@
 	}
 	q, out := &c.q, &c.answer
 	*q = relay.Request{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Length: req.ContentLength}
-	*out = h1Answer{w: w, conn: c, method: req.Method, old: req.ProtoMinor == 0, last: req.Close || c.server.parting()}
+	*out = h1Answer{w: w, conn: c, method: req.Method, old: req.ProtoMinor == 0, last: req.Close || c.server.Parting()}
 	if req.Body != http.NoBody {
 		q.Body, q.Trailer = req.Body, func() http.Header { return req.Trailer }
 		q.Halt = c.hush
@@ -139,6 +154,9 @@
 	}
 	relay.Clean(q.Header)
 	c.leash.Reset()
+	if c.ended.Load() {
+		return false
+	}
 	watched := q.Body == nil && r.Buffered() == 0
 	if watched {
 		go c.watch(r)
@@ -150,7 +168,10 @@
 	if watched && !c.unwatch() || out.broken || c.ended.Load() {
 		return false
 	}
-	if w.Flush() != nil || out.last {
+	if w.Flush() != nil {
+		return false
+	}
+	if c.unread = q.Body != nil || r.Buffered() > 0; out.last {
 		return false
 	}
 	if q.Body != nil { // what was not read of it is in front of the next one
@@ -170,14 +191,20 @@
 	return len(v) == 1 && (v[0] == "100-continue" || v[0] == "100-Continue")
 }
 
-// watch cuts a flow without a body when its client goes.
+// watch cuts a flow without a body when its client goes. A client that waits says nothing for as long as that takes.
 func (c *h1) watch(r *bufio.Reader) {
-	_, err := r.Peek(1)
-	gone := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-	if gone {
-		c.leash.Cut()
+	for {
+		_, err := r.Peek(1)
+		waits := errors.Is(err, os.ErrDeadlineExceeded)
+		if waits && !c.in.stopped.Load() {
+			continue
+		}
+		if err != nil && !waits {
+			c.leash.Cut()
+		}
+		c.done <- err == nil || waits
+		return
 	}
-	c.done <- !gone
 }
 
 // hush has whoever reads give up.
@@ -229,7 +256,7 @@
 	c.server.Count.BadRequests.Add(1)
 	out := &h1Answer{w: w, conn: c, last: true}
 	if answer(out, status, reason) == nil {
-		w.Flush()
+		c.unread = w.Flush() == nil
 	}
 	return false
 }
@@ -255,23 +282,41 @@
 	if until.IsZero() {
 		until = time.Now().Add(p.stall)
 	}
-	p.conn.SetReadDeadline(until)
-	if p.stopped.Load() { // whichever came first, the deadline is over now
-		p.conn.SetReadDeadline(time.Unix(1, 0))
+	for {
+		p.conn.SetReadDeadline(until)
+		if p.stopped.Load() { // whichever came first, the deadline is over now
+			p.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+		n, err := p.conn.Read(b)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !p.stopped.Load() && time.Now().Before(until) {
+			continue // a deadline for a connection without a flow, set as this flow came
+		}
+		return n, err
 	}
-	return p.conn.Read(b)
 }
 
+// patientWriter gives each write so long.
 type patientWriter struct {
 	conn  net.Conn
 	stall time.Duration
+	until atomic.Pointer[time.Time] // once set, all of them end then
 }
 
 func (p *patientWriter) Write(b []byte) (int, error) {
 	p.conn.SetWriteDeadline(time.Now().Add(p.stall))
+	if until := p.until.Load(); until != nil { // whichever came first, it holds now
+		p.conn.SetWriteDeadline(*until)
+	}
 	return p.conn.Write(b)
 }
 
+// last gives all writes from now on so long together, also one that waits.
+func (p *patientWriter) last(span time.Duration) {
+	until := time.Now().Add(span)
+	p.until.Store(&until)
+	p.conn.SetWriteDeadline(until)
+}
+
 // h1Answer writes one answer.
 type h1Answer struct {
 	w         *bufio.Writer
@@ -317,7 +362,7 @@
 		return err
 	}
 	a.bodiless = a.method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
-	a.last = a.last || a.conn.server.parting()
+	a.last = a.last || a.conn.server.Parting()
 	switch {
 	case status == http.StatusNoContent:
 	case length >= 0:
--- a/internal/front/h2.go
+++ b/internal/front/h2.go
@@ -33,8 +33,12 @@
 	// Streams that a client resets cost more: each has begun work that nobody wants.
 	resetCost = 10.0
 	tinyPiece = 64
-	// Between the first and the second word of going away: what a client has sent by then still counts.
+	// Between the first and the second word of going away: what a client has sent by then still counts. HTTP/1 has no
+	// such word, and the pause alone.
 	partPause = 50 * time.Millisecond
+	// A connection whose last answer has gone out is closed by its client. One that does not, and has said nothing for
+	// so long, is closed by us: earlier, and what the client says as it reads would be answered by a reset.
+	lingerMost = time.Second
 )
 
 var (
@@ -52,6 +56,8 @@
 	framer *http2.Framer
 
 	pen     sync.Mutex // one writer at a time
+	hung    bool       // it has hung up: nothing more is written
+	out     *patientWriter
 	w       *bufio.Writer
 	headers bytes.Buffer
 	encoder *hpack.Encoder
@@ -95,7 +101,8 @@
 func newH2(s *Server, conn net.Conn) *h2 {
 	c := &h2{server: s, conn: conn, streams: map[uint32]*stream{}, window: 65535, initial: 65535, frame: frameMost,
 		changed: make(chan struct{}), chatter: chatterSaved, chattered: time.Now()}
-	c.w = bufio.NewWriterSize(&patientWriter{conn, s.Stall}, 4<<10)
+	c.out = &patientWriter{conn: conn, stall: s.Stall}
+	c.w = bufio.NewWriterSize(c.out, 4<<10)
 	c.framer = http2.NewFramer(c.w, (*h2Reader)(c))
 	c.framer.ReadMetaHeaders = hpack.NewDecoder(tableMost, nil)
 	c.framer.MaxHeaderListSize = headMost
@@ -112,7 +119,9 @@
 	c := (*h2)(r)
 	for {
 		c.mu.Lock()
-		if !c.closing {
+		if c.closing {
+			c.conn.SetReadDeadline(time.Now().Add(min(lingerMost, c.server.Stall)))
+		} else {
 			c.conn.SetReadDeadline(time.Now().Add(c.server.Idle))
 		}
 		c.mu.Unlock()
@@ -121,7 +130,7 @@
 			return n, err
 		}
 		c.mu.Lock()
-		busy := c.active > 0
+		busy := c.active > 0 && !c.closing
 		c.mu.Unlock()
 		if !busy {
 			return 0, err
@@ -129,14 +138,20 @@
 	}
 }
 
-// write holds the pen and sends what it has written.
+// write holds the pen and sends what it has written. What has gone out in part cannot be gone on with: then the
+// connection is over, or flows that still came over it would run and not be answered.
 func (c *h2) write(do func() error) error {
 	c.pen.Lock()
 	defer c.pen.Unlock()
-	if err := do(); err != nil {
-		return err
+	if c.hung {
+		return nil
+	}
+	err := do()
+	if broken := c.w.Flush(); broken != nil {
+		c.conn.Close()
+		err = broken
 	}
-	return c.w.Flush()
+	return err
 }
 
 func (c *h2) end() {
@@ -146,7 +161,7 @@
 		open = append(open, id)
 	}
 	c.mu.Unlock()
-	c.conn.SetWriteDeadline(time.Now().Add(partPause))
+	c.out.last(partPause)
 	c.write(func() error { // none is lost silently
 		for _, id := range open {
 			if err := c.framer.WriteRSTStream(id, http2.ErrCodeCancel); err != nil {
@@ -178,13 +193,16 @@
 
 // hangUp ends a connection whose last answer has gone out.
 func (c *h2) hangUp() {
-	if t, ok := c.conn.(*net.TCPConn); ok {
+	c.pen.Lock()
+	c.hung = true
+	if t, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		t.CloseWrite() // what was written arrives before the end does
 	}
+	c.pen.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
-	c.conn.SetReadDeadline(time.Now().Add(partPause))
+	c.conn.SetReadDeadline(time.Now().Add(min(lingerMost, c.server.Stall)))
 }
 
 func (c *h2) attend() {
@@ -203,13 +221,13 @@
 	case errors.Is(err, http2.ErrFrameTooLarge):
 		code, known = http2.ErrCodeFrameSize, true
 	case errors.Is(err, os.ErrDeadlineExceeded) && !closing: // idle for too long: said, and no fault
-		c.conn.SetWriteDeadline(time.Now().Add(partPause))
+		c.out.last(partPause)
 		c.write(func() error { return c.framer.WriteGoAway(last, http2.ErrCodeNo, nil) })
 	}
 	if known {
 		c.server.Count.BadRequests.Add(1)
 		c.server.log.Debug("connection ended", "from", c.conn.RemoteAddr(), "error", err)
-		c.conn.SetWriteDeadline(time.Now().Add(time.Second))
+		c.out.last(time.Second)
 		c.write(func() error { return c.framer.WriteGoAway(last, code, nil) })
 	}
 	c.mu.Lock()
@@ -393,6 +411,7 @@
 		c.drop(s, fmt.Errorf("reset for its fault: %v", code))
 	}
 	c.write(func() error { return c.framer.WriteRSTStream(id, code) })
+	c.tell(nil, 0)
 }
 
 // drop ends a stream without a word. Its answer, if one is under way, ends soon after, and counts until then.
@@ -464,15 +483,18 @@
 	s.got += int64(len(data))
 	switch {
 	case s.ended:
+		c.give(size) // what is thrown away leaves room on the connection all the same
 		c.mu.Unlock()
 		c.fault(f.StreamID, http2.ErrCodeStreamClosed)
 		return nil
 	case int64(s.inbox.Len())+size > streamWindow:
+		c.give(size)
 		c.mu.Unlock()
 		c.fault(f.StreamID, http2.ErrCodeFlowControl)
 		return nil
 	case s.length >= 0 && (s.got > s.length || f.StreamEnded() && s.got < s.length):
 		s.fault, s.reset = errLength, true // at once: its handler has no other last word
+		c.give(size)
 		c.mu.Unlock()
 		c.fault(f.StreamID, http2.ErrCodeProtocol)
 		return nil
@@ -514,6 +536,9 @@
 	c.mu.Lock()
 	c.last = f.StreamID
 	leaving, over := c.leaving, len(c.streams) >= c.server.Streams || c.active >= 2*c.server.Streams
+	if !leaving && !over {
+		c.active++ // from the moment that it counts as taken: one that part has named is waited for
+	}
 	c.mu.Unlock()
 	if leaving || over { // it has not run: the client may send it again
 		if err := c.chat(1); err != nil {
@@ -522,9 +547,15 @@
 		return c.write(func() error { return c.framer.WriteRSTStream(f.StreamID, http2.ErrCodeRefusedStream) })
 	}
 	q, err := requestOf(f)
+	if f.Truncated { // some of its fields are missing: it gets an answer, and goes nowhere
+		q = nil
+	}
 	s = &stream{id: f.StreamID, conn: c, window: 0, length: -1, arrived: make(chan struct{}), ended: f.StreamEnded()}
 	out := &h2Answer{stream: s}
 	if err != nil || f.Truncated {
+		if !f.Truncated {
+			defer c.free()
+		}
 		c.server.Count.BadRequests.Add(1)
 		if err := c.chat(resetCost); err != nil {
 			return err
@@ -536,6 +567,7 @@
 	}
 	if q != nil {
 		if s.length = q.Length; s.ended && s.length > 0 {
+			defer c.free()
 			c.fault(f.StreamID, http2.ErrCodeProtocol)
 			return nil
 		}
@@ -551,7 +583,6 @@
 	c.mu.Lock()
 	s.window = c.initial
 	c.streams[s.id] = s
-	c.active++
 	c.mu.Unlock()
 	c.handlers.Add(1)
 	go c.handle(s, q, out)
@@ -583,8 +614,13 @@
 		c.write(func() error { return c.framer.WriteRSTStream(s.id, http2.ErrCodeNo) })
 	}
 	c.tell(nil, 0)
+	c.free()
+}
+
+// free ends the counting of a flow after its last word: the connection hangs up once nobody has one to say.
+func (c *h2) free() {
 	c.mu.Lock()
-	c.active-- // after its last word: the connection hangs up once nobody has one to say
+	c.active--
 	last := c.parted && c.active == 0
 	c.mu.Unlock()
 	if last {
--- /dev/null
+++ b/internal/sidecar/crossings_test.go
@@ -0,0 +1,400 @@
+package sidecar
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"lilacbend/internal/forward"
+	"lilacbend/lab/peers"
+	"lilacbend/lab/standin"
+)
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// A connection that was kept for further flows ends under a flow that may run once, at each point of it: the flow has one
+// final answer at once and is never sent twice, and the next flow has a connection of its own.
+func TestAKeptConnectionEndsUnderAFlow(t *testing.T) {
+	long := strings.Repeat("x", 100_000)
+	close := func(r *peers.Conn) { r.Close() }
+	for name, c := range map[string]struct {
+		before, end func(r *peers.Conn) // before the flow is written, and once its head has come
+		body, want  string
+	}{
+		"before it is written":             {close, nil, "pay", "200"},
+		"with bytes that nobody asked for": {func(r *peers.Conn) { r.Raw("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n") }, nil, "pay", "200"},
+		"in the middle of its body":        {nil, (*peers.Conn).Reset, long, "503 unclear"},
+		"after all of it":                  {nil, close, "pay", "503 unclear"},
+		"after all of it, by a reset":      {nil, (*peers.Conn).Reset, "pay", "503 unclear"},
+		"after the first of an answer":     {nil, func(r *peers.Conn) { r.Raw("HTTP/1.1 200 OK\r\nCont"); r.Close() }, "pay", "503 unclear"},
+		"in the middle of an answer":       {nil, func(r *peers.Conn) { r.Raw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"); r.Close() }, "pay", "200 broken off"},
+		"after an answer, with bytes left": {nil, func(r *peers.Conn) { r.Raw(okAnswer + okAnswer) }, "pay", "200"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			at := peers.Listen(t)
+			s := start(t, patient("usual: again", "usual: twice-more"), at.At())
+			client := peers.Dial(t, s.h1)
+			pay := func(body string) {
+				go fmt.Fprintf(client.Conn, "POST /payouts HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			}
+			pay("pay")
+			replica := at.Take()
+			replica.Request()
+			replica.Raw(okAnswer)
+			if got := heard(client); got != "200" {
+				t.Fatal(got)
+			}
+			if c.before != nil {
+				c.before(replica)
+			}
+			pay(c.body)
+			if c.end != nil {
+				replica.Request() // on the kept connection
+				c.end(replica)
+			} else {
+				replica = at.Take()
+				replica.Request()
+				replica.Raw(okAnswer)
+			}
+			if got := heard(client); got != c.want {
+				t.Errorf("%q, want %q", got, c.want)
+			}
+			if n := s.Figures().Core.Tries; n != 2 {
+				t.Errorf("two flows were tried %d times", n)
+			}
+			if c.end != nil {
+				client = peers.Dial(t, s.h1)
+				pay("pay")
+				next := at.Take()
+				next.Request()
+				next.Raw(okAnswer)
+				if got := heard(client); got != "200" {
+					t.Errorf("the next flow: %q", got)
+				}
+			}
+			nothingInHand(t, s)
+		})
+	}
+}
+
+// A client leaves while its flow waits for a place, while its replica is silent (also for longer than a client may be
+// silent in the middle of a flow), or ends its half alone, which is read as leaving: what the flow held is given back.
+func TestAClientLeavesInTheMiddleOfItsFlow(t *testing.T) {
+	at := peers.Listen(t)
+	s := start(t, patient(" stall: 1m", " stall: 100ms", "limits: {", "limits: {waiting: 10, wait: 1m, ", "flows: 500", "flows: 1", "expiry: 2s", "expiry: 1m"), at.At())
+	const flow = "GET /stock HTTP/1.1\r\nHost: x\r\n\r\n"
+	first := peers.Dial(t, s.h1)
+	first.Raw(flow)
+	replica := at.Take()
+	replica.Request()
+	waits := peers.Dial(t, s.h1)
+	waits.Raw(flow)
+	peers.Until(t, "the second does not wait", func() bool { return s.Figures().InHand == 2 })
+	half := peers.Dial(t, s.h1) // is ended for its silence: so long have the others been silent as well
+	half.Raw("POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf")
+	half.Ends()
+	waits.Close()
+	peers.Until(t, "a place is kept for who waited and left", func() bool { return s.Figures().InHand == 1 })
+	first.Close()
+	replica.Ends()
+	nothingInHand(t, s)
+	last := peers.Dial(t, s.h1)
+	last.Raw(flow)
+	replica = at.Take()
+	replica.Request()
+	last.Conn.(*net.TCPConn).CloseWrite()
+	replica.Ends()
+	last.Ends()
+	nothingInHand(t, s)
+	if f := s.Figures().Core; f.Dropped[forward.Gone] != 3 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// A reset against the choice of a next try: the reset is heard first, and no next try is made; or the next try is on its
+// way, and ends with the reset, and is the last.
+func TestAResetAgainstANextTry(t *testing.T) {
+	for _, resetFirst := range []bool{true, false} {
+		one, two := peers.Listen(t), peers.Listen(t)
+		s := start(t, patient("usual: again", "usual: twice-more", "expiry: 2s", "expiry: 1m", "latency_budget: 500ms", "latency_budget: 30s", "window: 2500ms", "window: 10m"), one.At())
+		client := dialH2(t, s, 1<<20)
+		client.Open(1, "POST", "/orders", true, "content-length", "3")
+		client.Data(1, true, []byte("buy"))
+		replica := one.Take()
+		replica.Request()
+		s.list(false, map[string]forward.Listed{"r1": {Zone: "a", Address: two.At()}})
+		if resetFirst {
+			client.Reset(1)
+			replica.Ends() // it has been heard
+			replica.Close()
+		} else {
+			replica.Close()
+			next := two.Take()
+			next.Request()
+			client.Reset(1)
+			next.Ends()
+		}
+		nothingInHand(t, s)
+		tries := int64(2)
+		if resetFirst {
+			tries = 1
+		}
+		if f := s.Figures().Core; f.Tries != tries || f.Dropped[forward.Gone] != 1 {
+			t.Errorf("reset first %v: %+v", resetFirst, f)
+		}
+	}
+}
+
+// The drain is over and flows go on that nobody watches: with a body, and with another flow behind them. They are ended
+// all the same, and the sidecar with them.
+func TestADrainEndsWhatNobodyWatches(t *testing.T) {
+	for name, text := range map[string]string{
+		"a body":         "POST /payouts HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\npay",
+		"another behind": "GET /stock HTTP/1.1\r\nHost: x\r\n\r\nGET /stock HTTP/1.1\r\nHost: x\r\n\r\n",
+	} {
+		at := peers.Listen(t)
+		s := start(t, patient("drain: 2s", "drain: 50ms", "expiry: 2s", "expiry: 1m"), at.At())
+		client := peers.Dial(t, s.h1)
+		client.Raw(text)
+		replica := at.Take()
+		replica.Request()
+		ended := make(chan struct{})
+		go func() { s.stop(); close(ended) }()
+		select {
+		case <-ended:
+		case <-time.After(peers.Patience):
+			t.Fatalf("%s: the sidecar goes on", name)
+		}
+		client.Ends()
+		if n := s.Figures().Clients["lost"]; n != 1 {
+			t.Errorf("%s: %d lost", name, n)
+		}
+	}
+}
+
+// A replica answers at length before it has read the body, and the client sends on: the answer arrives whole, though
+// the sidecar closes the connection with bytes unread.
+func TestAnAnswerIsNotDestroyedByWhatItsClientStillSends(t *testing.T) {
+	const size = 1 << 20
+	at := peers.Listen(t)
+	s := start(t, patient(), at.At())
+	client := peers.Dial(t, s.h1)
+	client.Raw("POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 100000000\r\n\r\n")
+	go io.CopyN(client.Conn, zeros{}, 10_000_000)
+	replica := at.Take()
+	replica.Request()
+	go fmt.Fprintf(replica.Conn, "HTTP/1.1 413 Too Large\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	nothingInHand(t, s) // the answer has been written, and the client has read none of it
+	resp, err := http.ReadResponse(client.Read, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil {
+		t.Errorf("%d of %d bytes: %v", n, size, err)
+	}
+}
+
+// frames is an HTTP/2 client in the hands of a test, that reads a frame when it is told to.
+type frames struct {
+	*peers.Conn
+	*http2.Framer
+	block bytes.Buffer
+	enc   *hpack.Encoder
+	room  int64 // that the connection leaves us
+}
+
+func dialFrames(t *testing.T, s running, window, connection uint32) *frames {
+	c := &frames{Conn: peers.Dial(t, s.h2), room: 65535}
+	c.Framer = http2.NewFramer(c.Conn.Conn, c.Conn.Read)
+	c.enc = hpack.NewEncoder(&c.block)
+	c.Raw(http2.ClientPreface)
+	c.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: window})
+	if connection > 65535 {
+		c.WriteWindowUpdate(0, connection-65535)
+	}
+	return c
+}
+
+func (c *frames) open(id uint32, method, path string, end bool, pairs ...string) {
+	c.block.Reset()
+	pairs = append([]string{":method", method, ":scheme", "http", ":path", path, ":authority", "x"}, pairs...)
+	for k := 0; k < len(pairs); k += 2 {
+		c.enc.WriteField(hpack.HeaderField{Name: pairs[k], Value: pairs[k+1]})
+	}
+	b := c.block.Bytes()
+	n := min(len(b), 16<<10)
+	c.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: b[:n], EndStream: end, EndHeaders: n == len(b)})
+	if n < len(b) {
+		c.WriteContinuation(id, true, b[n:])
+	}
+}
+
+// next reads one frame and keeps count of the room.
+func (c *frames) next() (http2.Frame, error) {
+	f, err := c.ReadFrame()
+	if u, ok := f.(*http2.WindowUpdateFrame); ok && u.StreamID == 0 {
+		c.room += int64(u.Increment)
+	}
+	return f, err
+}
+
+// Bodies that are thrown away, since they are not as long as they say, leave room on their connection all the same: it
+// carries any number of them.
+func TestWhatIsThrownAwayLeavesRoomOnItsConnection(t *testing.T) {
+	s := start(t, patient(), replica(t, nil).Addr)
+	c := dialFrames(t, s, 1<<20, 1<<20)
+	piece := make([]byte, 16<<10)
+	for k := range uint32(60) {
+		for c.room < int64(len(piece)) {
+			if _, err := c.next(); err != nil {
+				t.Fatalf("no room after %d pieces: %v", k, err)
+			}
+		}
+		c.open(2*k+1, "POST", "/orders", false, "content-length", "1")
+		c.WriteData(2*k+1, true, piece)
+		c.room -= int64(len(piece))
+	}
+	c.Close()
+	nothingInHand(t, s)
+}
+
+// A head of which some fields were too many goes nowhere: what is missing could be what it is told apart by.
+func TestAnHTTP2HeadThatIsTooLargeGoesNowhere(t *testing.T) {
+	r := replica(t, nil)
+	s := start(t, patient(), r.Addr)
+	c := dialFrames(t, s, 1<<20, 1<<20)
+	c.Framer.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	var pairs []string
+	for k := range 6 {
+		pairs = append(pairs, fmt.Sprint("f", k), strings.Repeat("x", 4000))
+	}
+	c.open(1, "GET", "/stock", true, pairs...)
+	for {
+		f, err := c.next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if h, ok := f.(*http2.MetaHeadersFrame); ok {
+			if h.PseudoValue("status") != "431" || r.Serves.Load() != 0 {
+				t.Errorf("status %s, %d ran", h.PseudoValue("status"), r.Serves.Load())
+			}
+			return
+		}
+	}
+}
+
+// A client opens its windows and takes nothing: once a write has failed in the middle of a frame its connection is over,
+// and no flow that it still sends runs unanswered.
+func TestAConnectionOfWhichAWriteFailedIsOver(t *testing.T) {
+	r := replica(t, nil)
+	r.Size.Store(64 << 20)
+	s := start(t, patient(" stall: 1m", " stall: 100ms"), r.Addr)
+	c := dialFrames(t, s, 1<<30, 1<<30)
+	c.Narrow()
+	c.open(1, "GET", "/stock", true)
+	peers.Until(t, "the connection stays", func() bool {
+		f := s.Figures()
+		return f.Clients["flows"] == 1 && f.Clients["open"] == 0
+	})
+	nothingInHand(t, s)
+}
+
+// A drain says that it goes away while its client opens streams without a pause: each one up to the last that it names has
+// its answer, and none above it has run unanswered.
+func TestStreamsThatCrossTheWordOfGoingAway(t *testing.T) {
+	r := replica(t, nil)
+	s := start(t, patient("streams: 100", "streams: 10000", "flows: 500", "flows: 10000", "waiting: 200", "waiting: 10000"), r.Addr)
+	var all sync.WaitGroup
+	began := make(chan struct{}, 8)
+	for range 8 {
+		c := dialH2(t, s, 1<<20)
+		all.Go(func() {
+			opened := uint32(0)
+			over := func(c *standin.H2) bool { return c.Ended || len(c.GoAways) >= 2 }
+			for id := uint32(1); id < 40_000; id += 2 {
+				if id == 1 {
+					began <- struct{}{}
+				}
+				if c.Wait(0, over) || c.Open(id, "HEAD", "/stock", false) != nil {
+					break
+				}
+				opened = id
+				if id%16 == 1 { // not many more than can be answered
+					c.Wait(peers.Patience, func(c *standin.H2) bool { return over(c) || c.Streams[id] != nil && c.Streams[id].Done() })
+				}
+			}
+			if !c.Wait(peers.Patience, func(c *standin.H2) bool { return c.Ended && len(c.GoAways) == 2 }) {
+				t.Errorf("ended %v, %d words of going away", c.Ended, len(c.GoAways))
+				return
+			}
+			c.Conn.Close()
+			last := c.GoAways[1].LastStreamID
+			for id := uint32(1); id <= opened; id += 2 {
+				got := c.Of(id)
+				if id <= last && got.Status != "200" && !(got.Reset && got.Code == http2.ErrCodeRefusedStream) || id > last && got.Status != "" {
+					t.Errorf("stream %d of %d, the last that counts is %d: %+v", id, opened, last, got)
+					return
+				}
+			}
+		})
+	}
+	for range 8 {
+		<-began
+	}
+	s.stop()
+	all.Wait()
+}
+
+// A sidecar ends while a client has yet to read its answer, which says what room it has as it reads: the connection ends
+// only once it has been read, so no reset destroys it.
+func TestAnAnswerThatIsReadAsTheSidecarEnds(t *testing.T) {
+	const size = 1 << 20
+	r := replica(t, nil)
+	r.Size.Store(size)
+	s := start(t, patient("drain: 2s", "drain: 1m"), r.Addr)
+	c := dialFrames(t, s, 1<<30, 1<<30)
+	c.open(1, "GET", "/stock", true)
+	peers.Until(t, "the answer is not written", func() bool {
+		f := s.Figures()
+		return f.Clients["flows"] == 1 && f.Clients["in_hand"] == 0 && f.InHand == 0
+	})
+	ended := make(chan struct{})
+	go func() { s.stop(); close(ended) }()
+	got, words := 0, 0
+	for {
+		f, err := c.next()
+		if err != nil {
+			if err != io.EOF {
+				t.Error(err)
+			}
+			break
+		}
+		switch f := f.(type) {
+		case *http2.DataFrame:
+			got += len(f.Data())
+			c.WriteWindowUpdate(0, uint32(max(64, len(f.Data()))))
+			if words == 0 { // the sidecar has hung up: what it had to say has all been written
+				peers.Until(t, "it does not drain", s.server.Parting)
+				time.Sleep(3 * 50 * time.Millisecond) // over its pauses: it would have closed
+				words++
+			}
+		case *http2.GoAwayFrame:
+			words++
+		}
+	}
+	if got < size {
+		t.Errorf("%d of %d bytes", got, size)
+	}
+	c.Close()
+	<-ended
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -273,6 +273,10 @@
 func (s *Sidecar) door() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		if s.server.Parting() {
+			http.Error(w, "drains", http.StatusServiceUnavailable)
+			return
+		}
 		lines := 0
 		for _, n := range s.Figures().Tables {
 			lines += n
