A list that comes between a governor's levels and its first table forgets no level; /health and idle ends tested

Cause: Desk.Even applied an equal table as a full push, and a full push forgets levels; a list is no governor's word. Ruled out: Apply itself (full from a governor is to forget them). Change: Even lays lines alone.

--- a/internal/forward/desk.go
+++ b/internal/forward/desk.go
@@ -142,17 +142,19 @@
 	}
 }
 
-// Even gives each listed replica one line in every table, while no governor has pushed any.
+// Even gives each listed replica one line in every table, while no governor has pushed any. Levels stay: a governor may
+// have told them ahead of its table.
 func (d *Desk) Even(now int64) {
 	if d.steered {
 		return
 	}
-	even := Push{Full: true, Lines: map[string]float64{}}
-	for id := range d.listed {
-		even.Lines[id] = 1
+	for g := range d.tables {
+		d.tables[g].lines = nil
+		for _, id := range slices.Sorted(maps.Keys(d.listed)) {
+			d.tables[g].put(id, 1)
+		}
 	}
-	d.apply(now, even)
-	d.steered = false
+	d.forgetUnnamed(now)
 }
 
 // Drain refuses all flows that come from now on.
--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -398,3 +398,33 @@
 	c.Close()
 	<-ended
 }
+
+// A drain with a flow in hand: from its first moment /health says that no flow should come here.
+func TestHealthDuringADrain(t *testing.T) {
+	at, local := peers.Listen(t), peers.Free(t)
+	s := start(t, patient("drain: 2s", "drain: 1m", "listen: {", "listen: {local: \""+local+"\", "), at.At())
+	health := func() string {
+		c := peers.Dial(t, local)
+		c.Raw("GET /health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		return heard(c)
+	}
+	if got := health(); got != "200" {
+		t.Errorf("before: %q", got)
+	}
+	client := peers.Dial(t, s.h1)
+	client.Raw("GET /stock HTTP/1.1\r\nHost: x\r\n\r\n")
+	replica := at.Take()
+	replica.Request()
+	ended := make(chan struct{})
+	go func() { s.stop(); close(ended) }()
+	peers.Until(t, "it does not drain", s.server.Parting)
+	if got := health(); got != "503" {
+		t.Errorf("during: %q", got)
+	}
+	replica.Raw(okAnswer)
+	if got := heard(client); got != "200" {
+		t.Errorf("the flow in hand: %q", got)
+	}
+	client.Close()
+	<-ended
+}
--- a/internal/upstream/crossings_test.go
+++ b/internal/upstream/crossings_test.go
@@ -1,8 +1,11 @@
 package upstream
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -68,3 +71,62 @@
 		t.Errorf("%+v", f)
 	}
 }
+
+// Idle connections are ended for their time as they are picked: one that is picked is not ended, one that is ended is not
+// picked, and no flow fails of it.
+func TestIdleConnectionsEndAsTheyArePicked(t *testing.T) {
+	at := peers.Listen(t)
+	go func() {
+		for {
+			conn, err := at.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for r := bufio.NewReader(conn); ; {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}()
+		}
+	}()
+	p := NewPool(4, 4, time.Minute, time.Minute)
+	defer p.Close()
+	end, swept := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(swept)
+		for {
+			select {
+			case <-end:
+				return
+			default:
+				p.Sweep(time.Now().Add(time.Hour)) // each idle one is over its time
+			}
+		}
+	}()
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 50 {
+				a, err := p.Do(&Leash{}, time.Now().Add(peers.Patience), at.At(), &Request{Method: "POST", Target: "/", Host: "x", Fresh: true})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if text, err := io.ReadAll(a); string(text) != "ok" || err != nil {
+					t.Errorf("%q, %v", text, err)
+				}
+				a.Close()
+			}
+		})
+	}
+	all.Wait()
+	close(end)
+	<-swept
+	if f := p.Figures(); f.Open != f.Idle {
+		t.Errorf("%+v", f)
+	}
+}
