HTTP/1.1 clients that leave are noticed from the moment that their flow has been read whole, body and all

Seen, by the widened test with the mend out in a scratch copy: a POST with a small body, or with chunks, whose client closes while its replica is silent: "the connection does not end" at the replica. Place and connection were held until the expiry; one that waited for a place when its client left was still sent, and could run beside the one that the client sent again. Ruled out: flows without a body (watched already); HTTP/2 (reset and end cut the flow). Cause: h1.flow had a client watched only where its flow has no body. Change: the watch begins at the end of the body, whoever reads that. A flow read whole does not linger after its last answer. Test: both bodies, in the test of clients that leave; the test of streams that cross the going away waits until all of its connections are taken in (it had failed once: a connection still in the kernel's queue at the drain is closed without a word). -race -count=20 -cpu 2.

--- a/internal/front/h1.go
+++ b/internal/front/h1.go
@@ -33,12 +33,14 @@
 	unread bool // the last answer has gone out, and not all that the client sent has been read
 
 	// Used by one flow after the other.
-	in     patientReader
-	out    patientWriter
-	leash  upstream.Leash
-	answer h1Answer
-	q      relay.Request
-	done   chan bool // the watch has ended; false: the client has gone
+	in      patientReader
+	out     patientWriter
+	leash   upstream.Leash
+	answer  h1Answer
+	q       relay.Request
+	done    chan bool // the watch has ended; false: the client has gone
+	read    bool      // all of the flow
+	watched bool      // there is a watch
 }
 
 func (c *h1) end() {
@@ -136,7 +138,7 @@
 	*q = relay.Request{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Length: req.ContentLength}
 	*out = h1Answer{w: w, conn: c, method: req.Method, old: req.ProtoMinor == 0, last: req.Close || c.server.Parting()}
 	if req.Body != http.NoBody {
-		q.Body, q.Trailer = req.Body, func() http.Header { return req.Trailer }
+		q.Body, q.Trailer = &endingBody{req.Body, c, r}, func() http.Header { return req.Trailer }
 		q.Halt = c.hush
 		q.Expects = httpguts100(req.Header)
 		q.Continue = func() error {
@@ -157,21 +159,19 @@
 	if c.ended.Load() {
 		return false
 	}
-	watched := q.Body == nil && r.Buffered() == 0
-	if watched {
-		go c.watch(r)
+	if c.read, c.watched = false, false; q.Body == nil {
+		c.whole(r)
 	}
 	c.server.flow(&c.leash, "h1", q, out)
-	if q.Body != nil {
-		c.in.stopped.Store(false) // nobody reads the body now
-	}
-	if watched && !c.unwatch() || out.broken || c.ended.Load() {
+	gone := c.watched && !c.unwatch()
+	c.in.stopped.Store(false) // nobody reads a body now
+	if gone || out.broken || c.ended.Load() {
 		return false
 	}
 	if w.Flush() != nil {
 		return false
 	}
-	if c.unread = q.Body != nil || r.Buffered() > 0; out.last {
+	if c.unread = !c.read || r.Buffered() > 0; out.last {
 		return false
 	}
 	if q.Body != nil { // what was not read of it is in front of the next one
@@ -182,6 +182,7 @@
 		if n == drainMost || !errors.Is(err, io.EOF) {
 			return false
 		}
+		c.unread = false
 	}
 	return true
 }
@@ -191,7 +192,31 @@
 	return len(v) == 1 && (v[0] == "100-continue" || v[0] == "100-Continue")
 }
 
-// watch cuts a flow without a body when its client goes. A client that waits says nothing for as long as that takes.
+// endingBody tells when all of a body has been read.
+type endingBody struct {
+	io.Reader
+	conn *h1
+	r    *bufio.Reader
+}
+
+func (b *endingBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.conn.whole(b.r)
+	}
+	return n, err
+}
+
+// whole has the client watched once its flow has been read whole: what it sends from then on, but its end, is another
+// flow. No body is being read.
+func (c *h1) whole(r *bufio.Reader) {
+	if c.read = true; !c.watched && r.Buffered() == 0 {
+		c.watched = true
+		go c.watch(r)
+	}
+}
+
+// watch cuts a flow that has been read whole when its client goes. A client that waits says nothing for as long as that takes.
 func (c *h1) watch(r *bufio.Reader) {
 	for {
 		_, err := r.Peek(1)
@@ -216,9 +241,7 @@
 // unwatch ends the watching; false: the client has gone.
 func (c *h1) unwatch() bool {
 	c.hush()
-	there := <-c.done
-	c.in.stopped.Store(false)
-	return there
+	return <-c.done
 }
 
 // peekHead waits for a whole head and leaves it to be read.
--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -93,6 +93,16 @@
 	at := peers.Listen(t)
 	s := start(t, patient(" stall: 1m", " stall: 100ms", "limits: {", "limits: {waiting: 10, wait: 1m, ", "flows: 500", "flows: 1", "expiry: 2s", "expiry: 1m"), at.At())
 	const flow = "GET /stock HTTP/1.1\r\nHost: x\r\n\r\n"
+	for _, pay := range []string{"POST /payouts HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\npay", // with a body that has come whole
+		"POST /payouts HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\npay\r\n0\r\n\r\n"} {
+		client := peers.Dial(t, s.h1)
+		client.Raw(pay)
+		replica := at.Take()
+		replica.Request()
+		client.Close()
+		replica.Ends()
+		nothingInHand(t, s)
+	}
 	first := peers.Dial(t, s.h1)
 	first.Raw(flow)
 	replica := at.Take()
@@ -116,7 +126,7 @@
 	replica.Ends()
 	last.Ends()
 	nothingInHand(t, s)
-	if f := s.Figures().Core; f.Dropped[forward.Gone] != 3 {
+	if f := s.Figures().Core; f.Dropped[forward.Gone] != 5 {
 		t.Errorf("%+v", f)
 	}
 }
@@ -351,6 +361,7 @@
 	for range 8 {
 		<-began
 	}
+	peers.Until(t, "not all are taken in", func() bool { return s.Figures().Clients["open"] == 8 })
 	s.stop()
 	all.Wait()
 }
