--- a/cmd/lilacbend/child_test.go
+++ b/cmd/lilacbend/child_test.go
@@ -1,14 +1,11 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
-	"errors"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -30,45 +27,39 @@
 // partingLimit is when a platform may kill what it has told to end.
 const partingLimit = 700 * time.Millisecond
 
-// child is a governor in a process of its own.
+// child is the program in a process of its own.
 type child struct {
+	*exec.Cmd
 	t    testing.TB
-	cmd  *exec.Cmd
-	mu   sync.Mutex
-	log  strings.Builder
-	over chan struct{} // its log has ended
+	out  *lines // its log
+	over chan error
 }
 
-// run starts the program with arguments and a configuration.
-func run(t testing.TB, file string, args ...string) *child {
+// program starts it with an environment and arguments.
+func program(t testing.TB, env []string, args ...string) *child {
 	t.Helper()
-	c := &child{t: t, cmd: exec.Command(os.Args[0], args...), over: make(chan struct{})}
+	c := &child{exec.Command(os.Args[0], args...), t, &lines{}, make(chan error, 1)}
 	// The race detector waits for 1 s at the end of a program, which is not ours to count.
-	c.cmd.Env = append(os.Environ(), asProgram+"=1", "PROXY_CONFIG="+file, "GORACE=atexit_sleep_ms=0")
-	out, err := c.cmd.StderrPipe()
+	c.Env = append(append(os.Environ(), asProgram+"=1", "GORACE=atexit_sleep_ms=0"), env...)
+	stderr, err := c.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := c.cmd.Start(); err != nil {
+	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
 	go func() {
-		defer close(c.over)
-		for r := bufio.NewScanner(out); r.Scan(); {
-			c.mu.Lock()
-			c.log.WriteString(r.Text() + "\n")
-			c.mu.Unlock()
-		}
+		io.Copy(struct{ io.Writer }{c.out}, stderr) // its Write alone locks
+		c.over <- c.Wait()
 	}()
-	t.Cleanup(func() { c.cmd.Process.Kill() })
+	t.Cleanup(func() { c.Process.Kill() })
 	return c
 }
 
-func (c *child) says(text string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return strings.Contains(c.log.String(), text)
-}
+// run starts a governor with a configuration.
+func run(t testing.TB, file string) *child { return program(t, []string{"PROXY_CONFIG=" + file}) }
+
+func (c *child) says(text string) bool { return c.out.has(text) }
 
 // until waits for a line of the log.
 func (c *child) until(text string) *child {
@@ -77,20 +68,25 @@
 	return c
 }
 
-// ends sends signals and waits for the end: the exit code, in time.
-func (c *child) ends(code int, signals ...syscall.Signal) {
-	c.t.Helper()
-	begun := time.Now()
+// tell sends signals.
+func (c *child) tell(signals ...syscall.Signal) {
 	for _, s := range signals {
-		c.cmd.Process.Signal(s)
-	}
-	<-c.over
-	err := c.cmd.Wait()
-	if exit := (*exec.ExitError)(nil); errors.As(err, &exit) && exit.ExitCode() != code || err == nil && code != 0 {
-		c.t.Errorf("ended with %v, want %d: %s", err, code, c.log.String())
+		c.Process.Signal(s)
 	}
-	if span := time.Since(begun); len(signals) > 0 && span > partingLimit {
-		c.t.Errorf("it took %v to end: %s", span, c.log.String())
+}
+
+// ends sends signals and waits for the end: exit 0, and in time where it was told to end.
+func (c *child) ends(signals ...syscall.Signal) {
+	c.t.Helper()
+	begun := time.Now()
+	c.tell(signals...)
+	select {
+	case err := <-c.over:
+		if span := time.Since(begun); err != nil || len(signals) > 0 && span > partingLimit {
+			c.t.Errorf("ended after %v: %v: %s", span, err, c.out)
+		}
+	case <-time.After(peers.Patience):
+		c.t.Error("it does not end")
 	}
 }
 
--- a/cmd/lilacbend/reload_test.go
+++ b/cmd/lilacbend/reload_test.go
@@ -5,10 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -21,17 +19,6 @@
 	"lilacbend/lab/peers"
 )
 
-const governorProcess = "LILACBEND_TEST_GOVERNOR"
-
-// Started with that in its environment, the test binary is the program: signals want a process of their own.
-func init() {
-	if os.Getenv(governorProcess) != "" {
-		os.Args = os.Args[:1]
-		main()
-		os.Exit(0)
-	}
-}
-
 const wholeList = "GET /registry/instances HTTP/1.1"
 
 // configuration is the example's, with another discovery.
@@ -70,48 +57,8 @@
 	return strings.Count(l.String(), text)
 }
 
-// program is a governor in a process of its own.
-type program struct {
-	*exec.Cmd
-	out   *lines
-	ended chan error
-}
-
-func launch(t *testing.T, file, listen string) *program {
-	p := &program{exec.Command(os.Args[0]), &lines{}, make(chan error, 1)}
-	p.Env = append(os.Environ(), governorProcess+"=1", "GORACE=atexit_sleep_ms=0", "PROXY_CONFIG="+file, "PROXY_LISTEN="+listen)
-	stderr, err := p.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := p.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		io.Copy(struct{ io.Writer }{p.out}, stderr) // its Write alone locks
-		p.ended <- p.Wait()
-	}()
-	t.Cleanup(func() { p.Process.Kill() })
-	return p
-}
-
-// says waits for a line of the log.
-func (p *program) says(t *testing.T, text string) {
-	t.Helper()
-	peers.Until(t, "the log never says "+text, func() bool { return p.out.has(text) })
-}
-
-// ends waits for the end that a signal asked for: exit 0 within 0.7 s.
-func (p *program) ends(t *testing.T, since time.Time) {
-	t.Helper()
-	select {
-	case err := <-p.ended:
-		if took := time.Since(since); err != nil || took > 700*time.Millisecond {
-			t.Errorf("ended after %v: %v", took, err)
-		}
-	case <-time.After(peers.Patience):
-		t.Error("it does not end")
-	}
+func launch(t *testing.T, file, listen string) *child {
+	return program(t, []string{"PROXY_CONFIG=" + file, "PROXY_LISTEN=" + listen})
 }
 
 // A file that is half written, empty or missing when SIGHUP comes is taken over once it is whole, without a second SIGHUP,
@@ -130,15 +77,13 @@
 				t.Errorf("asked %q", got)
 			}
 			spoil(file, configuration(t, after.At()))
-			p.Process.Signal(syscall.SIGHUP)
-			p.says(t, "cannot be used")
+			p.tell(syscall.SIGHUP)
+			p.until("cannot be used")
 			replace(t, file, configuration(t, after.At()))
 			if got := after.Take().Request(); got != wholeList {
 				t.Errorf("asked %q", got)
 			}
-			since := time.Now()
-			p.Process.Signal(syscall.SIGTERM)
-			p.ends(t, since)
+			p.ends(syscall.SIGTERM)
 			for text, times := range map[string]int{"cannot be used": 1, "read again": 1, "in.reloads=1 ": 1, "errors.misread=1 ": 1} {
 				if got := p.out.times(text); got != times {
 					t.Errorf("%q %d times, want %d", text, got, times)
@@ -155,13 +100,9 @@
 	p := launch(t, file, at)
 	agent.Take().Request()
 	os.Remove(file)
-	p.Process.Signal(syscall.SIGHUP)
-	p.says(t, "cannot be used")
-	since := time.Now()
-	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
-		p.Process.Signal(s)
-	}
-	p.ends(t, since)
+	p.tell(syscall.SIGHUP)
+	p.until("cannot be used")
+	p.ends(syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP)
 	peers.ListenOn(t, at) // it is free for the successor
 }
 
--- a/cmd/lilacbend/shutdown_test.go
+++ b/cmd/lilacbend/shutdown_test.go
@@ -18,7 +18,7 @@
 	for name, end := range map[string][]syscall.Signal{"term": {syscall.SIGTERM}, "hangup, term, term": {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM}} {
 		l := peers.Listen(t)
 		c := run(t, configured(t, map[string]any{"listen": l.At(), "discovery": "127.0.0.1:1"})).until("the address is in use")
-		c.ends(0, end...)
+		c.ends(end...)
 		if c.says("msg=serving") {
 			t.Errorf("%s: it serves", name)
 		}
@@ -29,7 +29,7 @@
 	conn := peers.DialWhenUp(t, l.At())
 	conn.Say("probe")
 	conn.Hears("alive")
-	c.ends(0, syscall.SIGTERM)
+	c.ends(syscall.SIGTERM)
 }
 
 // The end waits for nobody: a proxy that reads nothing while it is written to, half a message, a stranger that lingers, a
@@ -60,7 +60,7 @@
 		open[1].Raw("*7\r\n$3\r\nack\r\n$2\r\ni")
 		open[2].Raw("*11\r\n$8\r\noutcomes\r\n$4\r\nsi")
 		open[3].Hears("error")
-		c.ends(0, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM)
+		c.ends(syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM)
 		if l, err := net.Listen("tcp", at); err != nil {
 			t.Errorf("the address is not free: %v", err)
 		} else {
@@ -100,5 +100,5 @@
 	call.Raw(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 	for !strings.Contains(proxy.Hears("push"), "eject box-2") {
 	}
-	c.ends(0, syscall.SIGTERM)
+	c.ends(syscall.SIGTERM)
 }
