A sidecar's file that SIGHUP finds half written is read again too, by the governor's own way

rereadManifest took a file once a signal: one that was missing or half written lost the change for good, as the governor's did before. The waiting is one function now, atHangups, for both; bounds and words in the log are as they were.

--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -36,10 +36,6 @@
 	groupsUsual = 4
 	// SIGKILL may follow 0.7 s after SIGTERM: connections get so long to end.
 	partingMost = 300 * time.Millisecond
-	// A configuration that cannot be used is one that is still being written, which takes milliseconds, or one that
-	// waits for a hand. It is read again from rereadFirst on, half as often each time, down to once in rereadMost: at the
-	// discovery that it names lists count as told after 6 s, and one small file a second is no load.
-	rereadFirst, rereadMost = 50 * time.Millisecond, time.Second
 )
 
 // clock shows one time base: the wall's at the start, and from then on the monotonic one.
@@ -98,39 +94,25 @@
 }
 
 // follow reads the configuration again whenever that is asked for, until ctx ends. Discovery moves; all else
-// that a configuration holds is for the next start. The signal may come before the file is whole, and is not sent
-// twice: one that cannot be used is read again until it can, or until the next signal; it is said and counted once.
+// that a configuration holds is for the next start. One that cannot be used is said and counted once.
 func (r reload) follow(ctx context.Context, running charter, client *registry.Client, x *exchange.Exchange, log *slog.Logger) {
-	pause := time.Duration(0) // until it is read again; 0: nobody waits for it
-	for {
-		var again <-chan time.Time
-		if pause > 0 {
-			again = time.After(pause)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.asked:
-			pause = 0
-		case <-again:
-		}
+	atHangups(ctx, r.asked, func(first bool) error {
 		c, err := r.read()
 		if err != nil {
-			if pause == 0 {
+			if first {
 				x.Tally.Misread.Add(1)
 				log.Error("the new configuration cannot be used, the old one goes on", "error", err, "again_every", rereadMost)
 			}
-			pause = min(max(rereadFirst, 2*pause), rereadMost)
-			continue
+			return err
 		}
-		pause = 0
 		x.Tally.Reloads.Add(1)
 		log.Info("read again", "discovery", c.discovery)
 		client.Move(c.discovery)
 		if fields := running.differs(c); len(fields) > 0 {
 			log.Warn("some of the new configuration waits for the next start", "fields", fields)
 		}
-	}
+		return nil
+	})
 }
 
 // listen waits for an address in use, for as long as whoever came before may take to end, or until ctx ends.
--- a/cmd/lilacbend/sidecar.go
+++ b/cmd/lilacbend/sidecar.go
@@ -60,28 +60,25 @@
 	return sidecar.Read(file)
 }
 
-// rereadManifest takes the file over once more at each SIGHUP; one that cannot be used changes nothing.
+// rereadManifest takes the file over once more at each SIGHUP; one that cannot be used changes nothing, and is said once.
 func rereadManifest(ctx context.Context, file string, s *sidecar.Sidecar, hangups <-chan os.Signal, log *slog.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
+	atHangups(ctx, hangups, func(first bool) error {
 		m, err := readManifest(file)
 		var waits []string
 		if err == nil {
 			waits, err = s.Reload(m)
 		}
 		switch {
+		case err != nil && first:
+			log.Error("the new file cannot be used, the old one goes on", "error", err, "again_every", rereadMost)
 		case err != nil:
-			log.Error("the new file cannot be used, the old one goes on", "error", err)
 		case len(waits) > 0:
 			log.Warn("rules taken over, some of the file waits for the next start", "fields", waits)
 		default:
 			log.Info("rules taken over", "rules", len(m.Rules))
 		}
-	}
+		return err
+	})
 }
 
 // collectorCommand runs the collector of a zone.
--- a/cmd/lilacbend/sidecar_child_test.go
+++ b/cmd/lilacbend/sidecar_child_test.go
@@ -11,11 +11,9 @@
 	"lilacbend/lab/peers"
 )
 
-// SIGTERM finds a flow in flight, and comes once more during the drain, with a SIGHUP: the flow has its whole answer, that
-// says that it was the last, and the exit is a clean one.
-func TestASidecarIsToldToEndTwiceWithAFlowInFlight(t *testing.T) {
-	replica, listen := peers.Listen(t), peers.Free(t)
-	file := filepath.Join(t.TempDir(), "shop.yaml")
+// shop writes a sidecar's file with one replica.
+func shop(t *testing.T, file, listen, replica string) {
+	t.Helper()
 	text := fmt.Sprintf(`
 name: shop
 proxy: 0
@@ -24,10 +22,38 @@
 replicas: [{id: r0, zone: a, address: %q}]
 groups: [{name: payout, effect: non-retriable, latency_budget: 10s, expiry: 1m}]
 rules: [{group: payout}]
-`, listen, replica.At())
+`, listen, replica)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// A file that is missing or half written when SIGHUP comes is taken over once it is whole, without a second SIGHUP.
+func TestASidecarsFileIsWaitedFor(t *testing.T) {
+	listen, file := peers.Free(t), filepath.Join(t.TempDir(), "shop.yaml")
+	shop(t, file, listen, "127.0.0.1:9")
+	c := program(t, nil, "sidecar", "--manifest", file)
+	peers.DialWhenUp(t, listen)
+	for k, spoil := range []func() error{func() error { return os.Remove(file) }, func() error { return os.WriteFile(file, []byte("name: sh"), 0o600) }} {
+		if err := spoil(); err != nil {
+			t.Fatal(err)
+		}
+		c.tell(syscall.SIGHUP)
+		peers.Until(t, "it is not said", func() bool { return c.out.times("cannot be used") == k+1 })
+		shop(t, file, listen, "127.0.0.1:9")
+		peers.Until(t, "it is not taken over", func() bool { return c.out.times("rules taken over") == k+1 })
+	}
+	if c.ends(syscall.SIGTERM); c.out.times("cannot be used") != 2 {
+		t.Error(c.out)
+	}
+}
+
+// SIGTERM finds a flow in flight, and comes once more during the drain, with a SIGHUP: the flow has its whole answer, that
+// says that it was the last, and the exit is a clean one.
+func TestASidecarIsToldToEndTwiceWithAFlowInFlight(t *testing.T) {
+	replica, listen := peers.Listen(t), peers.Free(t)
+	file := filepath.Join(t.TempDir(), "shop.yaml")
+	shop(t, file, listen, replica.At())
 	c := program(t, nil, "sidecar", "--manifest", file)
 	client := peers.DialWhenUp(t, listen)
 	client.Raw("POST /payouts HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\npay")
