--- a/cmd/lilacbend/child_test.go
+++ b/cmd/lilacbend/child_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -90,21 +91,26 @@
 	}
 }
 
-// configured writes the example's configuration with some values of its own, and names the file.
-func configured(t testing.TB, values map[string]any) string {
+// example is the example's configuration.
+func example(t testing.TB) (file map[string]any) {
 	t.Helper()
 	raw, err := os.ReadFile("../../example/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var file map[string]any
 	if err := json.Unmarshal(raw, &file); err != nil {
 		t.Fatal(err)
 	}
-	for k, v := range values {
-		file[k] = v
-	}
-	if raw, err = json.Marshal(file); err != nil {
+	return file
+}
+
+// configured writes the example's configuration with some values of its own, and names the file.
+func configured(t testing.TB, values map[string]any) string {
+	t.Helper()
+	file := example(t)
+	maps.Copy(file, values)
+	raw, err := json.Marshal(file)
+	if err != nil {
 		t.Fatal(err)
 	}
 	at := filepath.Join(t.TempDir(), "config.json")
@@ -117,27 +123,15 @@
 // exampleList is the example's list of replicas as discovery would write it, one of them draining.
 func exampleList(t testing.TB, revision int, drains string) string {
 	t.Helper()
-	raw, err := os.ReadFile("../../example/config.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var file struct {
-		Known struct {
-			Revision int              `json:"revision"`
-			Complete bool             `json:"complete"`
-			Members  []map[string]any `json:"members"`
-		}
-	}
-	if err := json.Unmarshal(raw, &file); err != nil {
-		t.Fatal(err)
-	}
-	file.Known.Revision = revision
-	for _, m := range file.Known.Members {
-		if m["id"] == drains {
+	known := example(t)["known"].(map[string]any)
+	known["revision"] = revision
+	for _, m := range known["members"].([]any) {
+		if m := m.(map[string]any); m["id"] == drains {
 			m["phase"] = "Terminating"
 		}
 	}
-	if raw, err = json.Marshal(file.Known); err != nil {
+	raw, err := json.Marshal(known)
+	if err != nil {
 		t.Fatal(err)
 	}
 	return string(raw)
--- a/cmd/lilacbend/fleet_test.go
+++ b/cmd/lilacbend/fleet_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -17,14 +16,7 @@
 
 // fleetCharter is the example's with the sizes of a full fleet: so many governors and replicas, and all proxies at this one.
 func fleetCharter(t *testing.T, listen string, governors, replicas, proxies int) charter {
-	raw, err := os.ReadFile("../../example/config.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var file map[string]any
-	if err := json.Unmarshal(raw, &file); err != nil {
-		t.Fatal(err)
-	}
+	file := example(t)
 	var peers []string
 	for k := range governors {
 		peers = append(peers, fmt.Sprintf("127.3.%d.%d:7946", k/250, k%250+1))
@@ -40,7 +32,8 @@
 	domain := settings["domain"].(map[string]any)
 	domain["proxy_count"], domain["pending_max"], domain["push_rate"] = proxies, 40*proxies, 20000
 	file["limits"] = map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": proxies + 200}
-	if raw, err = json.Marshal(file); err != nil {
+	raw, err := json.Marshal(file)
+	if err != nil {
 		t.Fatal(err)
 	}
 	c, err := parseCharter(raw, told{listen: listen, discovery: "127.0.0.1:1"})
