The line is not lowered for a few answers, and rises the quicker the longer it is calm

What such a look takes away then comes back by a hundredth a second, 40 s for 0.8 of a group, though nothing is overloaded for 30 of them. Ruled out: the age of sums (0 in both, a second each), the scaling by flows not tried (flows 0; 1.7), verdicts on replicas. Lines at fault: levels.judge, "over := press > 1", which asks for no evidence, and the rise, which knows no time.

Change: an overload takes as many answers as a verdict on one replica does (sickTries). The rise is multiplied by the time since the last fall over demandSpan, once that is above 1: while falls follow each other nothing changes. The draw of tickets, which decides nothing, moved to the plumbing.

Each new test fails on the code before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,9 +42,6 @@
 
 var spares = [...]float64{spareGuest, spareGuest, spareIdler} // by control.Pick
 
-// draw gives a replica its ticket in the draw of tables, by listed weight: the highest are drawn first.
-func (d *desk) draw(weight float64) float64 { return math.Pow(d.chance(), 1/math.Max(weight, 1e-6)) }
-
 func (d *desk) pause() int64 { return max(1, min(d.ReportInterval/2, beat)) }
 
 func (d *desk) rows(tables int) int { return min(max(1, d.Zones), tables) }
@@ -527,7 +524,8 @@
 	if f.answer > lateMost*f.calm { // else misses are connections refused, silence, errors: no overload
 		press = math.Max(press, f.most/missedMost)
 	}
-	over := press > 1 && l.Admission == control.AdmitShare
+	answers := f.tries * (1 - f.bad) * float64(recent) / float64(second) // too few tell of no queue
+	over := press > 1 && answers >= sickTries && l.Admission == control.AdmitShare
 	// Full queues hold work whose clients have left, and only fewer tries let them drain.
 	if once := f.bad > missedOnce || l.once && f.bad > missedOnce/2; once != l.once && l.now-l.turned > recent {
 		l.once, l.turned = once, l.now
@@ -554,7 +552,8 @@
 			left -= flows[g]
 		}
 	default:
-		l.line = math.Min(all, l.line+lineUp*all*float64(l.now-l.judged)/float64(second))
+		calm := math.Max(1, float64(l.now-l.fell)/float64(demandSpan)) // the longer, the quicker
+		l.line = math.Min(all, l.line+lineUp*calm*all*float64(l.now-l.judged)/float64(second))
 	}
 	l.judged = l.now
 	if over != l.strain {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -665,6 +665,44 @@
 	want(t, "begins anew", l.line, 2.0)
 }
 
+// A governor that has just begun, or whose zones are cut off, hears of a few answers, late ones: they tell of no queue.
+func TestAFewAnswersAreNoOverload(t *testing.T) {
+	for _, f := range []fleet{
+		{tries: 1, bad: 0.33, most: 0, answer: 2.1, serves: 60},
+		{tries: 88, bad: 0.99, most: 0.89, answer: 0.3, serves: 28, calm: 0.1},
+	} {
+		l := levelling(at(100 * second))
+		l.take(f)
+		want(t, "all groups are let in", l.line, 2.0)
+		f.tries *= 10
+		l.take(f)
+		want(t, "many answers are one", l.line < 2, true)
+	}
+}
+
+// What was blocked for a fault that is over comes back soon; while falls follow each other it comes back as slowly as ever.
+func TestTheLineRisesTheQuickerTheLongerItIsCalm(t *testing.T) {
+	l := levelling(at(100 * second))
+	l.take(fleet{tries: 100, bad: 0.5, most: 0.5, answer: 1, serves: 1})
+	calm := fleet{tries: 100, answer: 0.2, serves: 1}
+	rise := func(span int64) float64 {
+		before := l.line
+		for until := l.now + span; l.now < until; {
+			l.now += second / 4
+			l.take(calm)
+		}
+		return l.line - before
+	}
+	rise(recent)
+	slow := rise(demandSpan - recent)
+	want(t, "a hundredth a second at first", math.Abs(slow-lineUp*2*4) < 1e-9, true)
+	rise(2 * demandSpan)
+	want(t, "three times as quick", rise(second) > 2.9*lineUp*2, true)
+	l.take(fleet{tries: 100, bad: 0.5, most: 0.5, answer: 1, serves: 1})
+	rise(recent)
+	want(t, "slow again after a fall", math.Abs(rise(second)-lineUp*2) < 1e-9, true)
+}
+
 func TestWhereLevelsAreNotFollowedOnlyTriesStop(t *testing.T) {
 	g := at(100 * second)
 	g.Admission = control.AdmitAll
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -54,6 +54,9 @@
 	return control.Random(d.Seed, d.draws)
 }
 
+// draw gives a replica its ticket in the draw of tables, by listed weight: the highest are drawn first.
+func (d *desk) draw(weight float64) float64 { return math.Pow(d.chance(), 1/math.Max(weight, 1e-6)) }
+
 // newest leaves so many of a list, the last.
 func newest[T any](most int, all []T) []T { return all[max(0, len(all)-most):] }
 
