The cold are let in together; lines that rise come behind the lift

"SND lines 43 lifts 0; stay lines 6 lifts 49; waits 0 cost 2400 limit 6000", again and again: the weights of the cold rise at each look, each rise is an addition that comes before the lifts, and four tenths of the channel are used up by them; what is left now and then lets one in. So all or none, as it is decided, was never carried out. Ruled out: the decision itself (bears over need by far for 7 s), avoided replicas, the age of what is told. Lines at fault: sequence.orders, which puts every line of who is let in before its lift; pacer.send, which writes lifts one by one.

Change: a line that rises comes behind its replica's lift, and not before that has gone: to be let in by less is safe. Lifts of cold replicas are written if all of them fit, or into an empty channel. reach, which keeps the books of what an order costs, moved to parts.go.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sync"
 
 	"lilacbend/control"
 )
@@ -646,15 +647,21 @@
 		return cmp.Or(cmp.Compare(sums[b.table], sums[a.table]), cmp.Compare(a.table, b.table),
 			cmp.Compare(size(b), size(a)), cmp.Compare(a.id, b.id))
 	})
-	var orders []control.Command
+	var orders, raised []control.Command
 	for _, l := range ls {
-		orders = append(orders, control.SetEndpoint{Table: l.table, Replica: l.id, Weight: s.want.lines[l]})
+		o := control.SetEndpoint{Table: l.table, Replica: l.id, Weight: s.want.lines[l]}
+		if has := s.laid[l]; has > 0 && s.out[l.id] && o.Weight > has { // let in by less is safe, and needs no line first
+			raised = append(raised, o)
+		} else {
+			orders = append(orders, o)
+		}
 	}
 	for _, id := range sorted(s.out) {
 		if at == add && s.out[id] && !s.want.out[id] {
 			orders = append(orders, control.SetEjected{Replica: id})
 		}
 	}
+	orders = append(orders, raised...)
 	for _, proxy := range sorted(s.moves) {
 		if at == rebind {
 			orders = append(orders, control.Bind{Proxy: proxy, Table: s.moves[proxy]})
@@ -689,28 +696,6 @@
 	}
 }
 
-// reach says whom an order reaches and how many lines it costs at each. A withdrawal reaches who holds a line
-// of the replica: an answer awaited from others would never come, and hold the channel's room for ever.
-func (p *pacer) reach(o control.Command) (to []int, lines int) {
-	switch o := o.(type) {
-	case control.Bind:
-		return []int{o.Proxy}, 2*len(p.laid[o.Table]) + len(p.Classes) + 1 // all of its lines may be withdrawn
-	case control.BindPart:
-		return []int{o.Proxy}, len(o.Replicas) + o.Restored + len(p.Classes) + 1
-	case control.SetEndpoint:
-		return p.holders(o.Table, o.Replica), 1
-	case control.SetEjected:
-		for table, lines := range p.laid {
-			if lines[o.Replica] > 0 {
-				to = append(to, p.holders(table, o.Replica)...)
-			}
-		}
-		slices.Sort(to)
-		return to, 1
-	}
-	return sorted(p.bound), 1
-}
-
 // write orders something if the queue and each reached proxy's message cap keep room for what can't wait.
 func (p *pacer) write(o control.Command, part, messages float64) bool {
 	to, lines := p.reach(o)
@@ -768,34 +753,49 @@
 	return control.BindPart{Proxy: b.Proxy, Table: b.Table, Replicas: d.next(p.rate(b.Proxy)), Restored: firstLeast}
 }
 
-// send writes the turn's messages: the step's lines, then all that is urgent in the room kept for it.
-func (p *pacer) send() {
-	p.begin()
-	// Late answers tell of a slow channel: withdrawals must not wait behind weights. It harms if proxies stall.
-	m, stale, overdue, adds := marked{}, map[uint32]bool{}, len(p.under) > 0 && p.now > p.under[0].due, p.step.adds
-	for _, proxy := range p.incomplete() { // who lacks lines comes first, and of them who has lost most of a part
-		b := control.Bind{Proxy: proxy, Table: p.bound[proxy]}
-		if p.partial[proxy].kept() < keptLeast {
-			p.write(p.part(b), math.Inf(1), math.Inf(1))
-		} else if len(p.urgent) > 0 || !p.write(b, restPart*p.graceLines(), addMsgs) {
-			break
-		}
-	}
+// sendStep writes what the open step has to send. Late answers tell of a slow channel: withdrawals must not wait behind
+// weights. It harms if proxies stall.
+func (p *pacer) sendStep() (done []control.Command) {
+	stale, overdue, adds := map[uint32]bool{}, len(p.under) > 0 && p.now > p.under[0].due, p.step.adds
+	lifts := p.coldLifts()
+	// The cold are let in together: one alone would get what is meant for all of them.
+	together := sync.OnceValue(func() bool {
+		return !p.liftsAny(lifts, stale) && (p.waits+p.cost == 0 || p.fit(lifts, ordinaryPart))
+	})
 	p.step.orders = slices.DeleteFunc(p.step.orders, func(o control.Command) bool { // one held up stops no other
 		messages, room := addMsgs, ordinaryPart // who lacks lines comes before who has stale ones
 		if adds--; adds < 0 {
 			messages, room = ordinaryMsgs, ordinaryPart/math.Max(1, p.late)
 		}
+		if p.raises(o) { // not before its replica is let in: what grows at each look would leave no room for that
+			return false
+		}
 		lift, is := o.(control.SetEjected)
-		sent := (adds >= 0 || !overdue) && !(is && stale[lift.Replica]) && p.write(o, room, messages)
+		held := is && (stale[lift.Replica] || p.cold[lift.Replica] && !together())
+		sent := (adds >= 0 || !overdue) && !held && p.write(o, room, messages)
 		if l, is := o.(control.SetEndpoint); sent {
-			m.orders = append(m.orders, o)
+			done = append(done, o)
 		} else if is { // nobody is let in by lines of an earlier weight: it may have been warm then
 			stale[l.Replica] = true
 		}
 		return sent
 	})
 	p.step.adds = 0
+	return done
+}
+
+// send writes the turn's messages: the step's lines, then all that is urgent in the room kept for it.
+func (p *pacer) send() {
+	p.begin()
+	for _, proxy := range p.incomplete() { // who lacks lines comes first, and of them who has lost most of a part
+		b := control.Bind{Proxy: proxy, Table: p.bound[proxy]}
+		if p.partial[proxy].kept() < keptLeast {
+			p.write(p.part(b), math.Inf(1), math.Inf(1))
+		} else if len(p.urgent) > 0 || !p.write(b, restPart*p.graceLines(), addMsgs) {
+			break
+		}
+	}
+	m := marked{orders: p.sendStep()}
 	p.urgent = slices.DeleteFunc(p.urgent, func(o control.Command) bool {
 		if w, is := o.(control.SetEjected); is && w.Ejected && p.HostQueues { // one capped proxy holds up no other
 			return p.write(o, math.Inf(1), math.Inf(1))
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -411,6 +411,77 @@
 	}
 }
 
+// Who is let in by less weight than it should have is safe, so lines that rise come behind the lift, and only once it has gone:
+// the weights of the cold rise at each look, and their lines would leave no room for it.
+func TestLinesThatRiseComeBehindTheLift(t *testing.T) {
+	g := at(0)
+	s := steering(g, map[line]float64{{0, 1}: 0.2, {1, 1}: 0.4}, map[line]float64{{0, 1}: 0.3, {1, 1}: 0.3, {2, 1}: 0.3}, map[uint32]bool{1: true})
+	wanted := []control.Command{control.SetEndpoint{Table: 2, Replica: 1, Weight: 0.3}, control.SetEndpoint{Table: 1, Replica: 1, Weight: 0.3},
+		control.SetEjected{Replica: 1}, control.SetEndpoint{Table: 0, Replica: 1, Weight: 0.3}}
+	want(t, "order", fmt.Sprint(s.orders(add)), fmt.Sprint(wanted))
+	p := g.boxes[thePacer].part.(*pacer)
+	p.laid = map[int]map[uint32]float64{0: {1: 0.2}, 1: {1: 0.4}, 2: {}}
+	for table := range 3 {
+		p.seat(table, table)
+	}
+	p.ejected[1] = true
+	g.MaxMessages = 4
+	p.wrote[2] = []int64{0, 0, 0} // its line is held up, and the lift with it
+	p.step = step{4, s.orders(add)}
+	p.send()
+	for _, o := range g.out {
+		if l, is := o.(control.SetEndpoint); is && l.Table == 0 {
+			t.Errorf("rises though it is not let in: %v", g.out)
+		}
+	}
+	p.wrote[2], g.out = nil, nil
+	p.send()
+	want(t, "let in", len(orders[control.SetEjected](g.out)), 1)
+	want(t, "and raised", len(p.step.orders), 0)
+}
+
+// One cold replica that is let in alone gets what is meant for all of them.
+func TestTheColdAreLetInTogether(t *testing.T) {
+	const cold = 12
+	lifting := func() (*Governor, *pacer) {
+		g := at(0)
+		p := pacing(g, 10)
+		p.cold = coldSet{}
+		for id := range uint32(cold) {
+			p.cold[id], p.ejected[id] = true, true
+			p.step.orders = append(p.step.orders, control.SetEjected{Replica: id})
+		}
+		p.step.adds = cold
+		return g, p
+	}
+	g, p := lifting()
+	g.ChannelLimit = 450 // 120 lines and ten heads fit into four tenths of it
+	p.send()
+	want(t, "all at once", len(orders[control.SetEjected](g.out)), cold)
+	g, p = lifting()
+	g.ChannelLimit = 450
+	p.under = []batch{{mark: 1, lines: 100, due: second}}
+	p.send()
+	want(t, "none while some would have no room", len(orders[control.SetEjected](g.out)), 0)
+	p.under = nil
+	p.send()
+	want(t, "all once there is room", len(orders[control.SetEjected](g.out)), cold)
+	g, p = lifting()
+	g.ChannelLimit = 300
+	p.send()
+	some := len(orders[control.SetEjected](g.out))
+	want(t, "as many as fit into an empty channel", some > 0 && some < cold, true)
+	g, p = lifting()
+	p.step.orders = append([]control.Command{control.SetEndpoint{Table: 1, Replica: 3, Weight: 0.1}}, p.step.orders...)
+	p.step.adds++
+	g.MaxMessages, g.ChannelLimit = 4, 4000
+	p.laid[1] = map[uint32]float64{3: 0.5}
+	p.seat(11, 1)
+	p.wrote[11] = []int64{0, 0, 0}
+	p.send()
+	want(t, "none while one has a line of more weight", len(orders[control.SetEjected](g.out)), 0)
+}
+
 func TestARemovalOfWhoIsBackNeverLeaves(t *testing.T) {
 	s := steering(at(0), map[line]float64{{0, 1}: 1}, map[line]float64{}, map[uint32]bool{1: true})
 	s.want.out[1] = true // gone, and not back yet
--- a/brain/parts.go
+++ b/brain/parts.go
@@ -197,3 +197,65 @@
 	}
 	return warm
 }
+
+// reach says whom an order reaches and how many lines it costs at each. A withdrawal reaches who holds a line
+// of the replica: an answer awaited from others would never come, and hold the channel's room for ever.
+func (p *pacer) reach(o control.Command) (to []int, lines int) {
+	switch o := o.(type) {
+	case control.Bind:
+		return []int{o.Proxy}, 2*len(p.laid[o.Table]) + len(p.Classes) + 1 // all of its lines may be withdrawn
+	case control.BindPart:
+		return []int{o.Proxy}, len(o.Replicas) + o.Restored + len(p.Classes) + 1
+	case control.SetEndpoint:
+		return p.holders(o.Table, o.Replica), 1
+	case control.SetEjected:
+		for table, lines := range p.laid {
+			if lines[o.Replica] > 0 {
+				to = append(to, p.holders(table, o.Replica)...)
+			}
+		}
+		slices.Sort(to)
+		return to, 1
+	}
+	return sorted(p.bound), 1
+}
+
+// coldLifts are the commands of the open step that let cold replicas in.
+func (p *pacer) coldLifts() (lifts []control.Command) {
+	for _, o := range p.step.orders {
+		if lift, is := o.(control.SetEjected); is && !lift.Ejected && p.cold[lift.Replica] {
+			lifts = append(lifts, o)
+		}
+	}
+	return lifts
+}
+
+// raises says whether a command raises the weight that a replica, which is ejected, has in a table.
+func (p *pacer) raises(o control.Command) bool {
+	l, is := o.(control.SetEndpoint)
+	laid := p.laid[l.Table][l.Replica]
+	return is && p.ejected[l.Replica] && laid > 0 && l.Weight > laid
+}
+
+// liftsAny says whether commands let any of some replicas in.
+func (p *pacer) liftsAny(lifts []control.Command, replicas map[uint32]bool) bool {
+	return slices.ContainsFunc(lifts, func(o control.Command) bool { return replicas[o.(control.SetEjected).Replica] })
+}
+
+// fit says whether there is room for all of some commands in a part of the channel's limit.
+func (p *pacer) fit(commands []control.Command, part float64) bool {
+	cost, heads := 0.0, map[int]bool{}
+	for _, o := range commands {
+		to, lines := p.reach(o)
+		cost += float64(lines * len(to))
+		for _, proxy := range to {
+			heads[proxy] = !p.reached[proxy]
+		}
+	}
+	for _, more := range heads {
+		if more {
+			cost += float64(p.MessageHead + 1)
+		}
+	}
+	return p.waits+p.cost+cost <= part*float64(p.ChannelLimit)
+}
