The cold have to be let in together only where much is lost and they are spared for it

Change: the planner says so to the pacer beside who is cold; only then lifts of the cold wait for each other and rising lines for their lifts.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -235,6 +235,7 @@
 		}
 	}
 	bad, fleetAble := missed/math.Max(1, tries), kinds[all].able/math.Max(1, kinds[all].count)
+	p.spared = bears >= told/gave*warm && max(bad, p.demand.lost) > coldLost
 	for _, id := range ids {
 		o := p.offers[id]
 		k := kinds[o.Kind]
@@ -767,11 +768,11 @@
 		if adds--; adds < 0 {
 			messages, room = ordinaryMsgs, ordinaryPart/math.Max(1, p.late)
 		}
-		if p.raises(o) { // not before its replica is let in: what grows at each look would leave no room for that
+		if p.cold.together && p.raises(o) { // not before its replica is let in: what grows at each look would leave no room for that
 			return false
 		}
 		lift, is := o.(control.SetEjected)
-		held := is && (stale[lift.Replica] || p.cold[lift.Replica] && !together())
+		held := is && (stale[lift.Replica] || p.cold.together && p.cold.replicas[lift.Replica] && !together())
 		sent := (adds >= 0 || !overdue) && !held && p.write(o, room, messages)
 		if l, is := o.(control.SetEndpoint); sent {
 			done = append(done, o)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -379,6 +379,26 @@
 	}
 }
 
+// The cold have to be let in together where much is lost and they can bear it: else they are not in, or the warm bear their part.
+func TestTheColdAreSparedTogetherWhereMuchIsLost(t *testing.T) {
+	for lost, together := range map[float64]bool{0.2: false, 0.8: true} {
+		g := at(10 * second)
+		g.OverloadMultiple = 4
+		p := planning(g)
+		for id := uint32(1); id <= 10; id++ {
+			o := offered(id, 0, false, control.Ready)
+			if o.tries, o.bad = 10, 0; id > 5 {
+				o.cold, o.able = true, 0.8
+			}
+			planning(g, o)
+		}
+		p.take(demand{lost: lost})
+		p.norms()
+		want(t, "together", p.coldest([]uint32{6}).together, together)
+		want(t, "lost, as the cold hear", mail[norm](g, parts+9)[0].lost, 0.0)
+	}
+}
+
 func TestASickColdOneBearsNothing(t *testing.T) {
 	r := met(at(100*second), 0, 0, 0)
 	r.entry.Start = r.now - second
@@ -411,8 +431,8 @@
 	}
 }
 
-// Who is let in by less weight than it should have is safe, so lines that rise come behind the lift, and only once it has gone:
-// the weights of the cold rise at each look, and their lines would leave no room for it.
+// Who is let in by less weight than it should have is safe, so lines that rise come behind the lift, and where the cold have to be let
+// in together only once it has gone: their weights rise at each look, and the lines would leave no room for it.
 func TestLinesThatRiseComeBehindTheLift(t *testing.T) {
 	g := at(0)
 	s := steering(g, map[line]float64{{0, 1}: 0.2, {1, 1}: 0.4}, map[line]float64{{0, 1}: 0.3, {1, 1}: 0.3, {2, 1}: 0.3}, map[uint32]bool{1: true})
@@ -424,7 +444,7 @@
 	for table := range 3 {
 		p.seat(table, table)
 	}
-	p.ejected[1] = true
+	p.ejected[1], p.cold.together = true, true
 	g.MaxMessages = 4
 	p.wrote[2] = []int64{0, 0, 0} // its line is held up, and the lift with it
 	p.step = step{4, s.orders(add)}
@@ -446,9 +466,9 @@
 	lifting := func() (*Governor, *pacer) {
 		g := at(0)
 		p := pacing(g, 10)
-		p.cold = coldSet{}
+		p.cold = coldSet{map[uint32]bool{}, true}
 		for id := range uint32(cold) {
-			p.cold[id], p.ejected[id] = true, true
+			p.cold.replicas[id], p.ejected[id] = true, true
 			p.step.orders = append(p.step.orders, control.SetEjected{Replica: id})
 		}
 		p.step.adds = cold
@@ -467,6 +487,11 @@
 	p.send()
 	want(t, "all once there is room", len(orders[control.SetEjected](g.out)), cold)
 	g, p = lifting()
+	g.ChannelLimit, p.cold.together = 450, false
+	p.under = []batch{{mark: 1, lines: 100, due: second}}
+	p.send()
+	want(t, "one by one while little is lost", len(orders[control.SetEjected](g.out)) > 0, true)
+	g, p = lifting()
 	g.ChannelLimit = 300
 	p.send()
 	some := len(orders[control.SetEjected](g.out))
--- a/brain/parts.go
+++ b/brain/parts.go
@@ -169,10 +169,10 @@
 
 // coldest are the replicas that are cold.
 func (p *planner) coldest(ids []uint32) coldSet {
-	all := coldSet{}
+	all := coldSet{map[uint32]bool{}, p.spared}
 	for _, id := range ids {
 		if p.offers[id].cold {
-			all[id] = true
+			all.replicas[id] = true
 		}
 	}
 	return all
@@ -187,7 +187,7 @@
 		}
 		line := p.laid[table][id]
 		weight += line
-		if !p.cold[id] {
+		if !p.cold.replicas[id] {
 			warm[id] = line
 			warmWeight += line
 		}
@@ -223,7 +223,7 @@
 // coldLifts are the commands of the open step that let cold replicas in.
 func (p *pacer) coldLifts() (lifts []control.Command) {
 	for _, o := range p.step.orders {
-		if lift, is := o.(control.SetEjected); is && !lift.Ejected && p.cold[lift.Replica] {
+		if lift, is := o.(control.SetEjected); is && !lift.Ejected && p.cold.replicas[lift.Replica] {
 			lifts = append(lifts, o)
 		}
 	}
--- a/brain/parts_test.go
+++ b/brain/parts_test.go
@@ -129,9 +129,9 @@
 // that sends more than it said, would push over a cold one that the whole table does not.
 func TestPartsAreOfTheWarmWhileTheyAreHalf(t *testing.T) {
 	_, p := crowded(20, 200, 0)
-	p.cold = coldSet{}
+	p.cold = coldSet{replicas: map[uint32]bool{}}
 	for id := range uint32(10) {
-		p.cold[id] = true
+		p.cold.replicas[id] = true
 	}
 	want(t, "the warm", len(p.partible(0)), 10)
 	p.ejected[15] = true
--- a/brain/types.go
+++ b/brain/types.go
@@ -33,8 +33,11 @@
 		lost         float64
 		flows, fresh map[int]float64 // in the last few seconds; the newest, as of so long
 	}
-	coldSet map[uint32]bool // planner to pacer: the replicas that are cold
-	step    struct {        // sequence to pacer: what the open step still has to send
+	coldSet struct { // planner to pacer: the replicas that are cold, and whether they must be let in together
+		replicas map[uint32]bool
+		together bool
+	}
+	step struct { // sequence to pacer: what the open step still has to send
 		adds   int // the first so many are additions
 		orders []control.Command
 	}
@@ -97,6 +100,7 @@
 	same   bool           // nothing has changed since the last draw
 	tables int            // how many, once the first list has come
 	demand demand         // of the last few seconds
+	spared bool           // the cold stay in though much is lost, as all of them together can bear it
 	laid   map[uint32]int // tables of an earlier governor, of so many
 	before int
 }
