Only as many messages to a proxy are spaced as the drain's grace asks for

Half of the messages, and three in four of those that are not urgent, were spaced whatever the grace, here by 1.1 s where 1.85 s are enough. Change: the number that is spaced follows from span, ways and half of what the grace leaves beside the way: 13 of 30 with 2 s, 6 of 20 with 4 s; all others go at any pace, urgent or not. With no grace known half are spaced, as before.

--- a/internal/channel/account.go
+++ b/internal/channel/account.go
@@ -22,9 +22,9 @@
 	slowest, usual, lostSpan = 24, 4, int64(30 * 1e9)
 	// So many marks fit into a channel that is full otherwise.
 	asks = 4
-	// Of the messages that one proxy may get within Span the first part goes at any pace, half of it what is not urgent; the
-	// rest is spaced evenly, so that what is urgent never waits for Span.
-	burstPart, normalBurstPart = 2, 4
+	// What is urgent and waits for its turn among a proxy's spaced messages waits no longer than this part of what the grace
+	// leaves beside the way; where no grace is known half of the messages are spaced.
+	spacingPart, spacedPart = 2, 2
 	// A message comes in pieces and enters the channel with its last one, so messages of different streams change places
 	// by more than the platform's longest way (0.26 s was too short in four plays of four). What has gone out so long
 	// before another that is answered has left; what was written a way before has so in all likelihood.
@@ -118,27 +118,36 @@
 	if a.Lines > 0 && a.waits+lines+a.Head > most {
 		return false
 	}
-	return a.Under(proxy, now) && a.paced(proxy, urgent, now)
+	return a.Under(proxy, now) && a.paced(proxy, now)
 }
 
-// spacing is the time between two messages to a proxy that has got its first ones of a span. The ones before count until
-// their answers are a span old, so it allows for the ways there and back. Without it a proxy that is told of each of many
-// changes by itself uses its cap up, and is told of no withdrawal until the first of its messages are a span old.
-func (a *Account) spacing() int64 {
-	return (a.Span + ways*a.Transit) / int64(a.Messages-a.Messages/burstPart)
+// spaced is how many of the messages that a proxy may get within Span are spaced: the last ones, as many as make their
+// spacing short enough.
+func (a *Account) spaced() int {
+	limit := (a.Grace - a.Transit) / spacingPart
+	if a.Grace == 0 {
+		return a.Messages - a.Messages/spacedPart
+	}
+	if limit <= 0 {
+		return a.Messages
+	}
+	return min(a.Messages, int((a.countedSpan()+limit-1)/limit))
 }
 
+// countedSpan is for how long a message counts: until its answer, after the ways there and back, is a span old.
+func (a *Account) countedSpan() int64 { return a.Span + ways*a.Transit }
+
+// spacing is the time between two messages to a proxy that has got its first ones of a span. Without it a proxy that is told of
+// each of many changes by itself uses its cap up, and is told of no withdrawal until the first of its messages are a span old.
+func (a *Account) spacing() int64 { return a.countedSpan() / int64(a.spaced()) }
+
 // paced says whether a message to a proxy may go now as far as its pace is concerned.
-func (a *Account) paced(proxy int, urgent bool, now int64) bool {
+func (a *Account) paced(proxy int, now int64) bool {
 	p := a.proxies[proxy]
 	if p == nil || a.Messages == 0 || len(p.wrote) == 0 {
 		return true
 	}
-	burst := a.Messages / normalBurstPart
-	if urgent {
-		burst = a.Messages / burstPart
-	}
-	return p.used() < burst || now-p.wrote[len(p.wrote)-1] >= a.spacing()
+	return p.used() < a.Messages-a.spaced() || now-p.wrote[len(p.wrote)-1] >= a.spacing()
 }
 
 // Under says whether a proxy stays under its cap with one more message.
