Sidecars report to the first of several collectors that works, and know a silent one

Need: docs/CAPACITY.md ranked first a zone's single collector, the last row without a mechanism: while its machine is away no governor hears of the zone. Options weighed in docs/sidecar.md (the collectors of a zone): all sidecars of a zone use the first that works, so that governors get no more messages than before; a probe behind each report, whose answer confirms it; the way back over a second connection that has to answer first; what is not confirmed is counted and not sent again. Change: internal/failover (pure) chooses the peer; steering.Reporter on top of it, its connections in a file of their own; collectors answer probes; the sidecar's file takes `collectors`. Tests: failures on sockets (ended, silent, full, back, all away, an earlier version's only one), the choice as a property; the three tests of the reporter before hold unchanged but for the field's name. Not measured in the whole product.

--- a/internal/sidecar/plan.go
+++ b/internal/sidecar/plan.go
@@ -24,7 +24,8 @@
 	Proxy                  int
 	H1, H2, Local          string // addresses; empty: not served
 	Governors              []string
-	Collector, Discovery   string
+	Collectors             []string // in the order in which they are preferred
+	Discovery              string
 	Replicas               map[string]forward.Listed // instead of discovery
 	Rules                  []Rule
 	Plan                   forward.Plan
@@ -93,6 +94,28 @@
 	}
 }
 
+// collectors reads one collector, or several in the order in which they are preferred.
+func (m *Manifest) collectors(top *form.Section) {
+	var one string
+	address(top, "collector", &one)
+	top.Words("collectors", &m.Collectors)
+	if one != "" && top.Has("collectors") {
+		top.Fault("collectors", "are given beside collector: give one of the two")
+	}
+	if one != "" {
+		m.Collectors = []string{one}
+		return
+	}
+	for k, c := range m.Collectors {
+		if _, port, err := net.SplitHostPort(c); err != nil || port == "" {
+			top.Fault("collectors", "entry %d is %.60q, want host:port", k, c)
+		}
+		if slices.Contains(m.Collectors[:k], c) {
+			top.Fault("collectors", "entry %d is %.60q, which stands before it already", k, c)
+		}
+	}
+}
+
 func (m *Manifest) identity(top *form.Section) {
 	top.Text("name", &m.Name)
 	top.Text("zone", &m.Zone)
@@ -124,7 +147,7 @@
 			top.Fault("governors", "entry %d is %.60q, want host:port", k, g)
 		}
 	}
-	address(top, "collector", &m.Collector)
+	m.collectors(top)
 	address(top, "discovery", &m.Discovery)
 	listed := top.Sections("replicas")
 	if m.Replicas = map[string]forward.Listed{}; len(listed) > 0 && m.Discovery != "" {
--- a/internal/sidecar/plan_test.go
+++ b/internal/sidecar/plan_test.go
@@ -34,6 +34,9 @@
 		{`"127.0.0.1:2"`, `"127.0.0.1:1"`, "listen.http2: is the address of http1 as well"},
 		{`listen: {http1: "127.0.0.1:1", http2: "127.0.0.1:2", local: "127.0.0.1:3"}`, "", "listen: serves nobody"},
 		{`["127.0.0.1:4"]`, "[x]", "governors: entry 0 is \"x\", want host:port"},
+		{`collector: "127.0.0.1:5"`, `collectors: ["127.0.0.1:5", "127.0.0.1"]`, "collectors: entry 1 is \"127.0.0.1\", want host:port"},
+		{`collector: "127.0.0.1:5"`, `collectors: ["127.0.0.1:5", "127.0.0.1:5"]`, "collectors: entry 1 is \"127.0.0.1:5\", which stands before it already"},
+		{`collector: "127.0.0.1:5"`, "collector: \"127.0.0.1:5\"\ncollectors: [\"127.0.0.1:7\"]", "collectors: are given beside collector: give one of the two"},
 		{`discovery: "127.0.0.1:6"`, "", "lacks discovery, or replicas"},
 		{`discovery: "127.0.0.1:6"`, "discovery: \"127.0.0.1:6\"\nreplicas: [{id: a, address: \"127.0.0.1:7\"}]", "replicas: are listed by discovery as well"},
 		{`discovery: "127.0.0.1:6"`, "replicas: [{id: a, address: \"127.0.0.1:7\"}, {id: a, address: \"127.0.0.1:8\"}]", "replicas[1]: wants an id of its own"},
@@ -60,6 +63,19 @@
 	}
 }
 
+func TestCollectorsAreReadInTheirOrder(t *testing.T) {
+	for line, want := range map[string]string{
+		`collector: "127.0.0.1:5"`:                   "127.0.0.1:5",
+		`collectors: ["127.0.0.1:9", "127.0.0.1:5"]`: "127.0.0.1:9 127.0.0.1:5",
+		"": "",
+	} {
+		m, err := Parse("s.yaml", []byte(strings.Replace(whole, `collector: "127.0.0.1:5"`, line, 1)))
+		if got := strings.Join(m.Collectors, " "); err != nil || got != want {
+			t.Errorf("%s: %q %v, want %q", line, got, err, want)
+		}
+	}
+}
+
 func TestTheFirstRuleThatFitsHolds(t *testing.T) {
 	m, err := Parse("s.yaml", []byte(whole))
 	if err != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -67,7 +67,7 @@
 	}
 	s.server = front.New(m.Bounds, s.relay.Serve, m.Classify(), log, s.record)
 	s.client = &steering.Client{Governors: m.Governors, ID: m.Proxy, Zone: m.Zone, Classes: names, Core: core{s}, Seed: m.Plan.Seed, Log: log}
-	s.teller = &steering.Reporter{Collector: m.Collector, Interval: m.Report, Sums: func() (all map[string]*forward.Sum) {
+	s.teller = &steering.Reporter{Collectors: m.Collectors, Interval: m.Report, Seed: m.Plan.Seed, Sums: func() (all map[string]*forward.Sum) {
 		s.relay.With(func(_ int64, d *forward.Desk) { all = d.Sums() })
 		return all
 	}}
@@ -157,7 +157,7 @@
 	}
 	s.log.Info("sidecar serves", "http1", m.H1, "http2", m.H2, "governors", m.Governors, "groups", len(m.Plan.Groups))
 	all.Go(func() { s.client.Run(talk) })
-	if m.Collector != "" {
+	if len(m.Collectors) > 0 {
 		all.Go(func() { s.teller.Run(talk) })
 	}
 	if m.Discovery != "" {
@@ -265,7 +265,8 @@
 		"in_hand": c.InHand.Load(), "bad_requests": c.BadRequests.Load(), "unclassified": c.Unclassified.Load(), "resets": c.Resets.Load(),
 		"floods": c.Floods.Load(), "stalls": c.Stalls.Load(), "lost": c.Lost.Load(), "panics": c.Panics.Load()}
 	f.Steering = map[string]int64{"dials": t.Dials.Load(), "streams": t.Streams.Load(), "broken": t.Broken.Load(), "pushes": t.Updates.Load(),
-		"marks": t.Acks.Load(), "unusable": t.Unusable.Load(), "demands": t.Demands.Load(), "sums_lost": s.teller.Lost.Load()}
+		"marks": t.Acks.Load(), "unusable": t.Unusable.Load(), "demands": t.Demands.Load(), "sums_lost": s.teller.Lost.Load(),
+		"sums_unconfirmed": s.teller.Unconfirmed.Load(), "collectors_given_up": s.teller.Failovers.Load()}
 	return f
 }
 
--- a/internal/steering/collector.go
+++ b/internal/steering/collector.go
@@ -87,6 +87,7 @@
 // readSidecar reads the reports of one sidecar until its connection ends, and returns why. A message that cannot be used is
 // skipped.
 func (c *Collector) readSidecar(conn net.Conn) error {
+	answers := &messageWriter{conn: conn, pool: c.pool}
 	for reader := resp.NewReader(conn, c.pool); ; {
 		conn.SetReadDeadline(time.Now().Add(sidecarTimeout))
 		words, err := reader.Next()
@@ -97,6 +98,12 @@
 		if err != nil {
 			return err
 		}
+		if len(words) == 1 && words[0] == "probe" { // all before it has been read
+			if err := answers.send("alive"); err != nil {
+				return err
+			}
+			continue
+		}
 		if err := c.receive(words); err != nil {
 			c.Skipped.Add(1)
 			c.Log.Debug("message skipped", "from", conn.RemoteAddr(), "error", err)
--- /dev/null
+++ b/internal/steering/collectors_test.go
@@ -0,0 +1,211 @@
+package steering
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lilacbend/internal/failover"
+	"lilacbend/internal/forward"
+	"lilacbend/internal/resp"
+	"lilacbend/lab/peers"
+)
+
+// reports runs a reporter, of one try at one replica for each interval, until the test ends or stops it.
+func reports(t *testing.T, interval time.Duration, collectors ...string) (r *Reporter, told *atomic.Int64, stop func()) {
+	told = &atomic.Int64{}
+	r = &Reporter{Collectors: collectors, Interval: interval, Sums: func() map[string]*forward.Sum {
+		told.Add(1)
+		return map[string]*forward.Sum{"b": {Tries: 1}}
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { r.Run(ctx); close(ended) }()
+	stop = func() { cancel(); <-ended }
+	t.Cleanup(stop)
+	return r, told, stop
+}
+
+// scripted serves a collector's connections: it counts tries, and answers probes while it is told to.
+type scripted struct {
+	*peers.Listener
+	tries   atomic.Int64
+	open    atomic.Int64
+	dials   atomic.Int64
+	answers atomic.Bool
+}
+
+func script(t *testing.T, l *peers.Listener, answers bool) *scripted {
+	s := &scripted{Listener: l}
+	s.answers.Store(answers)
+	pool := resp.NewPool(1 << 20)
+	l.Serve(func(conn net.Conn) {
+		s.dials.Add(1)
+		s.open.Add(1)
+		defer s.open.Add(-1)
+		w, done := &messageWriter{conn: conn, pool: pool}, make(chan struct{})
+		defer close(done)
+		for reader := resp.NewReader(conn, pool); ; {
+			words, err := reader.Next()
+			switch {
+			case err != nil:
+				return
+			case words[0] == "met":
+				n, _ := strconv.Atoi(words[4])
+				s.tries.Add(int64(n))
+			case words[0] == "probe":
+				go s.answer(w, done)
+			}
+		}
+	})
+	return s
+}
+
+// answer answers a probe once probes are answered, unless the connection ends before.
+func (s *scripted) answer(w *messageWriter, done <-chan struct{}) {
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for !s.answers.Load() {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+		}
+	}
+	w.send("alive")
+}
+
+// A zone's collector ends, as its process does when its machine goes on: the next one has the reports with the next interval, and
+// a governor hears of the zone again within a few intervals. Without a second one it never would.
+func TestTheNextCollectorTakesOver(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	governor := peers.Listen(t)
+	_, first, stop := collects(t, interval, governor)
+	one := governor.Take()
+	_, second, _ := collects(t, interval, governor)
+	two := governor.Take()
+	r, _, _ := reports(t, interval, first, second)
+	one.Hears("agent site a")
+	two.Hears("agent site a")
+	one.Hears("outcomes site a target b count ")
+	began := time.Now()
+	stop()
+	two.Hears("outcomes site a target b count ")
+	gap := time.Since(began)
+	t.Logf("%v after the end of the first a governor hears from the second, reports each %v", gap, interval)
+	if gap > 20*interval {
+		t.Errorf("%v without a report", gap)
+	}
+	if lost, unconfirmed := r.Lost.Load(), r.Unconfirmed.Load(); lost+unconfirmed > 3 {
+		t.Errorf("%d sums lost, %d not confirmed", lost, unconfirmed)
+	}
+}
+
+// A collector's machine vanishes, or its process stops, without a word: the kernel takes all that is written. It is given up once an
+// answer has been missing for the timeout, and what it was sent meanwhile is counted.
+func TestASilentCollectorIsGivenUp(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	first, second := script(t, peers.Listen(t), true), script(t, peers.Listen(t), true)
+	r, _, _ := reports(t, interval, first.At(), second.At())
+	peers.Until(t, "the first is not used", func() bool { return first.tries.Load() > 3 })
+	first.answers.Store(false)
+	began := time.Now()
+	peers.Until(t, "the second is not used", func() bool { return second.tries.Load() > 0 })
+	if took := time.Since(began); took < silenceTimeout || took > silenceTimeout+20*interval {
+		t.Errorf("given up after %v", took)
+	}
+	sent := int64(silenceTimeout / interval)
+	if unconfirmed := r.Unconfirmed.Load(); unconfirmed < sent/2 || unconfirmed > sent+5 {
+		t.Errorf("%d sums not confirmed, some %d were sent meanwhile", unconfirmed, sent)
+	}
+}
+
+// The preferred collector is back: once its absence is over and it has answered, it has the reports again, and until then
+// the other one has them all. One that takes connections and answers nothing does not get them.
+func TestReportsGoBackToThePreferredCollector(t *testing.T) {
+	const interval = 20 * time.Millisecond
+	l := peers.Listen(t)
+	address := l.At()
+	l.Close()
+	second := script(t, peers.Listen(t), true)
+	r, told, stop := reports(t, interval, address, second.At())
+	peers.Until(t, "the second is not used", func() bool { return second.tries.Load() > 3 })
+	first := script(t, peers.ListenOn(t, address), false)
+	peers.Until(t, "the first is not tried again", func() bool { return first.dials.Load() > 0 })
+	before := second.tries.Load()
+	peers.Until(t, "the second has no more", func() bool { return second.tries.Load() > before+10 })
+	if first.tries.Load() > 0 {
+		t.Error("the first has reports though it has answered nothing")
+	}
+	first.answers.Store(true)
+	peers.Until(t, "the first has no reports", func() bool { return first.tries.Load() > 3 })
+	peers.Until(t, "the connection to the second stays", func() bool { return second.open.Load() == 0 })
+	stop()
+	peers.Until(t, "a sum is nowhere", func() bool {
+		return first.tries.Load()+second.tries.Load()+r.Lost.Load() == told.Load()
+	})
+	if r.Lost.Load() > 1 {
+		t.Errorf("%d lost, one at the most as nobody was there at first", r.Lost.Load())
+	}
+}
+
+// A collector that takes no more connections closes them at once: its sidecars go to the next one, and do not dial it at each
+// interval.
+func TestACollectorThatIsFull(t *testing.T) {
+	const interval = 20 * time.Millisecond
+	full := peers.Listen(t)
+	var dials atomic.Int64
+	full.Serve(func(net.Conn) { dials.Add(1) })
+	second := script(t, peers.Listen(t), true)
+	reports(t, interval, full.At(), second.At())
+	peers.Until(t, "the second is not used", func() bool { return second.tries.Load() > 50 })
+	if n := dials.Load(); n > 3 {
+		t.Errorf("dialed %d times in %v", n, 50*interval)
+	}
+}
+
+// A collector of an earlier version answers no probe. Where it is the only one it is kept.
+func TestTheOnlyCollectorIsKeptThoughItAnswersNothing(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	only := script(t, peers.Listen(t), false)
+	r, told, stop := reports(t, interval, only.At())
+	peers.Until(t, "it is not used", func() bool { return told.Load() > int64((silenceTimeout+time.Second)/interval) })
+	stop()
+	if n := only.dials.Load(); n != 1 || r.Lost.Load() > 1 { // one as it is stopped
+		t.Errorf("%d connections, %d sums lost", n, r.Lost.Load())
+	}
+	peers.Until(t, "a sum is nowhere", func() bool { return only.tries.Load()+r.Lost.Load() == told.Load() })
+}
+
+// All collectors of a zone are away: each interval tries each once, and the first that is back has the reports.
+func TestAllCollectorsAreAway(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	one, two := peers.Free(t), peers.Free(t)
+	r, _, _ := reports(t, interval, one, two)
+	peers.Until(t, "nothing is lost", func() bool { return r.Lost.Load() > 5 })
+	back := script(t, peers.ListenOn(t, two), true)
+	began := time.Now()
+	peers.Until(t, "it is not found", func() bool { return back.tries.Load() > 0 })
+	if took := time.Since(began); took > failover.AbsenceInitial/2 {
+		t.Errorf("found after %v", took)
+	}
+}
+
+// A collector answers a probe once it has read all before it, and nothing else.
+func TestACollectorAnswersProbes(t *testing.T) {
+	c, at, _ := collects(t, time.Hour)
+	sidecar := peers.Dial(t, at)
+	sidecar.Say("met target b count 1 fail 0 mean 1", "met target b", "probe")
+	sidecar.Hears("alive")
+	if c.Received.Load() != 1 || c.Skipped.Load() != 1 {
+		t.Errorf("%d received, %d skipped", c.Received.Load(), c.Skipped.Load())
+	}
+	sidecar.Say("probe")
+	if text, _ := sidecar.Next(); strings.TrimSpace(text) != "alive" {
+		t.Errorf("%q", text)
+	}
+}
--- a/internal/steering/crossings_test.go
+++ b/internal/steering/crossings_test.go
@@ -213,7 +213,7 @@
 func TestACollectorIsStartedAgainBetweenTwoReports(t *testing.T) {
 	l := peers.Listen(t)
 	due, taken := make(chan int), atomic.Int64{}
-	teller := &Reporter{Collector: l.At(), Interval: 10 * time.Millisecond, Sums: func() map[string]*forward.Sum {
+	teller := &Reporter{Collectors: []string{l.At()}, Interval: 10 * time.Millisecond, Sums: func() map[string]*forward.Sum {
 		n, ok := <-due
 		if !ok {
 			return nil
@@ -248,7 +248,7 @@
 		sums[strings.Repeat("x", 100)+strconv.Itoa(k)] = &forward.Sum{Tries: 1}
 	}
 	calls := atomic.Int64{}
-	teller := &Reporter{Collector: l.At(), Interval: 10 * time.Millisecond, Sums: func() map[string]*forward.Sum { calls.Add(1); return sums }}
+	teller := &Reporter{Collectors: []string{l.At()}, Interval: 10 * time.Millisecond, Sums: func() map[string]*forward.Sum { calls.Add(1); return sums }}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { teller.Run(ctx); close(ended) }()
--- a/internal/steering/reporter.go
+++ b/internal/steering/reporter.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"lilacbend/internal/failover"
 	"lilacbend/internal/forward"
 	"lilacbend/internal/resp"
 )
@@ -16,28 +16,29 @@
 // reporterPoolSize bounds the buffers for long messages of a reporter, in bytes.
 const reporterPoolSize = 1 << 20
 
-// Reporter reports the outcomes of a sidecar's attempts to its zone's collector.
+// Reporter reports the outcomes of a sidecar's attempts to a collector of its zone: to the first that works, so that governors
+// hear of a zone from as few collectors as can be.
 type Reporter struct {
-	Collector string
-	Interval  time.Duration
-	Sums      func() map[string]*forward.Sum // since it was last called, by replica
-	Lost      atomic.Int64                   // sums that no collector took
+	Collectors  []string // in the order in which they are preferred
+	Interval    time.Duration
+	Sums        func() map[string]*forward.Sum // since it was last called, by replica
+	Seed        uint64
+	Lost        atomic.Int64 // sums that no collector took
+	Unconfirmed atomic.Int64 // sums that were sent on a connection that has ended since, and may have been lost with it
+	Failovers   atomic.Int64 // collectors given up
 
-	pool   *resp.Pool
-	writer *messageWriter           // nil: there is no connection
-	conn   atomic.Pointer[net.Conn] // the present connection, or the last one
+	pool     *resp.Pool
+	selector *failover.Selector
+	current  *collectorConn // nil: there is no connection
+	// candidate is a connection to a collector that is preferred to the current one. It takes over once it has answered.
+	candidate *collectorConn
 }
 
 // Run reports until ctx ends. The end does not wait for a collector that reads nothing.
 func (r *Reporter) Run(ctx context.Context) {
 	r.pool = resp.NewPool(reporterPoolSize)
+	r.selector = failover.New(r.Collectors, r.Seed)
 	defer r.disconnect()
-	stop := context.AfterFunc(ctx, func() {
-		if conn := r.conn.Load(); conn != nil {
-			(*conn).Close()
-		}
-	})
-	defer stop()
 	tick := time.NewTicker(r.Interval)
 	defer tick.Stop()
 	for {
@@ -50,56 +51,130 @@
 	}
 }
 
-// report sends the sums of one interval. There is one try to connect for each: the next sums are due soon.
+// report sends the sums of one interval. There is one round of tries to connect for each: the next sums are due soon.
 func (r *Reporter) report(ctx context.Context) {
 	sums := r.Sums()
-	if r.writer != nil && r.writer.peerClosed() { // it would take the first words without an error, and nobody would read them
-		r.disconnect()
-	}
-	if r.writer == nil {
+	r.dropUnusable()
+	r.considerCandidate(ctx)
+	if r.current == nil {
 		r.connect(ctx)
 	}
-	if r.writer == nil {
+	if r.current == nil {
 		r.Lost.Add(int64(len(sums)))
 		return
 	}
 	for sent, replica := range slices.Sorted(maps.Keys(sums)) {
-		if r.send(replica, sums[replica]) != nil {
+		if r.current.sendSum(replica, sums[replica]) != nil {
 			r.Lost.Add(int64(len(sums) - sent))
-			r.disconnect()
+			r.giveUp(time.Now())
 			return
 		}
 	}
+	if r.current.probe(len(sums)) != nil {
+		r.giveUp(time.Now())
+	}
+}
+
+// dropUnusable closes the current connection if its collector has ended it, or has not answered in time. A collector that had
+// answered and ended the connection has been restarted in all likelihood, and is the first to be tried again.
+func (r *Reporter) dropUnusable() {
+	if r.current == nil {
+		return
+	}
+	if r.current.confirmed() {
+		r.selector.Confirmed(r.current.address)
+	}
+	now := time.Now()
+	switch {
+	case r.current.ended() && r.current.confirmed():
+		r.disconnect()
+	case r.current.ended(), r.current.silent(now) && (r.current.confirmed() || len(r.Collectors) > 1):
+		r.giveUp(now)
+	}
 }
 
-// connect dials the collector; without success the writer stays nil.
+// giveUp closes the current connection and leaves its collector alone for a while.
+func (r *Reporter) giveUp(now time.Time) {
+	r.Failovers.Add(1)
+	r.selector.Failed(r.current.address, now.UnixNano())
+	r.disconnect()
+}
+
+// connect dials collectors, each once at the most, until one takes the connection; without success there is none.
 func (r *Reporter) connect(ctx context.Context) {
-	dialer := net.Dialer{Timeout: r.Interval}
-	conn, err := dialer.DialContext(ctx, "tcp", r.Collector)
+	for range r.Collectors {
+		address := r.selector.Next(time.Now().UnixNano())
+		conn, err := dialCollector(ctx, address, min(r.Interval, dialTimeout), r.pool)
+		if err == nil {
+			r.current = conn
+			return
+		}
+		r.selector.Failed(address, time.Now().UnixNano())
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// considerCandidate prepares the way back to a preferred collector, and takes it once that has answered: until then the reports
+// go on to the current one.
+func (r *Reporter) considerCandidate(ctx context.Context) {
+	now := time.Now()
+	switch {
+	case r.current == nil:
+		r.dropCandidate()
+	case r.candidate == nil:
+		r.dialCandidate(ctx, now)
+	case r.candidate.confirmed():
+		r.selector.Confirmed(r.candidate.address)
+		r.Unconfirmed.Add(int64(r.current.close()))
+		r.current, r.candidate = r.candidate, nil
+	case r.candidate.silent(now) || r.candidate.ended():
+		r.selector.Failed(r.candidate.address, now.UnixNano())
+		r.dropCandidate()
+	}
+}
+
+// dialCandidate connects to the preferred collector if that is not the current one, and asks it for an answer.
+func (r *Reporter) dialCandidate(ctx context.Context, now time.Time) {
+	address := r.selector.Next(now.UnixNano())
+	if address == r.current.address {
+		return
+	}
+	conn, err := dialCollector(ctx, address, min(r.Interval, dialTimeout), r.pool)
 	if err != nil {
+		r.selector.Failed(address, now.UnixNano())
 		return
 	}
-	r.writer = &messageWriter{conn: conn, pool: r.pool}
-	r.conn.Store(&conn)
-	if ctx.Err() != nil { // it ended as the connection came up
-		conn.Close()
+	r.candidate = conn
+	if conn.probe(0) != nil {
+		r.selector.Failed(address, now.UnixNano())
+		r.dropCandidate()
+	}
+}
+
+func (r *Reporter) dropCandidate() {
+	if r.candidate != nil {
+		r.candidate.close()
+		r.candidate = nil
 	}
 }
 
-// disconnect closes the present connection, if there is one.
+// disconnect closes all connections.
 func (r *Reporter) disconnect() {
-	if r.writer != nil {
-		r.writer.conn.Close()
-		r.writer = nil
+	r.dropCandidate()
+	if r.current != nil {
+		r.Unconfirmed.Add(int64(r.current.close()))
+		r.current = nil
 	}
 }
 
-// send sends the sum of one replica.
-func (r *Reporter) send(replica string, sum *forward.Sum) error {
+// sendSum sends the sum of one replica.
+func (c *collectorConn) sendSum(replica string, sum *forward.Sum) error {
 	mean := 0.0
 	if succeeded := sum.Tries - sum.Missed; succeeded > 0 {
 		mean = float64(sum.Answers) / float64(succeeded) / float64(time.Millisecond)
 	}
-	return r.writer.send("met", "target", replica, "count", strconv.Itoa(sum.Tries), "fail", strconv.Itoa(sum.Missed),
+	return c.writer.send("met", "target", replica, "count", strconv.Itoa(sum.Tries), "fail", strconv.Itoa(sum.Missed),
 		"mean", formatNumber(mean))
 }
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -244,7 +244,7 @@
 		}
 	}
 	for k := range 2 {
-		teller := &Reporter{Collector: l.Addr().String(), Interval: 20 * time.Millisecond, Sums: once(map[string]*forward.Sum{"b": {Tries: 10 + k, Missed: 1, Answers: int64(9+k) * 40e6}, "c": {Tries: 1, Missed: 1}})}
+		teller := &Reporter{Collectors: []string{l.Addr().String()}, Interval: 20 * time.Millisecond, Sums: once(map[string]*forward.Sum{"b": {Tries: 10 + k, Missed: 1, Answers: int64(9+k) * 40e6}, "c": {Tries: 1, Missed: 1}})}
 		go teller.Run(ctx)
 	}
 	g.hears(t, "outcomes site a target b count 21 fail 2 mean 40.000 over ")
--- a/internal/steering/writer.go
+++ b/internal/steering/writer.go
@@ -1,9 +1,7 @@
 package steering
 
 import (
-	"errors"
 	"net"
-	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -32,13 +30,6 @@
 	return err
 }
 
-// peerClosed says whether the other side, which sends nothing, has ended the connection.
-func (w *messageWriter) peerClosed() bool {
-	w.conn.SetReadDeadline(time.Now().Add(closedCheckTime))
-	_, err := w.conn.Read(make([]byte, 1))
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func formatNumber(v float64) string { return strconv.FormatFloat(v, 'f', 3, 64) }
