--- a/brain/brain.go
+++ b/brain/brain.go
@@ -15,39 +15,39 @@
 )
 
 const ( // tuned values: whatever a deployment states or shows is preferred to a figure here
-	second, beat                          = int64(1e9), int64(1e9) / 4 // the longest pause between two looks
-	proxiesTable, linesTable, turns       = 5, 5.0, 10007              // least of a table; mixes the guests
-	entryShare, entrySpan                 = 0.5, 5 * second            // of a new replica's weight, how long
-	ordinaryPart, urgentPart, changeWorth = 0.4, 0.85, 0.15            // of the channel's limit; a change sent
-	ordinaryMsgs, addMsgs, urgentMsgs     = 0.5, 0.75, 0.95            // of a proxy's message cap
-	stepTimeout, lostSpan, forgetSpan     = 2 * second, 30 * second, 60 * second
-	recent, samplesKept                   = 4 * second, 32       // older samples are not judged, more not kept
-	settleSpan, firstSteps                = 4 * second, 8        // a weight follows in this, sooner if new
-	kindSpread, shrink, slowest           = 2, 8.0, 1.0 / 16     // calm kinds; prior and least of a weight
-	idleFirst, idleLast, firstSamples     = 0.85, 0.6, 15.0      // idle part of the calm, at first and later
-	drain, drainMost, lateMost            = 0.1, 5.0, 2.5        // full queues cost weight; overload is late
-	coldSpare, coldLost                   = 1.0 / 3, 0.3         // of a fall's multiple; flows lost: no cold
-	sickTries, trialTries, sickPart       = 5, 3, 0.5            // for a verdict: tries, part missed more
-	lostBad, fewGood, sickMost            = 0.4, 0.2, 0.75       // no verdicts; good left; so many are out
-	restSpan, mostRelapses, slowAnswer    = 3 * second, 2, 2.0   // rests of the sick; so much later is slow
-	spareGuest, spareIdler, deadPart      = 1.1, 1.35, 0.65      // over its own, or so few serve: guests come
-	strained, missedMost, mostPart        = 0.75, 0.15, 0.75     // overload: answers, misses, of most replicas
-	missedOnce, shareSteps, guestSteps    = 0.08, 20, 10         // one try only; steps of levels and guests
-	lineFirst, lineDown, lineUp           = 0.9, 0.9, 0.01       // the line: first of the served, later, up
-	demandSpan, priorSpan, surge          = 8 * second, 4.0, 1.5 // flows of a proxy; a sudden rise
-	faithMost, faithLeft                  = 16.0, 0.5            // tries that a memory counts for; left by a sum
-	doubtPart, doubtMost                  = 0.125, 0.4           // weight of who was sick; of more, none is
-	sharedPart, firstPart, restPart       = 0.375, 0.375, 0.25   // of what the channel sends in a drain's grace
-	firstLeast, keptLeast                 = 3, 0.5               // lines of a part, of which all are restored; less is renewed
+	second, beat                            = int64(1e9), int64(1e9) / 4 // the longest pause between two looks
+	proxiesTable, linesTable, turns         = 5, 5.0, 10007              // least of a table; mixes the guests
+	entryShare, entrySpan                   = 0.5, 5 * second            // of a new replica's weight, how long
+	ordinaryPart, urgentPart, changeWorth   = 0.4, 0.85, 0.15            // of the channel's limit; a change sent
+	ordinaryMsgs, addMsgs, urgentMsgs       = 0.5, 0.75, 0.95            // of a proxy's message cap
+	stepTimeout, lostSpan, forgetSpan       = 2 * second, 30 * second, 60 * second
+	recent, samplesKept                     = 4 * second, 32       // older samples are not judged, more not kept
+	settleSpan, firstSteps                  = 4 * second, 8        // a weight follows in this, sooner if new
+	kindSpread, shrink, slowest             = 2, 8.0, 1.0 / 16     // calm kinds; prior and least of a weight
+	idleFirst, idleLast, firstSamples       = 0.85, 0.6, 15.0      // idle part of the calm, at first and later
+	drain, drainMost, lateMost              = 0.1, 5.0, 2.5        // full queues cost weight; overload is late
+	coldSpare, coldLost                     = 1.0 / 3, 0.3         // of a fall's multiple; flows lost: no cold
+	sickTries, probationTries, sickPart     = 5, 3, 0.5            // for a verdict: tries, part missed more
+	lostBad, fewGood, sickMost              = 0.4, 0.2, 0.75       // no verdicts; good left; so many are out
+	ejectionSpan, mostEjections, slowAnswer = 3 * second, 2, 2.0   // rests of the sick; so much later is slow
+	spareGuest, spareIdler, deadPart        = 1.1, 1.35, 0.65      // over its own, or so few serve: guests come
+	strained, missedMost, mostPart          = 0.75, 0.15, 0.75     // overload: answers, misses, of most replicas
+	missedOnce, shareSteps, guestSteps      = 0.08, 20, 10         // one try only; steps of levels and guests
+	lineFirst, lineDown, lineUp             = 0.9, 0.9, 0.01       // the line: first of the served, later, up
+	demandSpan, priorSpan, surge            = 8 * second, 4.0, 1.5 // flows of a proxy; a sudden rise
+	confidenceMost, confidenceLeft          = 16.0, 0.5            // tries that a memory counts for; left by a sum
+	penaltyPart, penaltyMost                = 0.125, 0.4           // weight of who was sick; of more, none is
+	sharedPart, firstPart, restPart         = 0.375, 0.375, 0.25   // of what the channel sends in a drain's grace
+	firstLeast, keptLeast                   = 3, 0.5               // lines of a part, of which all are restored; less is renewed
 )
 
 var spares = [...]float64{spareGuest, spareGuest, spareIdler} // by control.Pick
 
-func (d *desk) pause() int64 { return max(1, min(d.ReportInterval/2, beat)) }
+func (d *sharedState) pause() int64 { return max(1, min(d.ReportInterval/2, beat)) }
 
-func (d *desk) rows(tables int) int { return min(max(1, d.Zones), tables) }
+func (d *sharedState) rows(tables int) int { return min(max(1, d.Zones), tables) }
 
-func (d *desk) least(zone int, held []float64) int {
+func (d *sharedState) least(zone int, held []float64) int {
 	row := d.rows(len(held))
 	best := zone % row
 	for table := best; table < len(held); table += row {
@@ -64,13 +64,13 @@
 	switch n := n.(type) {
 	case control.Entry:
 		if n.Start != r.entry.Start && n.State == control.Ready {
-			r.met, r.resting, r.trial, r.relapse, r.heard, r.faith, r.evidence, r.doubt = nil, 0, 0, 0, r.now, 0, 0, 0
+			r.met, r.ejectedUntil, r.trial, r.ejections, r.heard, r.confidence, r.sampleCount, r.penalty = nil, 0, 0, 0, r.now, 0, 0, 0
 		}
 		r.entry = n
 	case control.Outcomes:
 		answer := float64(n.ResponseTime) / float64(second)
 		r.met = newest(samplesKept, append(r.met, sample{r.now, float64(n.Attempts), float64(n.Failures), answer}))
-		r.faith, r.evidence, r.proof = r.faith*faithLeft, math.Min(faithMost, r.evidence+float64(n.Attempts)), r.now
+		r.confidence, r.sampleCount, r.lastSample = r.confidence*confidenceLeft, math.Min(confidenceMost, r.sampleCount+float64(n.Attempts)), r.now
 		return
 	case control.ReplicaRestored:
 		r.recall(n)
@@ -81,25 +81,25 @@
 	tries, bad, answer := r.lately()
 	size := math.Max(r.entry.Weight, 1e-6) * r.warmth()
 	// The cold wait for the first word of the fleet: a line laid before it, in a collapse, draws all repeats.
-	sick := r.resting > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
+	sick := r.ejectedUntil > 0 || r.cold() && (r.judged == 0 || r.fleet.lost > coldLost)
 	r.post(thePlanner, offer{r.entry, r.box, size * r.speed, size * r.fleet.goal, r.ticket, tries, bad, answer,
-		r.prior, r.faith, r.doubt, r.able(), r.cold(), sick, r.trial > 0 && r.doubt == 0})
+		r.prior, r.confidence, r.penalty, r.able(), r.cold(), sick, r.trial > 0 && r.penalty == 0})
 }
 
 // recall believes what an earlier governor knew as far as its age leaves it; first sums overrule its speed.
 // The sick are on trial with little weight: withdrawn, they harm for longer where they have healed.
 func (r *replica) recall(n control.ReplicaRestored) {
-	r.ticket, r.evidence, r.proof = cmp.Or(n.Ticket, r.ticket), n.Weight*n.SampleCount, r.now-n.Age
-	r.prior, r.faith = math.Pow(n.Speed, n.Weight), n.Weight*math.Min(n.SampleCount, faithMost)
+	r.ticket, r.sampleCount, r.lastSample = cmp.Or(n.Ticket, r.ticket), n.Weight*n.SampleCount, r.now-n.Age
+	r.prior, r.confidence = math.Pow(n.Speed, n.Weight), n.Weight*math.Min(n.SampleCount, confidenceMost)
 	r.speed, r.fleet.goal = r.prior, r.prior
-	r.relapse = int(math.Round(n.Weight * float64(n.Ejections)))
+	r.ejections = int(math.Round(n.Weight * float64(n.Ejections)))
 	if n.EjectedFor > 0 || n.Probation {
-		r.trial, r.doubt = r.now, 1-math.Pow(doubtPart, n.Weight) // it was shut out: no sums of before come late
-		r.say("replica %d remembered as sick: on trial with %.2f of its weight", r.entry.Replica, 1-r.doubt)
+		r.trial, r.penalty = r.now, 1-math.Pow(penaltyPart, n.Weight) // it was shut out: no sums of before come late
+		r.say("replica %d remembered as sick: on trial with %.2f of its weight", r.entry.Replica, 1-r.penalty)
 	}
 }
 
-// judge moves the replica between well, resting and on trial. Silent, failing, cut-off ones miss most tries
+// judge moves the replica between well, ejected and on trial. Silent, failing, cut-off ones miss most tries
 // and give few good answers; who gives its share is busy. It harms where tries miss by chance.
 func (r *replica) judge() {
 	tries, bad, answer := r.lately()
@@ -107,20 +107,20 @@
 	r.speed *= math.Pow(r.fleet.goal/r.speed, math.Min(1, float64(r.now-r.judged)/float64(span)))
 	r.judged = r.now
 	switch {
-	case r.resting > r.now:
-	case r.resting > 0:
-		r.resting, r.trial = 0, r.now+r.ReportInterval // sums of before the trial come late
-		r.say("replica %d on trial after rest %d", r.entry.Replica, r.relapse)
-	case r.fleet.bad > lostBad && r.doubt == 0 || r.trial > 0 && tries < trialTries,
+	case r.ejectedUntil > r.now:
+	case r.ejectedUntil > 0:
+		r.ejectedUntil, r.trial = 0, r.now+r.ReportInterval // sums of before the trial come late
+		r.say("replica %d on trial after rest %d", r.entry.Replica, r.ejections)
+	case r.fleet.bad > lostBad && r.penalty == 0 || r.trial > 0 && tries < probationTries,
 		tries < sickTries && r.trial == 0:
 	case bad/math.Max(1, tries) > r.fleet.bad+sickPart*(1-r.fleet.bad) &&
 		(r.trial > 0 || tries-bad < fewGood*r.fleet.good && answer < r.fleet.late):
-		rest := restSpan << min(r.relapse, mostRelapses)
-		r.resting, r.trial, r.relapse, r.met, r.doubt = r.now+rest, 0, r.relapse+1, nil, 0
+		rest := ejectionSpan << min(r.ejections, mostEjections)
+		r.ejectedUntil, r.trial, r.ejections, r.met, r.penalty = r.now+rest, 0, r.ejections+1, nil, 0
 		r.say("replica %d sick: %.0f of %.0f missed, fleet %.2f, rests %ds", r.entry.Replica, bad, tries,
 			r.fleet.bad, rest/second)
 	case r.trial > 0:
-		r.trial, r.doubt = 0, 0
+		r.trial, r.penalty = 0, 0
 		r.say("replica %d well again: %.0f of %.0f missed", r.entry.Replica, bad, tries)
 	}
 }
@@ -129,7 +129,7 @@
 
 // able is the part of its usual work that a cold replica surely can do: as at the slowest warming.
 func (r *replica) able() float64 {
-	if r.resting > 0 {
+	if r.ejectedUntil > 0 {
 		return 0
 	}
 	return r.SlowStartShare + (1-r.SlowStartShare)*float64(max(0, r.now-r.entry.Start))/float64(max(1, r.SlowStartTime))
@@ -164,7 +164,7 @@
 		delete(p.offers, n.id)
 		delete(p.own, n.id)
 		delete(p.laid, n.id)
-	case chair:
+	case binding:
 		p.enter(n)
 	case control.ReplicaRestored:
 		p.laid[n.Replica] = n.Table
@@ -257,12 +257,12 @@
 			}
 			n.goal = math.Max(slowest*kind, n.goal)
 		}
-		if o.faith > 0 { // what is remembered counts beside what is seen
+		if o.confidence > 0 { // what is remembered counts beside what is seen
 			seen := good
 			if k.able > 0 {
 				seen += shrink
 			}
-			n.goal = (n.goal*seen + o.prior*o.faith) / (seen + o.faith)
+			n.goal = (n.goal*seen + o.prior*o.confidence) / (seen + o.confidence)
 		}
 		p.post(o.box, n)
 	}
@@ -288,19 +288,19 @@
 	slices.SortStableFunc(ids, tickets) // where a table has no room for all of its own
 	tables, row, total, all := p.tables, p.rows(p.tables), 1e-9, 1e-9
 	t := target{map[line]float64{}, p.shutOut(ids, row)}
-	need, home, serves, doubts := make([]float64, tables), make([]float64, tables), make([]float64, tables), 0.0
+	need, home, serves, penalized := make([]float64, tables), make([]float64, tables), make([]float64, tables), 0.0
 	for _, id := range ids {
 		if o := p.offers[id]; o.State == control.Ready {
 			if home[p.own[id]] += o.size; !t.out[id] {
 				serves[p.own[id]] += o.size
 			}
-			if o.doubt > 0 {
-				doubts++
+			if o.penalty > 0 {
+				penalized++
 			}
 		}
 	}
-	doubted := doubts < doubtMost*float64(len(ids)) // that most were sick tells of what has passed, or of us
-	for table := range home {                       // a few sick are their zones' trouble; when most are, guests must come
+	penaltiesHold := penalized < penaltyMost*float64(len(ids)) // that most were sick tells of what has passed, or of us
+	for table := range home {                                  // a few sick are their zones' trouble; when most are, guests must come
 		if serves[table]*spares[p.Pick] < deadPart*home[table] {
 			home[table] = serves[table]
 		}
@@ -319,8 +319,8 @@
 	seats, drawn := make([]int, tables), make([]int, tables) // who serves its proxies; its lines
 	lay := func(table int, id uint32, part float64) {
 		w := part * p.offers[id].weight
-		if doubted {
-			w *= 1 - p.offers[id].doubt
+		if penaltiesHold {
+			w *= 1 - p.offers[id].penalty
 		}
 		if p.offers[id].State == control.Ready && w > 0 && drawn[table] < size {
 			if drawn[table]++; t.out[id] { // who is withdrawn takes no guest's room
@@ -458,7 +458,7 @@
 			n.Rate += (came - n.Rate) * r.past.Weight
 		}
 		r.drop(n.Proxy)
-		r.here[n.Proxy] = &chair{n, r.now, -1}
+		r.here[n.Proxy] = &binding{n, r.now, -1}
 		r.loose++
 	case control.FleetRestored:
 		r.remember(n)
@@ -491,7 +491,7 @@
 		l.came = append(l.came, sums{n, l.now})
 	case control.FleetRestored:
 		l.past, l.since, l.judged, l.served = n, l.now, l.now, append(l.served, n.Weight*n.MaxSuccessRate)
-		l.once, l.turned = n.RetriesStopped && n.Weight >= faithLeft, l.now
+		l.once, l.turned = n.RetriesStopped && n.Weight >= confidenceLeft, l.now
 	case fleet:
 		flows, by, fresh, all, missed := l.sums()
 		if l.now-l.since < recent { // the first sums tell of few of the flows
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -19,7 +19,7 @@
 			{Utility: 3, LatencyBudget: second, Effect: control.NonRetriable}}}
 }
 
-// at gives a governor whose clock stands there; its parts are the boxes' parts.
+// at gives a governor whose clock stands there; its parts are the queues' parts.
 func at(now int64) *Governor {
 	g := New(provision())
 	g.now = now
@@ -34,8 +34,8 @@
 	return es
 }
 
-// mail takes what was put into an inbox.
-func mail[T any](g *Governor, box int) []T { return some[T](g.boxes[box].mail) }
+// mail takes what was put into a queue.
+func mail[T any](g *Governor, box int) []T { return some[T](g.queues[box].mail) }
 
 func orders[T any](all []control.Command) []T { return some[T](all) }
 
@@ -56,7 +56,7 @@
 }
 
 func met(g *Governor, tries, bad, answer float64) *replica {
-	r := &replica{desk: &g.desk, box: parts, entry: control.Entry{Replica: 9, Weight: 1}, speed: 1}
+	r := &replica{sharedState: &g.sharedState, box: parts, entry: control.Entry{Replica: 9, Weight: 1}, speed: 1}
 	r.fleet = norm{late: 0.4, good: 20, goal: 1}
 	r.met = []sample{{g.now, tries, bad, answer}}
 	return r
@@ -80,34 +80,34 @@
 		r := met(at(100*second), c.tries, c.bad, c.answer)
 		r.fleet.bad = c.fleet
 		r.judge()
-		want(t, c.name, r.resting > r.now, c.rests)
+		want(t, c.name, r.ejectedUntil > r.now, c.rests)
 	}
 }
 
 func TestTrialEndsOrRelapses(t *testing.T) {
 	r := met(at(100*second), 10, 10, 0)
 	r.judge()
-	first := r.resting - r.now
-	r.now = r.resting
+	first := r.ejectedUntil - r.now
+	r.now = r.ejectedUntil
 	r.judge()
 	want(t, "on trial", r.trial, r.now+r.ReportInterval)
 	r.now += 2 * second
-	r.met = []sample{{r.now, trialTries, trialTries, 0}}
+	r.met = []sample{{r.now, probationTries, probationTries, 0}}
 	r.judge()
-	want(t, "longer rest at a relapse", r.resting-r.now, 2*first)
-	r.now = r.resting
+	want(t, "longer rest at a ejections", r.ejectedUntil-r.now, 2*first)
+	r.now = r.ejectedUntil
 	r.judge()
 	r.now += 2 * second
-	r.met = []sample{{r.now, trialTries, 0, 0.2}}
+	r.met = []sample{{r.now, probationTries, 0, 0.2}}
 	r.judge()
-	want(t, "well again", r.trial == 0 && r.resting == 0, true)
+	want(t, "well again", r.trial == 0 && r.ejectedUntil == 0, true)
 }
 
 func TestOldSamplesAreNotJudged(t *testing.T) {
 	r := met(at(100*second), 10, 10, 0)
 	r.now += recent
 	r.judge()
-	want(t, "rests", r.resting > 0, false)
+	want(t, "rests", r.ejectedUntil > 0, false)
 }
 
 func TestWarmthStaysInTheColdBudget(t *testing.T) {
@@ -171,12 +171,12 @@
 	r := met(at(100*second), 0, 0, 0)
 	r.entry.Start = r.now - second
 	r.take(norm{goal: 1, lost: 2 * coldLost})
-	want(t, "out", mail[offer](&Governor{desk: *r.desk}, thePlanner)[0].sick, true)
+	want(t, "out", mail[offer](&Governor{sharedState: *r.sharedState}, thePlanner)[0].sick, true)
 }
 
 func TestColdWaitsForTheFirstWordOfTheFleet(t *testing.T) {
 	g := at(100 * second)
-	r := &replica{desk: &g.desk, box: parts, speed: 1}
+	r := &replica{sharedState: &g.sharedState, box: parts, speed: 1}
 	r.take(control.Entry{Replica: 9, Weight: 1, Start: 99 * second})
 	want(t, "out", mail[offer](g, thePlanner)[0].sick, true)
 	r.take(norm{goal: 1})
@@ -189,7 +189,7 @@
 	e := r.entry
 	e.Start = r.now - second
 	r.take(e)
-	want(t, "rests", r.resting, int64(0))
+	want(t, "rests", r.ejectedUntil, int64(0))
 	want(t, "cold", r.cold(), true)
 }
 
@@ -200,10 +200,10 @@
 }
 
 func planning(g *Governor, offers ...offer) *planner {
-	p := g.boxes[thePlanner].part.(*planner)
+	p := g.queues[thePlanner].part.(*planner)
 	for _, o := range offers {
-		o.box = len(g.boxes)
-		p.offers[o.Replica], g.boxes = o, append(g.boxes, &inbox{})
+		o.box = len(g.queues)
+		p.offers[o.Replica], g.queues = o, append(g.queues, &queue{})
 	}
 	return p
 }
@@ -230,7 +230,7 @@
 	g := at(0)
 	g.Proxies = 12
 	p := planning(g, offered(1, 0, false, control.Ready), offered(2, 1, false, control.Gone))
-	p.enter(chair{control.StreamOpened{Proxy: 3, Zone: 1, Rate: 5}, 0, 1})
+	p.enter(binding{control.StreamOpened{Proxy: 3, Zone: 1, Rate: 5}, 0, 1})
 	p.redraw()
 	lines := mail[target](g, theSequence)[0].lines
 	want(t, "guest", lines[line{1, 1}] > 0, true)
@@ -239,7 +239,7 @@
 	p = planning(at(0), offered(1, 0, false, control.Ready), offered(2, 0, false, control.Gone))
 	p.tables, p.own = 4, map[uint32]int{1: 0, 2: 2}
 	p.redraw()
-	want(t, "to a sister", mail[[]int](&Governor{desk: *p.desk}, theRoll)[0][2], 0)
+	want(t, "to a sister", mail[[]int](&Governor{sharedState: *p.sharedState}, theRoll)[0][2], 0)
 }
 
 // A governor among hundreds has a few proxies, one table, and all replicas as its own: a table of them all would cost more
@@ -280,7 +280,7 @@
 	g.Proxies = 12
 	p := planning(g, offered(1, 0, false, control.Ready), offered(2, 1, true, control.Ready),
 		offered(4, 0, false, control.Ready), offered(5, 0, false, control.Ready))
-	p.enter(chair{control.StreamOpened{Proxy: 3, Zone: 1, Rate: 5}, 0, 1})
+	p.enter(binding{control.StreamOpened{Proxy: 3, Zone: 1, Rate: 5}, 0, 1})
 	p.redraw()
 	lines := mail[target](g, theSequence)[0].lines
 	want(t, "some serve", lines[line{1, 1}]+lines[line{1, 4}]+lines[line{1, 5}] > 0, true)
@@ -314,7 +314,7 @@
 	cold := offered(1, 0, false, control.Ready)
 	cold.cold = true
 	p := planning(at(0), cold, offered(2, 0, false, control.Ready))
-	p.enter(chair{control.StreamOpened{Proxy: 7}, 0, 0})
+	p.enter(binding{control.StreamOpened{Proxy: 7}, 0, 0})
 	p.demand = demand{flows: map[int]float64{7: 100}, fresh: map[int]float64{7: 120}}
 	want(t, "as ever", len(p.shutOut([]uint32{1, 2}, 1)), 0)
 	p.demand.fresh[7] = 200
@@ -323,7 +323,7 @@
 }
 
 func steering(g *Governor, laid, wanted map[line]float64, out map[uint32]bool) *sequence {
-	s := g.boxes[theSequence].part.(*sequence)
+	s := g.queues[theSequence].part.(*sequence)
 	s.laid, s.want, s.out = laid, target{wanted, map[uint32]bool{}}, out
 	return s
 }
@@ -403,7 +403,7 @@
 	r := met(at(100*second), 0, 0, 0)
 	r.entry.Start = r.now - second
 	want(t, "well", r.able() > 0, true)
-	r.resting = r.now + second
+	r.ejectedUntil = r.now + second
 	want(t, "silent", r.able(), 0.0)
 }
 
@@ -415,7 +415,7 @@
 	want(t, "all of its lines that differ go with it, those it has to lose too", fmt.Sprint(orders), fmt.Sprint([]control.Command{
 		control.SetEndpoint{Table: 1, Replica: 1}, control.SetEndpoint{Table: 0, Replica: 1, Weight: 0.2},
 		control.SetEndpoint{Table: 2, Replica: 1, Weight: 0.2}, control.SetEjected{Replica: 1}}))
-	p := g.boxes[thePacer].part.(*pacer)
+	p := g.queues[thePacer].part.(*pacer)
 	for proxy := range 2 {
 		p.seat(proxy, proxy)
 		p.laid[proxy] = map[uint32]float64{1: 1}
@@ -439,7 +439,7 @@
 	wanted := []control.Command{control.SetEndpoint{Table: 2, Replica: 1, Weight: 0.3}, control.SetEndpoint{Table: 1, Replica: 1, Weight: 0.3},
 		control.SetEjected{Replica: 1}, control.SetEndpoint{Table: 0, Replica: 1, Weight: 0.3}}
 	want(t, "order", fmt.Sprint(s.orders(add)), fmt.Sprint(wanted))
-	p := g.boxes[thePacer].part.(*pacer)
+	p := g.queues[thePacer].part.(*pacer)
 	p.laid = map[int]map[uint32]float64{0: {1: 0.2}, 1: {1: 0.4}, 2: {}}
 	for table := range 3 {
 		p.seat(table, table)
@@ -528,7 +528,7 @@
 
 func TestNothingWaitsForAProxyThatLeft(t *testing.T) {
 	g := at(0)
-	r := g.boxes[theRoll].part.(*roll)
+	r := g.queues[theRoll].part.(*roll)
 	r.take(marked{mark: 70000, proxies: []int{1, 2}})
 	r.take(control.Ack{Proxy: 1, Nonce: 70000 & marksMask})
 	want(t, "still open", len(mail[caught](g, theSequence)), 0)
@@ -541,7 +541,7 @@
 func TestLeavingClearsNothingFromTheChannel(t *testing.T) {
 	g := at(0)
 	g.ChannelLimit, g.ChannelRate = 49200, 1200
-	r, p := g.boxes[theRoll].part.(*roll), pacing(g, 1)
+	r, p := g.queues[theRoll].part.(*roll), pacing(g, 1)
 	p.under = []batch{{mark: 1, lines: 20000, due: 17 * second}, {mark: 2, lines: 20000, due: 34 * second}}
 	for mark := uint64(1); mark <= 2; mark++ {
 		r.take(marked{mark: mark, proxies: []int{int(mark)}})
@@ -588,7 +588,7 @@
 }
 
 func pacing(g *Governor, proxies int) *pacer {
-	p := g.boxes[thePacer].part.(*pacer)
+	p := g.queues[thePacer].part.(*pacer)
 	for proxy := range proxies {
 		p.seat(proxy, 0)
 	}
@@ -688,7 +688,7 @@
 }
 
 func levelling(g *Governor) *levels {
-	l := g.boxes[theLevels].part.(*levels)
+	l := g.queues[theLevels].part.(*levels)
 	l.take(control.Demand{Class: 0, Requests: 200})
 	l.take(control.Demand{Class: 1, Requests: 200})
 	return l
@@ -845,7 +845,7 @@
 	}
 	want(t, "known", len(g.replicas), 2)
 	g.Turn(4*second+forgetSpan, []control.Event{control.ReplicasListed{Entries: []control.Entry{{Replica: 9}}}})
-	want(t, "its inbox serves another", len(g.boxes), parts+3)
+	want(t, "its queue serves another", len(g.queues), parts+3)
 }
 
 func TestALateWithdrawalDoesNotUndoALift(t *testing.T) {
@@ -858,7 +858,7 @@
 }
 
 func TestNoFurtherTryThatCouldActTwice(t *testing.T) {
-	l := at(0).boxes[theLevels].part.(*levels)
+	l := at(0).queues[theLevels].part.(*levels)
 	l.DefaultRetries, l.AttemptTimeoutFactor = control.RetryTwice, 1
 	for _, c := range []struct {
 		group control.TrafficClass
@@ -900,7 +900,7 @@
 func TestTheMessageCapOutlivesAStream(t *testing.T) {
 	g := at(20 * second)
 	g.MaxMessages, g.MessageWindow = 10, 10*second
-	p := g.boxes[thePacer].part.(*pacer)
+	p := g.queues[thePacer].part.(*pacer)
 	p.take(control.StreamOpened{Proxy: 0})
 	p.wrote[0] = []int64{11 * second, 12 * second, 13 * second, 14 * second, 15 * second, 16 * second, 17 * second, 18 * second, 19 * second}
 	p.laid[0] = map[uint32]float64{9: 1}
--- a/brain/keep.go
+++ b/brain/keep.go
@@ -12,7 +12,7 @@
 
 // learned answers control.SnapshotRequested.
 func (g *Governor) learned() control.Snapshot {
-	p, r, l := g.boxes[thePlanner].part.(*planner), g.boxes[theRoll].part.(*roll), g.boxes[theLevels].part.(*levels)
+	p, r, l := g.queues[thePlanner].part.(*planner), g.queues[theRoll].part.(*roll), g.queues[theLevels].part.(*levels)
 	var all control.Snapshot
 	for _, id := range sorted(g.replicas) {
 		r := g.replicas[id]
@@ -21,7 +21,7 @@
 			table = p.laid[id]
 		}
 		all.Replicas = append(all.Replicas, control.LearnedReplica{Replica: id, Table: table, Ticket: r.ticket, Speed: r.speed,
-			SampleCount: r.evidence, EjectedFor: max(0, r.resting-g.now), Probation: r.trial > 0, Ejections: r.relapse, SinceLastSample: max(0, g.now-r.proof)})
+			SampleCount: r.sampleCount, EjectedFor: max(0, r.ejectedUntil-g.now), Probation: r.trial > 0, Ejections: r.ejections, SinceLastSample: max(0, g.now-r.lastSample)})
 	}
 	all.Tables, all.AdmissionThreshold, all.RetriesStopped = p.tables, 1, l.once
 	all.UsualResponseTimes = make([][]float64, g.Kinds+1)
--- a/brain/keep_test.go
+++ b/brain/keep_test.go
@@ -28,8 +28,8 @@
 func TestARememberedSpeedShrinksWithItsAge(t *testing.T) {
 	for _, c := range []struct{ speed, weight, want float64 }{{0.25, 1, 0.25}, {0.25, 0.5, 0.5}, {0.25, 0.01, 0.986}, {4, 0.5, 2}} {
 		g, _ := told(entries(4), control.LearnedFleet{AdmissionThreshold: 1}, c.weight, known(1, c.speed))
-		if r := g.replicas[1]; math.Abs(r.speed-c.want) > 0.001 || math.Abs(r.faith-16*c.weight) > 0.001 {
-			t.Errorf("%v at %v: speed %v, faith %v", c.speed, c.weight, r.speed, r.faith)
+		if r := g.replicas[1]; math.Abs(r.speed-c.want) > 0.001 || math.Abs(r.confidence-16*c.weight) > 0.001 {
+			t.Errorf("%v at %v: speed %v, confidence %v", c.speed, c.weight, r.speed, r.confidence)
 		}
 	}
 }
@@ -48,7 +48,7 @@
 	if speed := g.replicas[1].speed; speed < 0.8 {
 		t.Errorf("after 4 s of answers like the others' its speed is still %v", speed)
 	}
-	want(t, "faith", g.replicas[1].faith < 0.01, true)
+	want(t, "confidence", g.replicas[1].confidence < 0.01, true)
 }
 
 // Rule 1 whatever is remembered: each table that proxies are bound to keeps a line to who is not withdrawn.
@@ -96,25 +96,25 @@
 // Who was sick gets little at once, and all of it or none by its first tries.
 func TestWhoIsRememberedAsSickIsOnTrialWithLittleWeight(t *testing.T) {
 	for _, c := range []struct {
-		k             control.LearnedReplica
-		weight, doubt float64
-		missed        int
-		sick          bool
+		k               control.LearnedReplica
+		weight, penalty float64
+		missed          int
+		sick            bool
 	}{
-		{control.LearnedReplica{EjectedFor: second, Ejections: 1}, 1, doubtPart, 0, false},
-		{control.LearnedReplica{EjectedFor: second, Ejections: 1}, 1, doubtPart, 5, true},
-		{control.LearnedReplica{Probation: true, Ejections: 2}, 0.5, math.Sqrt(doubtPart), 5, true},
+		{control.LearnedReplica{EjectedFor: second, Ejections: 1}, 1, penaltyPart, 0, false},
+		{control.LearnedReplica{EjectedFor: second, Ejections: 1}, 1, penaltyPart, 5, true},
+		{control.LearnedReplica{Probation: true, Ejections: 2}, 0.5, math.Sqrt(penaltyPart), 5, true},
 		{control.LearnedReplica{Ejections: 2}, 1, 1, 0, false},
 	} {
 		c.k.Replica, c.k.Speed = 1, 1
 		g, out := told(entries(4), control.LearnedFleet{AdmissionThreshold: 1}, c.weight, c.k)
 		r := g.replicas[1]
-		if math.Abs(1-r.doubt-c.doubt) > 1e-9 {
-			t.Errorf("%+v: doubt %v, want %v", c.k, r.doubt, 1-c.doubt)
+		if math.Abs(1-r.penalty-c.penalty) > 1e-9 {
+			t.Errorf("%+v: penalty %v, want %v", c.k, r.penalty, 1-c.penalty)
 		}
-		want(t, "relapses", r.relapse, int(math.Round(float64(c.k.Ejections)*c.weight)))
+		want(t, "relapses", r.ejections, int(math.Round(float64(c.k.Ejections)*c.weight)))
 		for _, l := range some[control.SetEndpoint](out) {
-			if l.Replica == 1 && l.Weight > c.doubt+1e-9 {
+			if l.Replica == 1 && l.Weight > c.penalty+1e-9 {
 				t.Errorf("%+v lays %v", c.k, l.Weight)
 			}
 		}
@@ -124,8 +124,8 @@
 		}
 		g.Turn(101*second, events)
 		g.Turn(101*second+beat, []control.Event{control.TimerFired{}})
-		want(t, "sick", r.resting > 0, c.sick)
-		want(t, "still on trial", r.trial > 0 || r.doubt > 0, false)
+		want(t, "sick", r.ejectedUntil > 0, c.sick)
+		want(t, "still on trial", r.trial > 0 || r.penalty > 0, false)
 	}
 }
 
@@ -139,7 +139,7 @@
 	want(t, "is cold", g.replicas[1].cold(), true)
 	warm, _ := told(entries(4), control.LearnedFleet{AdmissionThreshold: 1}, 1, known(1, 16))
 	warm.Turn(101*second, []control.Event{control.ReplicasListed{Entries: []control.Entry{{Replica: 1, Zone: 1, Weight: 1, Start: 100 * second}}}})
-	want(t, "faith in another start", warm.replicas[1].faith, 0.0)
+	want(t, "confidence in another start", warm.replicas[1].confidence, 0.0)
 }
 
 func TestTheFleetIsRemembered(t *testing.T) {
@@ -153,7 +153,7 @@
 	}{{1, 0.5, true, 4, 50}, {0.5, 0.75, true, 2, 30}, {0.1, 0.95, false, 0, 14}} {
 		g, _ := told(entries(4), fleet, c.weight)
 		g.Turn(100*second, []control.Event{control.TimerFired{}})
-		l, p, r := g.boxes[theLevels].part.(*levels), g.boxes[thePlanner].part.(*planner), g.boxes[theRoll].part.(*roll)
+		l, p, r := g.queues[theLevels].part.(*levels), g.queues[thePlanner].part.(*planner), g.queues[theRoll].part.(*roll)
 		want(t, "once", l.once, c.once)
 		want(t, "calm", len(p.calm[0]), c.calm)
 		want(t, "rate", math.Round(r.here[0].Rate), c.rate)
@@ -197,7 +197,7 @@
 			events = append(events, control.ReplicaRestored{LearnedReplica: k, Weight: 1})
 		}
 		g.Turn(0, events)
-		return g.boxes[thePlanner].part.(*planner).own
+		return g.queues[thePlanner].part.(*planner).own
 	}
 	for id, table := range deal(8) {
 		want(t, "dealt", table, int(id%2)+2*int(id/2%4))
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -10,10 +10,10 @@
 	"lilacbend/control"
 )
 
-// This file is the plumbing between the parts of brain.go: inboxes, the notes put into them, the loop that
+// This file is the plumbing between the parts of brain.go: queues, the notes put into them, the loop that
 // empties them, chance. It decides nothing.
 
-const ( // the parts' inboxes; those of the replicas come after
+const ( // the parts' queues; those of the replicas come after
 	theRoll = iota
 	thePlanner
 	theLevels
@@ -24,38 +24,40 @@
 
 const marksMask = 1<<16 - 1 // marks on the way are told apart up to here
 
-type inbox struct {
+type queue struct {
 	part interface{ take(note any) }
 	mail []any
 }
 
-// desk is what the parts share: the clock, the provision, the inboxes and the orders of this turn.
-type desk struct {
+// sharedState is what the parts share: the clock, the settings, the queues and the commands of this turn.
+type sharedState struct {
 	control.Settings
-	now   int64
-	draws uint64
-	out   []control.Command
-	boxes []*inbox
-	due   []int // the inbox of each note that waits, in turn
+	now    int64
+	draws  uint64
+	out    []control.Command
+	queues []*queue
+	due    []int // the queue of each note that waits, in turn
 }
 
-func (d *desk) post(to int, note any) {
-	d.boxes[to].mail = append(d.boxes[to].mail, note)
+func (d *sharedState) post(to int, note any) {
+	d.queues[to].mail = append(d.queues[to].mail, note)
 	d.due = append(d.due, to)
 }
 
-func (d *desk) say(f string, args ...any) {
+func (d *sharedState) say(f string, args ...any) {
 	d.out = append(d.out, control.Log{Text: fmt.Sprintf(f, args...)})
 }
 
 // chance draws from 0 to 1, the same for the same seed and count of draws.
-func (d *desk) chance() float64 {
+func (d *sharedState) chance() float64 {
 	d.draws++
 	return control.Random(d.Seed, d.draws)
 }
 
 // draw gives a replica its ticket in the draw of tables, by listed weight: the highest are drawn first.
-func (d *desk) draw(weight float64) float64 { return math.Pow(d.chance(), 1/math.Max(weight, 1e-6)) }
+func (d *sharedState) draw(weight float64) float64 {
+	return math.Pow(d.chance(), 1/math.Max(weight, 1e-6))
+}
 
 // newest leaves so many of a list, the last.
 func newest[T any](most int, all []T) []T { return all[max(0, len(all)-most):] }
@@ -79,9 +81,9 @@
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
 // settle empties the inboxes until nobody has a note left, in the order in which the notes came.
-func (d *desk) settle() {
+func (d *sharedState) settle() {
 	for ; len(d.due) > 0; d.due = d.due[1:] {
-		box := d.boxes[d.due[0]]
+		box := d.queues[d.due[0]]
 		n := box.mail[0]
 		box.mail = box.mail[1:]
 		box.part.take(n)
@@ -96,16 +98,16 @@
 
 // New makes a governor that knows nothing but its provision.
 func New(p control.Settings) *Governor {
-	g := &Governor{desk: desk{Settings: p}, replicas: map[uint32]*replica{}}
-	d := &g.desk
-	d.boxes = []*inbox{
-		theRoll: {part: &roll{desk: d, here: map[int]*chair{}, wait: map[uint64]map[int]bool{}}},
-		thePlanner: {part: &planner{desk: d, calm: map[int][]float64{},
+	g := &Governor{sharedState: sharedState{Settings: p}, replicas: map[uint32]*replica{}}
+	d := &g.sharedState
+	d.queues = []*queue{
+		theRoll: {part: &roll{sharedState: d, here: map[int]*binding{}, wait: map[uint64]map[int]bool{}}},
+		thePlanner: {part: &planner{sharedState: d, calm: map[int][]float64{},
 			own: map[uint32]int{}, laid: map[uint32]int{}, offers: map[uint32]offer{}}},
-		theLevels: {part: &levels{desk: d, set: map[int]control.SetAdmission{}}},
-		theSequence: {part: &sequence{desk: d, laid: map[line]float64{}, out: map[uint32]bool{},
+		theLevels: {part: &levels{sharedState: d, set: map[int]control.SetAdmission{}}},
+		theSequence: {part: &sequence{sharedState: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
-		thePacer: {part: &pacer{desk: d, bound: map[int]int{}, seated: map[int][]int{}, laid: map[int]map[uint32]float64{},
+		thePacer: {part: &pacer{sharedState: d, bound: map[int]int{}, seated: map[int][]int{}, laid: map[int]map[uint32]float64{},
 			wrote: map[int][]int64{}, partial: map[int]*partial{}, rates: map[int]float64{},
 			ejected: map[uint32]bool{}, leveled: map[int]bool{}}},
 	}
@@ -184,16 +186,16 @@
 	for _, e := range l.Entries {
 		r := g.replicas[e.Replica]
 		if r == nil {
-			box := len(g.boxes)
+			box := len(g.queues)
 			if last := len(g.free) - 1; last >= 0 {
 				box, g.free = g.free[last], g.free[:last]
 			} else {
-				g.boxes = append(g.boxes, &inbox{})
+				g.queues = append(g.queues, &queue{})
 			}
-			r = &replica{desk: &g.desk, box: box, entry: e, heard: g.now, proof: g.now, speed: 1, fleet: norm{goal: 1}}
+			r = &replica{sharedState: &g.sharedState, box: box, entry: e, heard: g.now, lastSample: g.now, speed: 1, fleet: norm{goal: 1}}
 			r.ticket = g.draw(e.Weight)
 			g.replicas[e.Replica] = r
-			g.boxes[box].part = r
+			g.queues[box].part = r
 		}
 		g.post(r.box, e)
 	}
@@ -217,10 +219,10 @@
 
 // find is where a proxy is, or would be, in the crowd.
 func (p *planner) find(proxy int) (int, bool) {
-	return slices.BinarySearchFunc(p.crowd, proxy, func(c *chair, proxy int) int { return cmp.Compare(c.Proxy, proxy) })
+	return slices.BinarySearchFunc(p.crowd, proxy, func(c *binding, proxy int) int { return cmp.Compare(c.Proxy, proxy) })
 }
 
-func (p *planner) enter(c chair) {
+func (p *planner) enter(c binding) {
 	k, here := p.find(c.Proxy)
 	if !here {
 		p.crowd = slices.Insert(p.crowd, k, &c)
--- a/brain/parts_test.go
+++ b/brain/parts_test.go
@@ -58,7 +58,7 @@
 	g := at(0)
 	g.HostQueues, g.Proxies, g.ChannelRate, g.ChannelLimit, g.MessageHead = true, proxies, 1000, 8000, 4
 	g.DrainGrace, g.MaxTransit, g.MaxMessages = 6*second+second/4, second/4, 30
-	p := g.boxes[thePacer].part.(*pacer)
+	p := g.queues[thePacer].part.(*pacer)
 	p.laid[0] = map[uint32]float64{}
 	for id := range replicas {
 		p.laid[0][id] = 1
--- a/brain/reconfigure.go
+++ b/brain/reconfigure.go
@@ -17,13 +17,13 @@
 
 // reconfigure puts changed settings in force.
 func (g *Governor) reconfigure(e control.SettingsChanged) {
-	p, r, l := g.boxes[thePlanner].part.(*planner), g.boxes[theRoll].part.(*roll), g.boxes[theLevels].part.(*levels)
+	p, r, l := g.queues[thePlanner].part.(*planner), g.queues[theRoll].part.(*roll), g.queues[theLevels].part.(*levels)
 	before, tables := g.Settings, p.tables
 	fits := g.keepsRows(e, tables)
 	g.Settings = e.Settings
 	p.renumberKinds(e.NewKinds, before.Kinds)
 	l.renumberGroups(e.NewClasses)
-	g.boxes[thePacer].part.(*pacer).renumberGroups(e.NewClasses)
+	g.queues[thePacer].part.(*pacer).renumberGroups(e.NewClasses)
 	r.renumberZones(e.Proxies)
 	g.listed(control.ReplicasListed{Entries: slices.DeleteFunc(e.Replicas, g.asKnown)})
 	g.settle()
@@ -52,7 +52,7 @@
 	if tables == 0 {
 		return true
 	}
-	after := desk{Settings: e.Settings}
+	after := sharedState{Settings: e.Settings}
 	row := g.rows(tables)
 	if after.rows(tables) != row {
 		return false
@@ -62,7 +62,7 @@
 			return false
 		}
 	}
-	here := g.boxes[theRoll].part.(*roll).here
+	here := g.queues[theRoll].part.(*roll).here
 	for _, joined := range e.Proxies {
 		if c := here[joined.Proxy]; c != nil && c.Zone%row != joined.Zone%row {
 			return false
@@ -73,9 +73,9 @@
 
 // tablesUnder is how many tables a start with some settings would deal.
 func (p *planner) tablesUnder(settings control.Settings) int {
-	trial := &planner{desk: &desk{Settings: settings}, offers: p.offers, own: map[uint32]int{}, laid: map[uint32]int{}}
-	trial.deal(sorted(p.offers))
-	return trial.tables
+	fresh := &planner{sharedState: &sharedState{Settings: settings}, offers: p.offers, own: map[uint32]int{}, laid: map[uint32]int{}}
+	fresh.deal(sorted(p.offers))
+	return fresh.tables
 }
 
 // redeal has the tables dealt anew with the next draw. Replicas stay where they are as far as their number allows, as
@@ -88,7 +88,7 @@
 
 // recallBinds drops the bindings that wait, and says where each proxy is bound; below 0: nowhere yet.
 func (g *Governor) recallBinds() map[int]int {
-	s, p := g.boxes[theSequence].part.(*sequence), g.boxes[thePacer].part.(*pacer)
+	s, p := g.queues[theSequence].part.(*sequence), g.queues[thePacer].part.(*pacer)
 	clear(s.moves)
 	waits := func(o control.Command) bool {
 		_, is := o.(control.Bind)
@@ -131,7 +131,7 @@
 func (r *roll) reseat(before, tables int, bound map[int]int) {
 	load, row := make([]float64, tables), r.rows(tables)
 	r.sits = slices.Collect(numbers(tables))
-	stays := func(c *chair) bool {
+	stays := func(c *binding) bool {
 		return before == tables && c.table%row == c.Zone%row
 	}
 	seated := slices.DeleteFunc(sorted(r.here), func(proxy int) bool { return r.here[proxy].table < 0 })
--- a/brain/reconfigure_test.go
+++ b/brain/reconfigure_test.go
@@ -49,14 +49,14 @@
 			}
 		}
 	}
-	if g.replicas[1].resting == 0 {
+	if g.replicas[1].ejectedUntil == 0 {
 		t.Fatal("nobody is sick")
 	}
 	return g, e
 }
 
 func (g *Governor) parts() (*planner, *roll, *levels) {
-	return g.boxes[thePlanner].part.(*planner), g.boxes[theRoll].part.(*roll), g.boxes[theLevels].part.(*levels)
+	return g.queues[thePlanner].part.(*planner), g.queues[theRoll].part.(*roll), g.queues[theLevels].part.(*levels)
 }
 
 // Other figures, and other numbers for the same groups and kinds, leave all that was learned and bound as it was.
@@ -65,7 +65,7 @@
 	p, r, l := g.parts()
 	l.line, l.set[2] = 2.5, control.SetAdmission{Table: control.AllTables, Class: 2, Share: 0.5}
 	before := g.learned()
-	own, laid := maps.Clone(p.own), maps.Clone(g.boxes[theSequence].part.(*sequence).laid)
+	own, laid := maps.Clone(p.own), maps.Clone(g.queues[theSequence].part.(*sequence).laid)
 	e.DrainGrace, e.ReportInterval, e.Proxies = 9*second, second, slices.Clone(e.Proxies)
 	e.Settings.Proxies--
 	e.Classes = []control.TrafficClass{e.Classes[2], e.Classes[0], e.Classes[1]}
@@ -77,7 +77,7 @@
 	after := g.learned()
 	want(t, "bindings", len(orders[control.Bind](out)), 0)
 	want(t, "tables", reflect.DeepEqual(own, p.own), true)
-	want(t, "lines", reflect.DeepEqual(laid, g.boxes[theSequence].part.(*sequence).laid), true)
+	want(t, "lines", reflect.DeepEqual(laid, g.queues[theSequence].part.(*sequence).laid), true)
 	want(t, "seats", reflect.DeepEqual(before.Bindings, after.Bindings), true)
 	want(t, "replicas", reflect.DeepEqual(before.Replicas, after.Replicas), true)
 	want(t, "answer times", reflect.DeepEqual([][]float64{before.UsualResponseTimes[1], before.UsualResponseTimes[0]}, after.UsualResponseTimes[:2]), true)
@@ -152,8 +152,8 @@
 	} {
 		g, e := running(t)
 		p, r, _ := g.parts()
-		g.boxes[theSequence].part.(*sequence).moves[3] = 1
-		pacer := g.boxes[thePacer].part.(*pacer)
+		g.queues[theSequence].part.(*sequence).moves[3] = 1
+		pacer := g.queues[thePacer].part.(*pacer)
 		pacer.urgent = append(pacer.urgent, control.Bind{Proxy: 5, Table: 1})
 		change(&e)
 		fresh := New(e.Settings)
@@ -167,7 +167,7 @@
 				}
 			}
 		}
-		want(t, what+": tables", p.tables, fresh.boxes[thePlanner].part.(*planner).tables)
+		want(t, what+": tables", p.tables, fresh.queues[thePlanner].part.(*planner).tables)
 		row := g.rows(p.tables)
 		for id, table := range p.own {
 			want(t, what+": a replica's row", table%row, g.replicas[id].entry.Zone%row)
@@ -176,6 +176,6 @@
 			want(t, what+": a proxy's row", c.table%row, c.Zone%row)
 			want(t, fmt.Sprintf("%s: the table of proxy %d", what, proxy), pacer.bound[proxy], r.sits[c.table])
 		}
-		want(t, what+": moves left", len(g.boxes[theSequence].part.(*sequence).moves), 0)
+		want(t, what+": moves left", len(g.queues[theSequence].part.(*sequence).moves), 0)
 	}
 }
--- a/brain/types.go
+++ b/brain/types.go
@@ -17,8 +17,8 @@
 		control.Entry
 		box                                      int
 		weight, size, ticket, tries, bad, answer float64
-		prior, faith                             float64 // remembered speed, and how many tries it counts for
-		doubt                                    float64 // part of its weight that it lacks as it was sick by memory alone
+		prior, confidence                        float64 // remembered speed, and how many tries it counts for
+		penalty                                  float64 // part of its weight that it lacks as it was sick by memory alone
 		able                                     float64 // part of its usual work that it can do, if it is cold
 		cold, sick, trial                        bool
 	}
@@ -62,37 +62,37 @@
 }
 
 type replica struct {
-	*desk
-	box     int
-	entry   control.Entry
-	heard   int64 // when its start became known
-	ticket  float64
-	met     []sample
-	speed   float64
-	fleet   norm
-	resting int64 // out until then
-	trial   int64 // on trial since
-	relapse int
-	judged  int64
-	changed int64 // when it was last seen not to be gone
-
-	prior, faith float64 // as offer
-	doubt        float64
-	evidence     float64 // tries behind its speed
-	proof        int64   // when the last of them was told
+	*sharedState
+	box          int
+	entry        control.Entry
+	heard        int64 // when its start became known
+	ticket       float64
+	met          []sample
+	speed        float64
+	fleet        norm
+	ejectedUntil int64 // out until then
+	trial        int64 // on trial since
+	ejections    int
+	judged       int64
+	changed      int64 // when it was last seen not to be gone
+
+	prior, confidence float64 // as offer
+	penalty           float64
+	sampleCount       float64 // tries behind its speed
+	lastSample        int64   // when the last of them was told
 }
 
-// chair is a proxy that is here, since when, and its table; below 0: none yet.
-type chair struct {
+// binding is a proxy that is here, since when, and its table; below 0: none yet.
+type binding struct {
 	control.StreamOpened
 	since int64
 	table int
 }
 
 type planner struct {
-	*desk
+	*sharedState
 	offers map[uint32]offer
-	crowd  []*chair          // by proxy
+	crowd  []*binding        // by proxy
 	calm   map[int][]float64 // the last answer times of each kind
 	judged int64
 	out    map[uint32]bool
@@ -106,8 +106,8 @@
 }
 
 type roll struct {
-	*desk
-	here  map[int]*chair
+	*sharedState
+	here  map[int]*binding
 	loose int   // of them, without a table
 	sits  []int // where each table's proxies are bound
 	past  control.FleetRestored
@@ -123,7 +123,7 @@
 }
 
 type levels struct {
-	*desk
+	*sharedState
 	came         []sums    // the last demand
 	served       []float64 // the last flows a second that the fleet gave good answers to
 	groups       []int     // by utility, the cheaper first where it is equal
@@ -138,7 +138,7 @@
 }
 
 type sequence struct {
-	*desk
+	*sharedState
 	want  target
 	laid  map[line]float64
 	out   map[uint32]bool // withdrawn, not lifted yet
@@ -158,7 +158,7 @@
 }
 
 type pacer struct {
-	*desk
+	*sharedState
 	urgent []control.Command // withdrawals, binds and levels wait here
 	step   step
 	bound  map[int]int                // joined proxies; -1 holds its standing table
@@ -184,7 +184,7 @@
 
 // Governor is one instance of the module.
 type Governor struct {
-	desk
+	sharedState
 	replicas map[uint32]*replica
 	born     int64
 	free     []int // inboxes of replicas that were forgotten
