--- a/brain/brain.go
+++ b/brain/brain.go
@@ -612,7 +612,7 @@
 func (s *sequence) proceed() {
 	first, orders := s.orders(add), []control.Command(nil)
 	for range steps {
-		if orders = first; s.at != add && (s.at != remove || len(first) == 0) { // removals wait for additions
+		if orders = first; s.at != add && (s.at != remove || len(first)+len(s.moves) == 0) { // removals wait for additions and moves
 			orders = append(slices.Clone(first), s.orders(s.at)...)
 		}
 		if len(s.open) > 0 || len(orders) > 0 && !s.sent {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -347,6 +347,28 @@
 	want(t, "additions fold in", len(mail[step](g, thePacer)[1].orders), 3)
 }
 
+// A proxy whose rebinding is held up, by its cap of messages, keeps its old lines until it has been told of the new ones.
+func TestRemovalsWaitForMoves(t *testing.T) {
+	g := at(0)
+	s := steering(g, map[line]float64{{0, 1}: 1, {1, 1}: 1}, map[line]float64{{1, 1}: 1}, map[uint32]bool{})
+	s.moves[5], s.at, s.sent = 1, rebind, true // others were moved, and have answered
+	s.proceed()
+	for _, o := range mail[step](g, thePacer)[0].orders {
+		if l, is := o.(control.SetEndpoint); is && l.Weight == 0 {
+			t.Errorf("%v is ordered before the move", l)
+		}
+	}
+	for range steps {
+		s.proceed()
+	}
+	delete(s.moves, 5)
+	for range steps {
+		s.proceed()
+	}
+	all := mail[step](g, thePacer)
+	want(t, "then it is", fmt.Sprint(all[len(all)-1].orders), fmt.Sprint([]control.Command{control.SetEndpoint{Replica: 1}}))
+}
+
 func TestAnAnsweredStepIsOverThoughMoreHasChanged(t *testing.T) {
 	s := steering(at(0), map[line]float64{{0, 1}: 1, {0, 2}: 1}, map[line]float64{{0, 1}: 0.5}, map[uint32]bool{})
 	s.at, s.sent = overwrite, true
