The test of a flow that comes at a drain waits until its connection is idle

Its stacks: part waits for the once of heldConn.SetReadDeadline. Cause: the test drained once the connection counted as open, which is before its goroutine's first read. Where that goroutine came late it found the drain itself, its own deadline was the one held back, and the read that the test waited for never began. The front is not at fault: such a connection is read with the deadline of a drain. Ruled out: a lock in the front, as both goroutines stand in the test's own hold. Change: the test waits for the connection's first read, and every wait of it is bounded, so that a fault ends it with its name.

--- a/internal/front/crossings_test.go
+++ b/internal/front/crossings_test.go
@@ -21,7 +21,8 @@
 	drains  chan struct{} // closed before the drain: from then on the deadline is held
 	holds   chan struct{} // told when it is
 	release chan struct{}
-	reads   chan struct{}
+	idles   chan struct{} // told of each read that begins before the drain
+	reads   chan struct{} // told of each read that begins after it
 }
 
 func (h *held) Accept() (net.Conn, error) {
@@ -54,14 +55,32 @@
 	case <-c.held.drains:
 		c.held.reads <- struct{}{}
 	default:
+		c.held.idles <- struct{}{}
 	}
 	return c.Conn.Read(p)
 }
 
+// await fails the test where an event does not come.
+func await(t *testing.T, event <-chan struct{}, missing string) {
+	t.Helper()
+	select {
+	case <-event:
+	case <-time.After(peers.Patience):
+		t.Fatal(missing)
+	}
+}
+
 // A drain finds a connection idle, and before it can end it a flow comes: the deadline falls into the reading of its
 // head. The flow is read on and answered, with the word that it was the last.
 func TestAFlowThatComesAsItsConnectionIsEnded(t *testing.T) {
-	h := &held{peers.Listen(t).Listener, make(chan struct{}), make(chan struct{}), make(chan struct{}), make(chan struct{}, 100)}
+	h := &held{
+		Listener: peers.Listen(t).Listener,
+		drains:   make(chan struct{}),
+		holds:    make(chan struct{}),
+		release:  make(chan struct{}),
+		idles:    make(chan struct{}, 100),
+		reads:    make(chan struct{}, 100),
+	}
 	s := New(Bounds{Connections: 1, Idle: time.Minute, Head: time.Minute, Stall: time.Minute, Streams: 1, Drain: time.Minute},
 		func(_ *upstream.Leash, _ *relay.Request, out relay.Answerer) relay.Result {
 			out.Head(http.StatusOK, http.Header{}, 2)
@@ -74,19 +93,16 @@
 	served := make(chan struct{})
 	go func() { s.Serve(h, false); close(served) }()
 	client := peers.Dial(t, h.Addr().String())
-	peers.Until(t, "not accepted", func() bool { return s.Count.Open.Load() == 1 })
+	// Before its first read it would be the connection itself that finds the drain and sets the deadline.
+	await(t, h.idles, "the connection is not read")
 	close(h.drains)
 	parted := make(chan int64)
 	go func() { parted <- s.Part() }()
-	<-h.holds // it was found idle
+	await(t, h.holds, "the connection is not found idle")
 	client.Raw("G")
-	<-h.reads // of the rest of the head
+	await(t, h.reads, "the rest of the head is not read")
 	close(h.release)
-	select { // the deadline ends that read, and there is another
-	case <-h.reads:
-	case <-time.After(peers.Patience):
-		t.Fatal("the head is read no further")
-	}
+	await(t, h.reads, "the head is read no further behind the deadline that ended the read before")
 	client.Raw("ET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	resp, err := http.ReadResponse(client.Read, nil)
 	if err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
