Reports of a collector keep to a budget of bytes, news first

Cause: docs/CAPACITY.md ranks a governor's bytes first, 6.5 times over 17 KB a second today, and outcomes are the part of them that grows with the service: each collector tells each governor of every replica in every interval, 206 times the bound at 20 times the mean. Change: internal/aggregate, pure: sums by replica, a budget of bytes a second, and a choice by turns of what departs from what the governor was told (failures beyond two standard deviations, response times by a factor of two, whatever it was never told) and of what was not told for longest. What is not told is summed on; the old fades by halves of the longest age.

--- a/cmd/lilacbend/sidecar.go
+++ b/cmd/lilacbend/sidecar.go
@@ -91,12 +91,16 @@
 			&cli.StringFlag{Name: "listen", Usage: "where sidecars connect, as host:port", Required: true, Destination: &listen},
 			&cli.StringSliceFlag{Name: "governor", Usage: "whom to tell, as host:port; any number", Required: true, Destination: &c.Governors},
 			&cli.DurationFlag{Name: "every", Value: time.Second, Usage: "between two tellings", Destination: &c.Interval},
+			&cli.IntFlag{Name: "budget", Usage: "bytes a second, of reports to each governor; 0: no limit", Destination: &c.Budget},
 			&cli.IntFlag{Name: "sidecars", Value: 10000, Usage: "at the most", Destination: &c.MaxSidecars},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			if c.Interval < 50*time.Millisecond || c.MaxSidecars < 1 {
 				return fmt.Errorf("--every is %v, want 50ms or more; --sidecars is %d, want 1 or more", c.Interval, c.MaxSidecars)
 			}
+			if c.Budget < 0 {
+				return fmt.Errorf("--budget is %d, want bytes a second, or 0 for no limit", c.Budget)
+			}
 			for _, g := range c.Governors {
 				if _, _, err := net.SplitHostPort(g); err != nil {
 					return fmt.Errorf("--governor: %w", err)
--- a/internal/steering/collector.go
+++ b/internal/steering/collector.go
@@ -5,9 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"maps"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -31,6 +29,7 @@
 	Zone        string
 	Governors   []string
 	Interval    time.Duration // between two reports
+	Budget      int           // bytes a second that the reports to one governor may take; 0: no limit
 	Log         *slog.Logger
 	MaxSidecars int
 	Received    atomic.Int64 // reports of sidecars
@@ -48,7 +47,7 @@
 	var all sync.WaitGroup
 	defer all.Wait()
 	for k, address := range c.Governors {
-		pending := newPendingOutcomes(max(maxReportAge, 2*c.Interval))
+		pending := newPendingOutcomes(c.Interval, c.Budget)
 		c.pending = append(c.pending, pending)
 		all.Go(func() { c.followGovernor(ctx, address, pending, uint64(k)) })
 	}
@@ -156,6 +155,7 @@
 	if err := w.send("agent", "site", c.Zone); err != nil {
 		return fmt.Errorf("joining: %w", err)
 	}
+	pending.connected()
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
@@ -192,17 +192,21 @@
 	}
 }
 
-// sendOutcomes sends what is pending for a governor, a message for each replica.
+// sendOutcomes sends what is pending for a governor, a message for each replica, as far as the budget allows.
 func (c *Collector) sendOutcomes(w *messageWriter, pending *pendingOutcomes) error {
-	sums, period := pending.take()
-	for _, replica := range slices.Sorted(maps.Keys(sums)) {
-		sum := sums[replica]
-		err := w.send("outcomes", "site", c.Zone, "target", replica, "count", strconv.Itoa(sum.attempts),
-			"fail", strconv.Itoa(sum.failures), "mean", formatNumber(sum.meanMillis()), "over", formatNumber(millis(period)))
+	pending.begin()
+	for {
+		report, ok := pending.next()
+		if !ok {
+			return nil
+		}
+		sent, err := w.sendSized("outcomes", "site", c.Zone, "target", report.Key, "count", strconv.Itoa(report.Sum.Attempts),
+			"fail", strconv.Itoa(report.Sum.Failures), "mean", formatNumber(report.Sum.MeanMillis()),
+			"over", formatNumber(millis(report.Period)))
 		if err != nil {
 			return err
 		}
+		pending.spent(sent)
 		c.Reported.Add(1)
 	}
-	return nil
 }
--- a/internal/steering/outcomes.go
+++ b/internal/steering/outcomes.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"lilacbend/internal/aggregate"
 )
 
 const (
@@ -54,69 +56,71 @@
 		r.meanMillis >= 0 && r.meanMillis <= maxResponseMillis
 }
 
-// outcomeSum sums the outcomes of attempts at one replica.
-type outcomeSum struct {
-	attempts       int
-	failures       int
-	responseMillis float64 // of all that succeeded, together
-}
-
-// meanMillis is the mean response time of the attempts that succeeded; 0 if none did.
-func (s *outcomeSum) meanMillis() float64 {
-	succeeded := s.attempts - s.failures
-	if succeeded <= 0 {
-		return 0
+// sum is the report as a sum.
+func (r outcomeReport) sum() aggregate.Sum {
+	return aggregate.Sum{
+		Attempts:       r.attempts,
+		Failures:       r.failures,
+		ResponseMillis: r.meanMillis * float64(r.attempts-r.failures),
 	}
-	return s.responseMillis / float64(succeeded)
 }
 
 // pendingOutcomes holds the outcomes that one governor has not been told of yet. It is safe for concurrent use.
 type pendingOutcomes struct {
-	mu     sync.Mutex
-	sums   map[string]*outcomeSum // by replica
-	since  time.Time
-	maxAge time.Duration
-}
-
-func newPendingOutcomes(maxAge time.Duration) *pendingOutcomes {
-	return &pendingOutcomes{sums: map[string]*outcomeSum{}, since: time.Now(), maxAge: maxAge}
+	mu       sync.Mutex
+	interval time.Duration
+	outcomes *aggregate.Aggregator
 }
 
-// expire drops what is too old to tell, so that a governor that comes back hears of now alone. The lock is held.
-func (p *pendingOutcomes) expire(now time.Time) {
-	if now.Sub(p.since) > p.maxAge {
-		clear(p.sums)
-		p.since = now
+// newPendingOutcomes makes one that is told each interval, in so many bytes a second; 0: without a limit.
+func newPendingOutcomes(interval time.Duration, bytesPerSecond int) *pendingOutcomes {
+	limits := aggregate.Limits{
+		BytesPerSecond: bytesPerSecond,
+		Interval:       interval,
+		MaxAge:         max(maxReportAge, 2*interval),
+		MaxKeys:        maxReplicas,
 	}
+	return &pendingOutcomes{interval: interval, outcomes: aggregate.New(limits, monotonicNow())}
 }
 
-// add adds a report to the sums.
+// add adds a report. It came since the last round, or if there was none for a while, since no longer than a round takes.
 func (p *pendingOutcomes) add(report outcomeReport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.expire(time.Now())
-	sum := p.sums[report.replica]
-	if sum == nil {
-		if len(p.sums) >= maxReplicas {
-			return
-		}
-		sum = &outcomeSum{}
-		p.sums[report.replica] = sum
-	}
-	sum.attempts += report.attempts
-	sum.failures += report.failures
-	sum.responseMillis += report.meanMillis * float64(report.attempts-report.failures)
+	now := monotonicNow()
+	from := max(p.outcomes.Began(), now-2*int64(p.interval))
+	p.outcomes.Add(report.replica, report.sum(), from, now)
+}
+
+// connected notes a new connection to the governor, which may have been started anew.
+func (p *pendingOutcomes) connected() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outcomes.ReceiverRestarted()
 }
 
-// take empties the sums, and returns them with the time in which they came.
-func (p *pendingOutcomes) take() (sums map[string]*outcomeSum, period time.Duration) {
+// begin begins a round of reports.
+func (p *pendingOutcomes) begin() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	p.expire(now)
-	sums = p.sums
-	period = now.Sub(p.since)
-	p.sums = map[string]*outcomeSum{}
-	p.since = now
-	return sums, period
+	p.outcomes.Begin(monotonicNow())
 }
+
+// next gives the next report of the round; false: there is none, or no more is allowed.
+func (p *pendingOutcomes) next() (aggregate.Report, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.outcomes.Next(monotonicNow())
+}
+
+// spent notes the bytes of a report that was sent.
+func (p *pendingOutcomes) spent(bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outcomes.Spent(bytes)
+}
+
+var processStart = time.Now()
+
+// monotonicNow is a time in nanoseconds that no change of the clock moves.
+func monotonicNow() int64 { return int64(time.Since(processStart)) }
--- a/internal/steering/writer.go
+++ b/internal/steering/writer.go
@@ -23,11 +23,16 @@
 }
 
 func (w *messageWriter) send(words ...string) error {
+	_, err := w.sendSized(words...)
+	return err
+}
+
+// sendSized returns the bytes that were sent as well.
+func (w *messageWriter) sendSized(words ...string) (sent int, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := resp.Write(w.conn, w.pool, words...)
-	return err
+	return resp.Write(w.conn, w.pool, words...)
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -30,6 +30,7 @@
 	Slow                                         float64       // every second replica takes so many times as long; 0: equal
 	H1, H2                                       string        // of the first sidecar; empty: any
 	State                                        bool          // governors keep what they learn
+	ReportBudget                                 int           // bytes a second of a collector to each governor; 0: no limit
 	Operator                                     string        // further sections of the governors' operator file
 	Program                                      string        // that is built already; empty: it is built
 	Steered                                      bool          // else sidecars have equal tables
@@ -108,7 +109,7 @@
 	}
 	for k := range s.Zones {
 		s.collectors = append(s.collectors, Free())
-		args := []string{"collector", "--zone", zone(k), "--listen", s.collectors[k], "--every", "500ms"}
+		args := []string{"collector", "--zone", zone(k), "--listen", s.collectors[k], "--every", "500ms", "--budget", strconv.Itoa(s.ReportBudget)}
 		for _, g := range s.governors {
 			args = append(args, "--governor", g)
 		}
