Sidecar: the file's reading in three files, one check of addresses

Change: plan.go is manifest.go, addresses.go and rules.go; one isAddress. A governor's address without a port is refused now, as a collector's was.

--- a/internal/sidecar/plan.go
+++ b/internal/sidecar/manifest.go
@@ -5,9 +5,6 @@
 import (
 	"fmt"
 	"hash/crc32"
-	"net"
-	"net/http"
-	"net/textproto"
 	"slices"
 	"strings"
 	"time"
@@ -38,18 +35,12 @@
 	Memory                 int // MB that it keeps within; 0: no limit
 }
 
-// Rule sends flows to a traffic group. What it does not name it does not ask for; the first that fits holds.
-type Rule struct {
-	Group, Method, Host, Path string
-	Fields                    map[string]string
-}
-
 var (
 	effects    = map[string]control.Effect{"retriable": control.Retriable, "deduped": control.Deduplicated, "non-retriable": control.NonRetriable}
 	scopes     = map[string]control.Scope{"cell": control.ScopeCell, "zone": control.ScopeZone, "all": control.ScopeAll}
 	picks      = map[string]control.Pick{"chance": control.PickRandom, "round": control.PickRoundRobin, "idler": control.PickLessLoaded}
 	admissions = map[string]control.Admission{"all": control.AdmitAll, "share": control.AdmitShare, "rate": control.AdmitRate}
-	manners    = map[string]control.RetryPolicy{"once": control.NoRetry, "never-ran": control.RetryIfNotExecuted, "again": control.RetryOnce, "twice-more": control.RetryTwice}
+	retries    = map[string]control.RetryPolicy{"once": control.NoRetry, "never-ran": control.RetryIfNotExecuted, "again": control.RetryOnce, "twice-more": control.RetryTwice}
 )
 
 // Read reads a sidecar's file. The error names file, line and key of all that is wrong.
@@ -84,93 +75,6 @@
 	return m, nil
 }
 
-func address(s *form.Section, key string, v *string) {
-	s.Text(key, v)
-	if *v == "" {
-		return
-	}
-	if _, port, err := net.SplitHostPort(*v); err != nil || port == "" {
-		s.Fault(key, "is %.60q, want host:port", *v)
-	}
-}
-
-// collectors reads one collector, or several in the order in which they are preferred.
-func (m *Manifest) collectors(top *form.Section) {
-	var one string
-	address(top, "collector", &one)
-	top.Words("collectors", &m.Collectors)
-	if one != "" && top.Has("collectors") {
-		top.Fault("collectors", "are given beside collector: give one of the two")
-	}
-	if one != "" {
-		m.Collectors = []string{one}
-		return
-	}
-	for k, c := range m.Collectors {
-		if _, port, err := net.SplitHostPort(c); err != nil || port == "" {
-			top.Fault("collectors", "entry %d is %.60q, want host:port", k, c)
-		}
-		if slices.Contains(m.Collectors[:k], c) {
-			top.Fault("collectors", "entry %d is %.60q, which stands before it already", k, c)
-		}
-	}
-}
-
-func (m *Manifest) identity(top *form.Section) {
-	top.Text("name", &m.Name)
-	top.Text("zone", &m.Zone)
-	top.Whole("proxy", &m.Proxy, 0, 1<<20)
-	for _, key := range []string{"name", "zone", "proxy"} {
-		if !top.Has(key) {
-			top.Fault("", "lacks %s", key)
-		}
-	}
-	if l := top.Section("listen"); l != nil {
-		address(l, "http1", &m.H1)
-		address(l, "http2", &m.H2)
-		address(l, "local", &m.Local)
-		l.Done()
-		at := map[string]string{}
-		for key, a := range map[string]string{"http1": m.H1, "http2": m.H2, "local": m.Local} {
-			if other, twice := at[a]; a != "" && twice {
-				l.Fault(max(key, other), "is the address of %s as well", min(key, other))
-			}
-			at[a] = key
-		}
-	}
-	if m.H1 == "" && m.H2 == "" {
-		top.Fault("listen", "serves nobody: give http1 or http2 an address")
-	}
-	top.Words("governors", &m.Governors)
-	for k, g := range m.Governors {
-		if _, _, err := net.SplitHostPort(g); err != nil {
-			top.Fault("governors", "entry %d is %.60q, want host:port", k, g)
-		}
-	}
-	m.collectors(top)
-	address(top, "discovery", &m.Discovery)
-	listed := top.Sections("replicas")
-	if m.Replicas = map[string]forward.Listed{}; len(listed) > 0 && m.Discovery != "" {
-		top.Fault("replicas", "are listed by discovery as well: give one of the two")
-	}
-	for _, s := range listed {
-		var id string
-		var r forward.Listed
-		s.Text("id", &id)
-		s.Text("zone", &r.Zone)
-		s.Text("cell", &r.Cell)
-		address(s, "address", &r.Address)
-		if _, twice := m.Replicas[id]; twice || id == "" || r.Address == "" {
-			s.Fault("", "wants an id of its own and an address")
-		}
-		m.Replicas[id] = r
-		s.Done()
-	}
-	if len(listed) == 0 && m.Discovery == "" {
-		top.Fault("", "lacks discovery, or replicas: where are they?")
-	}
-}
-
 func (m *Manifest) groups(top *form.Section) {
 	sections := top.Sections("groups")
 	for _, s := range sections {
@@ -209,66 +113,6 @@
 	}
 }
 
-func (m *Manifest) rules(top *form.Section) {
-	var names []string
-	for _, g := range m.Plan.Groups {
-		names = append(names, g.Name)
-	}
-	for k, s := range top.Sections("rules") {
-		var r Rule
-		s.Text("group", &r.Group)
-		s.Text("method", &r.Method)
-		s.Text("host", &r.Host)
-		s.Text("path", &r.Path)
-		s.Pairs("fields", &r.Fields)
-		if !slices.Contains(names, r.Group) {
-			if near := form.Nearest(r.Group, names); near != "" {
-				s.Fault("group", "is %q, which is no traffic group: did you mean %s?", r.Group, near)
-			} else {
-				s.Fault("group", "is %q, want one of %s", r.Group, strings.Join(names, ", "))
-			}
-		}
-		if r.Path != "" && (r.Path[0] != '/' || strings.Contains(strings.TrimSuffix(r.Path, "*"), "*")) {
-			s.Fault("path", "is %.60q, want a path, or the beginning of one and * at its end", r.Path)
-		}
-		for before, o := range m.Rules {
-			if o.hides(r) {
-				s.Fault("", "is never reached: rules[%d] takes all of its flows", before)
-				break
-			}
-		}
-		_ = k
-		m.Rules = append(m.Rules, r)
-		s.Done()
-	}
-	if len(m.Rules) == 0 {
-		top.Fault("rules", "are none: no flow would belong to a traffic group")
-	}
-}
-
-// hides says whether each flow that fits the later rule fits this one.
-func (r Rule) hides(later Rule) bool {
-	if r.Method != "" && r.Method != later.Method || r.Host != "" && !strings.EqualFold(r.Host, later.Host) {
-		return false
-	}
-	for name, value := range r.Fields {
-		if later.Fields[name] != value {
-			return false
-		}
-	}
-	prefix, open := strings.CutSuffix(r.Path, "*")
-	laterPrefix, laterOpen := strings.CutSuffix(later.Path, "*")
-	switch {
-	case r.Path == "":
-		return true
-	case later.Path == "" || laterOpen && !open:
-		return false
-	case open:
-		return strings.HasPrefix(laterPrefix, prefix)
-	}
-	return r.Path == later.Path
-}
-
 func (m *Manifest) tries(top *form.Section) {
 	form.Choice(top, "pick", &m.Plan.Pick, picks)
 	form.Choice(top, "admission", &m.Plan.Admission, admissions)
@@ -277,7 +121,7 @@
 		return
 	}
 	shun := time.Duration(m.Plan.Shun)
-	form.Choice(s, "usual", &m.Plan.Usual, manners)
+	form.Choice(s, "usual", &m.Plan.Usual, retries)
 	s.Number("factor", &m.Plan.TryFactor, 0.1, 100)
 	s.Whole("strikes", &m.Plan.Strikes, 0, 1000)
 	s.Duration("shun", &shun, time.Millisecond, time.Hour)
@@ -323,47 +167,3 @@
 	}
 	top.Duration("report_every", &m.Report, 100*time.Millisecond, time.Minute)
 }
-
-// Classify says which group the first rule that fits names.
-func (m Manifest) Classify() front.Classify {
-	type rule struct {
-		Rule
-		group  int
-		prefix string
-		open   bool
-	}
-	var rules []rule
-	for _, r := range m.Rules {
-		prefix, open := strings.CutSuffix(r.Path, "*")
-		fields := map[string]string{}
-		for name, value := range r.Fields {
-			fields[textproto.CanonicalMIMEHeaderKey(name)] = value
-		}
-		r.Fields = fields
-		rules = append(rules, rule{r, slices.IndexFunc(m.Plan.Groups, func(g forward.Group) bool { return g.Name == r.Group }), prefix, open})
-	}
-	return func(method, host, path string, h http.Header) int {
-		for _, r := range rules {
-			if r.Method != "" && r.Method != method || r.Host != "" && !sameHost(r.Host, host) ||
-				r.Path != "" && r.Path != path && !(r.open && strings.HasPrefix(path, r.prefix)) {
-				continue
-			}
-			fits := true
-			for name, value := range r.Fields {
-				fits = fits && slices.Contains(h[name], value)
-			}
-			if fits {
-				return r.group
-			}
-		}
-		return -1
-	}
-}
-
-// sameHost compares without the port, which a client may leave out.
-func sameHost(want, got string) bool {
-	if name, _, err := net.SplitHostPort(got); err == nil {
-		got = name
-	}
-	return strings.EqualFold(want, got)
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -195,7 +195,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.lists.Bell():
+		case <-s.lists.Ready():
 		}
 		for _, note := range s.lists.Take() {
 			l, ok := note.(governor.ReplicaList)
