Streams and exchange: standard names for events, joins, limits and parsing

Cause: names of the earlier house style (Tell, Bell, notes, meet, hear, alike, ...Most). Change: Publish, Ready, events, join, handle, parse..., encodeUpdate, max... and ...Timeout. No behaviour changes.

--- a/cmd/lilacbend/configuration.go
+++ b/cmd/lilacbend/configuration.go
@@ -49,7 +49,7 @@
 		f.watcher.Refused(v, err)
 		return
 	}
-	f.exchange.Tell(governor.Configure{Version: v, Names: names, Settings: decoded,
+	f.exchange.Publish(governor.Configure{Version: v, Names: names, Settings: decoded,
 		Start: func() governor.Module { return brain.New(decoded) }})
 }
 
--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -64,7 +64,7 @@
 	core := governor.New(func() governor.Module { return brain.New(c.settings) }, census)
 	kept := openArchive(c.operator.State, &c, core, x, base, log)
 	c.known.At, c.known.Wall = base.now(), base.start.UnixNano()
-	x.Tell(c.known)
+	x.Publish(c.known)
 	log.Info("serving", "listen", c.listen, "discovery", c.discovery, "revision", c.known.Revision,
 		"replicas", len(c.known.Members), "proxies", c.settings.Proxies)
 
@@ -131,7 +131,7 @@
 			report(log, core, x, kept, follower)
 			continue
 		case <-timer.C: // after a stall it is late, and much waits to be read
-		case <-x.Bell():
+		case <-x.Ready():
 		}
 		time.Sleep(gatherSpan)
 		o := core.Turn(base.now(), x.Take())
--- a/cmd/lilacbend/state.go
+++ b/cmd/lilacbend/state.go
@@ -91,7 +91,7 @@
 		c.known = governor.ListFromSnapshot(m)
 	}
 	a.read, a.age = g.Name, time.Duration(age)
-	x.Tell(governor.SnapshotRestored{Snapshot: memory.NewPast(m, base.now(), age, r.HalfLife.Nanoseconds())})
+	x.Publish(governor.SnapshotRestored{Snapshot: memory.NewPast(m, base.now(), age, r.HalfLife.Nanoseconds())})
 	a.log.Info("state read", "file", g.Name, "age", a.age.Round(time.Millisecond), "weight", fmt.Sprintf("%.2f", memory.Weight(age, r.HalfLife.Nanoseconds())),
 		"replicas", len(m.Replicas), "list", c.known.Revision, "unfit", dropped.Replicas, "too_old", dropped.Old, "usage_dropped", dropped.Usage, "groups_changed", dropped.Groups)
 }
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -189,6 +189,6 @@
 	c.staleAnswers = 0
 	list.At = c.clock()
 	list.Wall = time.Now().UnixNano()
-	c.exchange.Tell(list)
+	c.exchange.Publish(list)
 	return changed, nil
 }
--- a/internal/discovery/helpers_test.go
+++ b/internal/discovery/helpers_test.go
@@ -75,7 +75,7 @@
 func nextListing(t *testing.T, x *exchange.Exchange) governor.ReplicaList {
 	t.Helper()
 	select {
-	case <-x.Bell():
+	case <-x.Ready():
 	case <-time.After(peers.Patience):
 		t.Fatal("nothing is told")
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,4 +1,4 @@
-// Package exchange is where the server side, the client side and the core meet: an inbox of notes for the
+// Package exchange is where the server side, the client side and the core meet: an inbox of events for the
 // core, and an outbox of pushes for each stream. Nothing here waits for a peer.
 package exchange
 
@@ -13,15 +13,15 @@
 	// The core empties the inbox some hundred times a second, and a collector's lines come at 150 a second
 	// at most: so many are half a minute of them. What proxies say comes on top, see Expect. Past both sums and answers are
 	// dropped, which later ones make up for.
-	notesMost = 4 << 10
+	maxEvents = 4 << 10
 	// Each proxy tells its usage of a few traffic groups a second and answers a message a second or so: so many are what all
 	// of them say while the governor stands still for a few seconds.
-	notesEach = 16
+	maxEventsPerProxy = 16
 	// A proxy is written to a few times a second, and reads at once: so many wait only where it has stopped
 	// reading, and then its whole present state is shorter than they are.
-	itemsMost = 64
+	maxQueuedItems = 64
 	// So many probes of one stream may wait for their answer: who sends more reads none.
-	probesMost = itemsMost / 2
+	maxPendingProbes = maxQueuedItems / 2
 )
 
 // Tally counts what passes the sockets.
@@ -31,81 +31,81 @@
 	Skipped, Unreadable, Panics                      atomic.Int64 // of what was taken in
 	Pushes, PushBytes, Emptied, WriteErrors, Alive   atomic.Int64 // sent and answered
 	Calls, Answers, Dials, CallErrors, Odd, Timeouts atomic.Int64 // of discovery
-	Lost                                             atomic.Int64 // notes
+	Lost                                             atomic.Int64 // events
 	Reloads, Misread                                 atomic.Int64 // of the configuration: taken over, not usable
 }
 
 // Exchange holds one inbox and the outboxes.
 type Exchange struct {
-	Tally Tally
-	mu    sync.Mutex
-	notes []any
-	most  int // of them
-	bell  chan struct{}
-	outs  map[governor.Stream]*Outbox
+	Tally     Tally
+	mu        sync.Mutex
+	events    []any
+	maxEvents int
+	ready     chan struct{}
+	outboxes  map[governor.Stream]*Outbox
 }
 
 // New makes an empty exchange.
 func New() *Exchange {
-	return &Exchange{most: notesMost, bell: make(chan struct{}, 1), outs: map[governor.Stream]*Outbox{}}
+	return &Exchange{maxEvents: maxEvents, ready: make(chan struct{}, 1), outboxes: map[governor.Stream]*Outbox{}}
 }
 
 // Expect has the inbox hold what so many proxies may say.
 func (x *Exchange) Expect(proxies int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.most = notesMost + notesEach*proxies
+	x.maxEvents = maxEvents + maxEventsPerProxy*proxies
 }
 
-// Tell leaves a note for the core. Sums are lost when the inbox is full; what each connection or call tells
+// Publish leaves an event for the core. Sums are lost when the inbox is full; what each connection or call tells
 // once or twice is not.
-func (x *Exchange) Tell(note any) {
+func (x *Exchange) Publish(event any) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	switch note.(type) {
+	switch event.(type) {
 	case governor.Outcomes, governor.Demand, governor.Ack, governor.StreamActive:
-		if len(x.notes) >= x.most {
+		if len(x.events) >= x.maxEvents {
 			x.Tally.Lost.Add(1)
 			return
 		}
 	}
-	x.notes = append(x.notes, note)
-	ring(x.bell)
+	x.events = append(x.events, event)
+	signal(x.ready)
 }
 
-// Written leaves the note that a message has gone out. It wakes nobody: it counts when answers come, and there is one
+// Written leaves the event that a message has gone out. It wakes nobody: it counts when answers come, and there is one
 // for each message.
 func (x *Exchange) Written(number uint64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.notes = append(x.notes, governor.MessageSent{Number: number})
+	x.events = append(x.events, governor.MessageSent{Number: number})
 }
 
-func ring(bell chan struct{}) {
+func signal(ready chan struct{}) {
 	select {
-	case bell <- struct{}{}:
+	case ready <- struct{}{}:
 	default:
 	}
 }
 
-// Bell rings when notes have come.
-func (x *Exchange) Bell() <-chan struct{} { return x.bell }
+// Ready is signalled when events have come.
+func (x *Exchange) Ready() <-chan struct{} { return x.ready }
 
 // Take empties the inbox.
 func (x *Exchange) Take() []any {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	notes := x.notes
-	x.notes = nil
-	return notes
+	events := x.events
+	x.events = nil
+	return events
 }
 
 // Open makes the outbox of a stream; end ends its connection, whatever it is at.
 func (x *Exchange) Open(stream governor.Stream, end func()) *Outbox {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	b := &Outbox{stream: stream, end: end, exchange: x, bell: make(chan struct{}, 1)}
-	x.outs[stream] = b
+	b := &Outbox{stream: stream, end: end, exchange: x, ready: make(chan struct{}, 1)}
+	x.outboxes[stream] = b
 	return b
 }
 
@@ -113,7 +113,7 @@
 func (x *Exchange) Send(s governor.OutgoingUpdate) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if b := x.outs[s.Stream]; b != nil {
+	if b := x.outboxes[s.Stream]; b != nil {
 		b.put(Item{Update: s.Update, Number: s.Number})
 	}
 }
@@ -122,9 +122,9 @@
 func (x *Exchange) End(s governor.Stream) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if b := x.outs[s]; b != nil {
-		b.over = true
-		ring(b.bell)
+	if b := x.outboxes[s]; b != nil {
+		b.closing = true
+		signal(b.ready)
 		b.end()
 	}
 }
@@ -138,44 +138,44 @@
 
 // Outbox holds what waits for one stream.
 type Outbox struct {
-	stream   governor.Stream
-	end      func()
-	exchange *Exchange
-	items    []Item
-	probes   int  // to be answered: owed whatever becomes of the items
-	emptied  bool // items were dropped: nothing goes until the whole state comes
-	asked    bool // for it
-	over     bool
-	bell     chan struct{}
+	stream          governor.Stream
+	end             func()
+	exchange        *Exchange
+	items           []Item
+	probes          int  // to be answered: owed whatever becomes of the items
+	overflowed      bool // items were dropped: nothing goes until the whole state comes
+	resyncRequested bool // for it
+	closing         bool
+	ready           chan struct{}
 }
 
 func (b *Outbox) put(i Item) {
 	switch {
-	case b.emptied && !i.Resync:
+	case b.overflowed && !i.Resync:
 		return
-	case len(b.items) >= itemsMost:
-		b.items, b.emptied, b.asked = nil, true, false
+	case len(b.items) >= maxQueuedItems:
+		b.items, b.overflowed, b.resyncRequested = nil, true, false
 		b.exchange.Tally.Emptied.Add(1)
 	default:
-		b.emptied = false
+		b.overflowed = false
 		b.items = append(b.items, i)
 	}
-	ring(b.bell)
+	signal(b.ready)
 }
 
 // Alive answers a probe that came on the stream, at the next end of a message; who reads none of the answers gets no more of them.
 func (b *Outbox) Alive() {
 	b.exchange.mu.Lock()
 	defer b.exchange.mu.Unlock()
-	b.probes = min(probesMost, b.probes+1)
-	ring(b.bell)
+	b.probes = min(maxPendingProbes, b.probes+1)
+	signal(b.ready)
 }
 
 // Next waits for the next item; false: the stream is over, or done is closed.
 func (b *Outbox) Next(done <-chan struct{}) (Item, bool) {
 	for {
 		b.exchange.mu.Lock()
-		if b.over {
+		if b.closing {
 			b.exchange.mu.Unlock()
 			return Item{}, false
 		}
@@ -190,14 +190,14 @@
 			b.exchange.mu.Unlock()
 			return i, true
 		}
-		ask := b.emptied && !b.asked
-		b.asked = b.asked || ask
+		ask := b.overflowed && !b.resyncRequested
+		b.resyncRequested = b.resyncRequested || ask
 		b.exchange.mu.Unlock()
 		if ask {
-			b.exchange.Tell(governor.OutboxDrained{Stream: b.stream})
+			b.exchange.Publish(governor.OutboxDrained{Stream: b.stream})
 		}
 		select {
-		case <-b.bell:
+		case <-b.ready:
 		case <-done:
 			return Item{}, false
 		}
@@ -208,5 +208,5 @@
 func (b *Outbox) Close() {
 	b.exchange.mu.Lock()
 	defer b.exchange.mu.Unlock()
-	delete(b.exchange.outs, b.stream)
+	delete(b.exchange.outboxes, b.stream)
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -10,21 +10,21 @@
 
 func TestAFullInboxLosesSumsOnly(t *testing.T) {
 	x := New()
-	for range notesMost + 3 {
-		x.Tell(governor.Outcomes{})
+	for range maxEvents + 3 {
+		x.Publish(governor.Outcomes{})
 	}
-	x.Tell(governor.StreamClosed{Stream: 1})
-	x.Tell(governor.Ack{Stream: 1})
-	<-x.Bell()
-	if notes := x.Take(); len(notes) != notesMost+1 || notes[notesMost] != (governor.StreamClosed{Stream: 1}) || x.Tally.Lost.Load() != 4 {
-		t.Errorf("%d notes, %d lost", len(notes), x.Tally.Lost.Load())
+	x.Publish(governor.StreamClosed{Stream: 1})
+	x.Publish(governor.Ack{Stream: 1})
+	<-x.Ready()
+	if events := x.Take(); len(events) != maxEvents+1 || events[maxEvents] != (governor.StreamClosed{Stream: 1}) || x.Tally.Lost.Load() != 4 {
+		t.Errorf("%d events, %d lost", len(events), x.Tally.Lost.Load())
 	}
-	if notes := x.Take(); notes != nil {
-		t.Errorf("%d notes are left", len(notes))
+	if events := x.Take(); events != nil {
+		t.Errorf("%d events are left", len(events))
 	}
 	x.Expect(2400) // all of them answer while the core stands still
-	for range notesMost + 16*2400 {
-		x.Tell(governor.Ack{Stream: 1})
+	for range maxEvents + 16*2400 {
+		x.Publish(governor.Ack{Stream: 1})
 	}
 	if lost := x.Tally.Lost.Load(); lost != 4 {
 		t.Errorf("%d lost with room for a fleet", lost-4)
@@ -35,19 +35,19 @@
 func TestAFullOutboxAsksForTheWholeState(t *testing.T) {
 	x := New()
 	out, done := x.Open(3, nil), make(chan struct{})
-	for n := range uint64(itemsMost + 2) {
+	for n := range uint64(maxQueuedItems + 2) {
 		x.Send(governor.OutgoingUpdate{Stream: 3, Update: mark(n)})
 	}
 	if len(out.items) != 0 || x.Tally.Emptied.Load() != 1 {
 		t.Errorf("%d items wait", len(out.items))
 	}
-	go func() { <-x.Bell(); x.Send(governor.OutgoingUpdate{Stream: 3, Update: governor.Update{Resync: true}}) }()
+	go func() { <-x.Ready(); x.Send(governor.OutgoingUpdate{Stream: 3, Update: governor.Update{Resync: true}}) }()
 	x.Send(governor.OutgoingUpdate{Stream: 4, Update: mark(1)}) // nobody's
 	if i, ok := out.Next(done); !ok || !i.Resync {
 		t.Errorf("got %+v", i)
 	}
-	if notes := x.Take(); len(notes) != 1 || notes[0] != (governor.OutboxDrained{Stream: 3}) {
-		t.Errorf("notes %+v", notes)
+	if events := x.Take(); len(events) != 1 || events[0] != (governor.OutboxDrained{Stream: 3}) {
+		t.Errorf("events %+v", events)
 	}
 	x.Send(governor.OutgoingUpdate{Stream: 3, Update: mark(9)})
 	if i, ok := out.Next(done); !ok || i.Nonce != 9 {
@@ -66,13 +66,13 @@
 		t.Error("an ended stream goes on")
 	}
 	out = x.Open(5, nil)
-	for range itemsMost {
+	for range maxQueuedItems {
 		out.Alive()
 	}
-	if out.probes != itemsMost/2 || len(out.items) != 0 || out.emptied {
+	if out.probes != maxQueuedItems/2 || len(out.items) != 0 || out.overflowed {
 		t.Errorf("%d answers to probes wait", out.probes)
 	}
-	for range itemsMost / 2 {
+	for range maxQueuedItems / 2 {
 		if i, ok := out.Next(done); !ok || !i.Alive {
 			t.Errorf("got %+v", i)
 		}
@@ -81,7 +81,7 @@
 	if _, ok := out.Next(done); ok {
 		t.Error("goes on after the end of its connection")
 	}
-	if out.Close(); x.outs[5] != nil {
+	if out.Close(); x.outboxes[5] != nil {
 		t.Error("a closed outbox stays")
 	}
 }
@@ -92,11 +92,11 @@
 	x := New()
 	out, done := x.Open(3, nil), make(chan struct{})
 	out.Alive()
-	for n := range uint64(itemsMost + 1) {
+	for n := range uint64(maxQueuedItems + 1) {
 		x.Send(governor.OutgoingUpdate{Stream: 3, Update: mark(n)})
 	}
 	out.Alive()
-	if !out.emptied || len(out.items) != 0 {
+	if !out.overflowed || len(out.items) != 0 {
 		t.Fatalf("%d items wait", len(out.items))
 	}
 	for range 2 {
@@ -104,7 +104,7 @@
 			t.Errorf("got %+v", i)
 		}
 	}
-	go func() { <-x.Bell(); x.Send(governor.OutgoingUpdate{Stream: 3, Update: governor.Update{Resync: true}}) }()
+	go func() { <-x.Ready(); x.Send(governor.OutgoingUpdate{Stream: 3, Update: governor.Update{Resync: true}}) }()
 	if i, ok := out.Next(done); !ok || !i.Resync {
 		t.Errorf("got %+v", i)
 	}
--- a/internal/streams/capacity_bench_test.go
+++ b/internal/streams/capacity_bench_test.go
@@ -51,14 +51,14 @@
 					if err != nil {
 						b.Fatal(err)
 					}
-					f := read(words)
+					f := parseFields(words)
 					switch m.name {
 					case "outcomes":
-						events.Tell(met(f))
+						events.Publish(parseOutcomes(f))
 					case "demand":
-						events.Tell(demand(f))
+						events.Publish(parseDemand(f))
 					case "ack":
-						events.Tell(ack(f))
+						events.Publish(parseAck(f))
 					}
 					if f.err != nil {
 						b.Fatal(f.err)
@@ -84,7 +84,7 @@
 			pool, sent := resp.NewPool(1<<20), 0
 			for b.Loop() {
 				sent = 0
-				for _, words := range parts(p) {
+				for _, words := range encodeUpdate(p) {
 					n, err := resp.Write(io.Discard, pool, words...)
 					if err != nil {
 						b.Fatal(err)
@@ -203,8 +203,8 @@
 
 func serveProxies(b *testing.B, l net.Listener, count int) (stop func()) {
 	p := control.Settings{Proxies: count, Classes: []control.TrafficClass{{Timeout: 3e9}}}
-	census := governor.NewTopology(settings.Names{Classes: []string{"read"}, Zones: []string{"a"}}, p)
-	s := New(exchange.New(), resp.NewPool(24<<20), slog.New(slog.DiscardHandler), 4*count+100, census)
+	topology := governor.NewTopology(settings.Names{Classes: []string{"read"}, Zones: []string{"a"}}, p)
+	s := New(exchange.New(), resp.NewPool(24<<20), slog.New(slog.DiscardHandler), 4*count+100, topology)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(ctx, l) }()
--- a/internal/streams/crossings_test.go
+++ b/internal/streams/crossings_test.go
@@ -33,7 +33,7 @@
 // called left for a connection that is closed already, and a collector would take the place of one that lives.
 func TestAnEvictionAtTheInstantOfTheJoining(t *testing.T) {
 	for _, joins := range []string{"hello id 1 site a rps 2 new 1", "agent site a"} {
-		s := server(descriptorsKept + 3)
+		s := server(reservedDescriptors + 3)
 		running(t, s)
 		l := peers.Listen(t)
 		first := peers.Dial(t, l.At())
@@ -105,7 +105,7 @@
 	deaf.Say("hello id 2 site a rps 2 new 1")
 	told(t, s, 2)
 	var lines []governor.WeightedEndpoint
-	for range 3 * linesMost {
+	for range 3 * maxEndpointsPerPart {
 		lines = append(lines, governor.WeightedEndpoint{Replica: strings.Repeat("s", 100), Weight: 1})
 	}
 	var stream governor.Stream
@@ -144,7 +144,7 @@
 		return c, told(t, s, 1)[0].(governor.StreamOpened).Stream
 	}
 	var lines []governor.WeightedEndpoint
-	for range 2*linesMost + 1 {
+	for range 2*maxEndpointsPerPart + 1 {
 		lines = append(lines, governor.WeightedEndpoint{Replica: strings.Repeat("s", 100), Weight: 1})
 	}
 	message := governor.Update{Full: true, Endpoints: lines, WantsAck: true, Nonce: 7}
--- a/internal/streams/peer.go
+++ b/internal/streams/peer.go
@@ -16,20 +16,20 @@
 	"lilacbend/internal/resp"
 )
 
-// answerMost is how long a probe's answer may take to leave: a few bytes into an empty buffer go at once, so
+// answerTimeout is how long a probe's answer may take to leave: a few bytes into an empty buffer go at once, so
 // only a peer that reads nothing takes longer.
-const answerMost = time.Second
+const answerTimeout = time.Second
 
 // The reason why a stranger is sent away goes into an empty buffer, or not at all: nothing waits for it.
-const partingMost = 50 * time.Millisecond
+const refusalTimeout = 50 * time.Millisecond
 
 // What a stranger has sent or is sending is read for so long after that, and thrown away, unless it closes before: with the joining
 // deadline it stays well under the 3 s in which a stranger is owed its answer.
-const lingerMost = 500 * time.Millisecond
+const lingerTimeout = 500 * time.Millisecond
 
 // A stranger's message holds who it is, in less than a buffer. What had come before its deadline may be some
 // more; of one that goes on for ever no more is read.
-const helloMost, lateMost = resp.BufferSize, 4 * resp.BufferSize
+const maxJoinBytes, maxLateBytes = resp.BufferSize, 4 * resp.BufferSize
 
 // role is what a peer has shown itself to be.
 type role int
@@ -56,17 +56,17 @@
 	done   chan struct{} // closed when nothing more is read
 }
 
-func (p *peer) attend() {
+func (p *peer) serve() {
 	defer p.server.all.Done()
 	defer p.leave()
-	defer p.guard()
-	r := resp.NewReader(patient{p}, p.server.pool)
+	defer p.recoverPanic()
+	r := resp.NewReader(joinReader{p}, p.server.pool)
 	defer r.Close()
-	r.Bound(helloMost)
+	r.Bound(maxJoinBytes)
 	for {
 		words, err := r.Next()
 		if err == nil {
-			if err = p.hear(words); p.role != stranger {
+			if err = p.handle(words); p.role != stranger {
 				r.Bound(resp.Largest)
 			}
 		} else if errors.Is(err, resp.ErrNotWords) && p.role != stranger {
@@ -80,24 +80,24 @@
 	}
 }
 
-// guard stops a panic at its connection, on the side that reads as on the one that writes.
-func (p *peer) guard() {
+// recoverPanic stops a panic at its connection, on the side that reads as on the one that writes.
+func (p *peer) recoverPanic() {
 	if v := recover(); v != nil {
 		p.server.exchange.Tally.Panics.Add(1)
 		p.server.log.Error("connection failed", "peer", p.role, "panic", v, "stack", string(debug.Stack()))
 	}
 }
 
-// patient reads for a peer that has to join by a deadline. After it, as after a stall, what has come all the
+// joinReader reads for a peer that has to join by a deadline. After it, as after a stall, what has come all the
 // same is read, but nothing is waited for.
-type patient struct{ *peer }
+type joinReader struct{ *peer }
 
-func (p patient) Read(b []byte) (n int, err error) {
+func (p joinReader) Read(b []byte) (n int, err error) {
 	if p.role != stranger || p.late == 0 {
 		if n, err = p.conn.Read(b); p.role != stranger || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		p.late = lateMost
+		p.late = maxLateBytes
 		p.conn.SetReadDeadline(time.Time{})
 	}
 	socket, ok := p.conn.(syscall.Conn)
@@ -139,9 +139,9 @@
 		p.server.log.Debug("connection broke", "peer", p.role, "error", err)
 		return
 	}
-	p.server.complain(what, err, "peer", p.role, "from", p.conn.RemoteAddr())
+	p.server.warn(what, err, "peer", p.role, "from", p.conn.RemoteAddr())
 	if p.role == stranger {
-		p.conn.SetWriteDeadline(time.Now().Add(partingMost))
+		p.conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
 		resp.Write(p.conn, p.server.pool, "error", "reason", err.Error())
 		p.linger()
 	}
@@ -151,7 +151,7 @@
 // what the other side has not read yet, an "alive" before this one too.
 func (p *peer) linger() {
 	if half, ok := p.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		p.conn.SetReadDeadline(time.Now().Add(lingerMost))
+		p.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 		io.CopyN(io.Discard, p.conn, resp.Largest)
 	}
 }
@@ -162,7 +162,7 @@
 	p.server.exchange.Tally.Ended.Add(1)
 	if p.out != nil {
 		p.out.Close()
-		p.server.exchange.Tell(governor.StreamClosed{Stream: p.stream})
+		p.server.exchange.Publish(governor.StreamClosed{Stream: p.stream})
 	}
 	p.server.mu.Lock()
 	defer p.server.mu.Unlock()
@@ -175,14 +175,14 @@
 	errEvicted = errors.New("its place went to another")
 )
 
-// hear takes one message in.
-func (p *peer) hear(words []string) error {
+// handle takes one message in.
+func (p *peer) handle(words []string) error {
 	if len(words) > 0 && words[0] == "probe" && p.role != collector {
 		return p.alive()
 	}
-	f := read(words)
+	f := parseFields(words)
 	if p.role == stranger {
-		p.meet(f)
+		p.join(f)
 		if f.err != nil {
 			return fmt.Errorf("%w: %w", errStrange, f.err)
 		}
@@ -191,33 +191,33 @@
 	if note := p.report(f); f.err != nil {
 		p.skip(f.err)
 	} else {
-		p.server.exchange.Tell(note)
+		p.server.exchange.Publish(note)
 	}
 	return nil
 }
 
-// meet hears who a stranger is.
-func (p *peer) meet(f *fields) {
+// join learns who a stranger is.
+func (p *peer) join(f *fields) {
 	switch f.kind {
 	case "agent":
 		zone := f.zone()
-		if f.fault(p.server.census.Load().CheckCollector(zone)); f.err == nil {
-			f.fault(p.server.name(p, collector, zone))
+		if f.fail(p.server.topology.Load().CheckCollector(zone)); f.err == nil {
+			f.fail(p.server.register(p, collector, zone))
 		}
 	case "hello":
-		h := hello(f)
-		if f.fault(p.server.census.Load().CheckProxy(h)); f.err == nil {
-			f.fault(p.server.name(p, proxy, ""))
+		h := parseHello(f)
+		if f.fail(p.server.topology.Load().CheckProxy(h)); f.err == nil {
+			f.fail(p.server.register(p, proxy, ""))
 		}
 		if f.err == nil {
 			h.Stream, p.id = p.stream, h.Proxy
 			p.out = p.server.exchange.Open(p.stream, func() { p.conn.Close() })
 			p.server.all.Add(1)
 			go p.write()
-			p.server.exchange.Tell(h)
+			p.server.exchange.Publish(h)
 		}
 	default:
-		f.note("%.40q before a joining", f.kind)
+		f.failf("%.40q before a joining", f.kind)
 	}
 }
 
@@ -225,36 +225,36 @@
 func (p *peer) report(f *fields) any {
 	switch {
 	case f.kind == "ack" && p.role == proxy:
-		a := ack(f)
+		a := parseAck(f)
 		a.Stream = p.stream
-		p.own(f, f.whole("id"))
+		p.requireOwn(f, f.integer("id"))
 		return a
 	case f.kind == "demand" && p.role == proxy:
-		d := demand(f)
+		d := parseDemand(f)
 		d.Stream = p.stream
-		p.own(f, d.Proxy)
+		p.requireOwn(f, d.Proxy)
 		return d
 	case f.kind == "demand" && p.role == collector:
-		return demand(f)
+		return parseDemand(f)
 	case f.kind == "outcomes" && p.role == collector:
-		return met(f)
+		return parseOutcomes(f)
 	}
-	f.note("%.40q from a %v", f.kind, p.role)
+	f.failf("%.40q from a %v", f.kind, p.role)
 	return nil
 }
 
-func (p *peer) own(f *fields, id int) {
+func (p *peer) requireOwn(f *fields, id int) {
 	if id != p.id {
-		f.note("%s of %d on the stream of %d", f.kind, id, p.id)
+		f.failf("%s of %d on the stream of %d", f.kind, id, p.id)
 	}
 }
 
 // skip passes over a whole message that cannot be used: all the same a sign of life.
 func (p *peer) skip(err error) {
 	p.server.exchange.Tally.Skipped.Add(1)
-	p.server.complain("message skipped", err, "peer", p.role, "from", p.conn.RemoteAddr())
+	p.server.warn("message skipped", err, "peer", p.role, "from", p.conn.RemoteAddr())
 	if p.role == proxy {
-		p.server.exchange.Tell(governor.StreamActive{Stream: p.stream})
+		p.server.exchange.Publish(governor.StreamActive{Stream: p.stream})
 	}
 }
 
@@ -264,7 +264,7 @@
 		p.out.Alive()
 		return nil
 	}
-	p.conn.SetWriteDeadline(time.Now().Add(answerMost))
+	p.conn.SetWriteDeadline(time.Now().Add(answerTimeout))
 	_, err := resp.Write(p.conn, p.server.pool, "alive")
 	p.conn.SetWriteDeadline(time.Time{})
 	return err
@@ -274,7 +274,7 @@
 func (p *peer) write() {
 	defer p.server.all.Done()
 	defer p.conn.Close()
-	defer p.guard()
+	defer p.recoverPanic()
 	tally := &p.server.exchange.Tally
 	for {
 		item, ok := p.out.Next(p.done)
@@ -283,7 +283,7 @@
 		}
 		messages := [][]string{{"alive"}}
 		if !item.Alive {
-			messages = parts(item.Update)
+			messages = encodeUpdate(item.Update)
 			tally.Pushes.Add(1)
 		}
 		for k, words := range messages {
--- a/internal/streams/peer_test.go
+++ b/internal/streams/peer_test.go
@@ -17,8 +17,8 @@
 )
 
 func server(descriptors int) *Server {
-	census := governor.NewTopology(settings.Names{Classes: []string{"lookup"}, Zones: []string{"a", "b"}}, control.Settings{Proxies: 20})
-	return New(exchange.New(), resp.NewPool(8<<20), slog.New(slog.DiscardHandler), descriptors, census)
+	topology := governor.NewTopology(settings.Names{Classes: []string{"lookup"}, Zones: []string{"a", "b"}}, control.Settings{Proxies: 20})
+	return New(exchange.New(), resp.NewPool(8<<20), slog.New(slog.DiscardHandler), descriptors, topology)
 }
 
 func TestWhatAPeerSaysBecomesOneNote(t *testing.T) {
@@ -65,7 +65,7 @@
 		s := server(100)
 		conn, _ := net.Pipe()
 		p := &peer{server: s, conn: conn, stream: 5, role: c.role, id: 17}
-		err := p.hear(strings.Fields(c.says))
+		err := p.handle(strings.Fields(c.says))
 		var heard any
 		if notes := s.exchange.Take(); len(notes) > 0 {
 			heard = notes[0]
@@ -79,7 +79,7 @@
 }
 
 func TestPushesAreWrittenInParts(t *testing.T) {
-	many := make([]governor.WeightedEndpoint, linesMost+1)
+	many := make([]governor.WeightedEndpoint, maxEndpointsPerPart+1)
 	for k := range many {
 		many[k] = governor.WeightedEndpoint{Replica: strings.Repeat("s", 128), Weight: 0.12345678}
 	}
@@ -99,14 +99,14 @@
 		{governor.Update{Full: true}, "push full 1"},
 	} {
 		var got []string
-		for _, words := range parts(c.push) {
+		for _, words := range encodeUpdate(c.push) {
 			got = append(got, strings.Join(words, " "))
 		}
 		if text := strings.Join(got, "|"); text != c.want {
 			t.Errorf("got  %s\nwant %s", text, c.want)
 		}
 	}
-	got := parts(governor.Update{Full: true, Endpoints: many})
+	got := encodeUpdate(governor.Update{Full: true, Endpoints: many})
 	size, err := resp.Write(io.Discard, resp.NewPool(0), got[0]...)
 	if err != nil || len(got) != 2 || got[1][1] != "endpoints" || got[0][len(got[0])-2] != "continued" || size > resp.Largest {
 		t.Errorf("%d parts for %d lines, the first of %d bytes", len(got), len(many), size)
--- a/internal/streams/server.go
+++ b/internal/streams/server.go
@@ -21,14 +21,14 @@
 const (
 	// Descriptors that are not connections of peers: the listener, discovery's connections, the log, the
 	// runtime's own, and some to spare for a second call of discovery while the first one closes.
-	descriptorsKept = 32
+	reservedDescriptors = 32
 	// A listener that cannot accept (no descriptor is left) tries again after this.
-	acceptPause = 20 * time.Millisecond
+	acceptRetry = 20 * time.Millisecond
 	// The log tells of broken connections once in so long; the counters tell of all.
-	complaintPause = time.Second
+	warningInterval = time.Second
 	// Who connects says who it is at once, and may be put out after 1 s; one that does not is owed an answer
 	// within 3 s. So long from the moment it was taken in it has, whatever else it says.
-	joinMost = 2 * time.Second
+	joinTimeout = 2 * time.Second
 )
 
 // Server serves one listener.
@@ -37,28 +37,28 @@
 	pool     *resp.Pool
 	log      *slog.Logger
 	most     int
-	census   atomic.Pointer[governor.Topology]
+	topology atomic.Pointer[governor.Topology]
 
-	mu         sync.Mutex
-	peers      map[*peer]struct{}
-	queue      *list.List       // the dispensable, who goes first in front: the unnamed, and collectors replaced
-	zones      map[string]*peer // the last collector of each
-	last       governor.Stream
-	complained map[string]time.Time
-	all        sync.WaitGroup
+	mu          sync.Mutex
+	peers       map[*peer]struct{}
+	queue       *list.List       // the dispensable, who goes first in front: the unnamed, and collectors replaced
+	zones       map[string]*peer // the last collector of each
+	last        governor.Stream
+	lastWarning map[string]time.Time
+	all         sync.WaitGroup
 }
 
 // New makes a server that holds no more than so many descriptors.
-func New(x *exchange.Exchange, pool *resp.Pool, log *slog.Logger, descriptors int, census governor.Topology) *Server {
-	s := &Server{exchange: x, pool: pool, log: log, most: max(1, descriptors-descriptorsKept),
+func New(x *exchange.Exchange, pool *resp.Pool, log *slog.Logger, descriptors int, topology governor.Topology) *Server {
+	s := &Server{exchange: x, pool: pool, log: log, most: max(1, descriptors-reservedDescriptors),
 		peers: map[*peer]struct{}{}, queue: list.New(), zones: map[string]*peer{},
-		complained: map[string]time.Time{}}
-	s.Reconfigure(census)
+		lastWarning: map[string]time.Time{}}
+	s.Reconfigure(topology)
 	return s
 }
 
 // Reconfigure has those who join from now on checked by another topology; who has joined stays.
-func (s *Server) Reconfigure(census governor.Topology) { s.census.Store(&census) }
+func (s *Server) Reconfigure(topology governor.Topology) { s.topology.Store(&topology) }
 
 // Serve accepts connections until ctx ends, then ends them all and waits for them.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
@@ -77,11 +77,11 @@
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accepting: %w", err)
 		case err != nil:
-			s.complain("cannot accept", err)
+			s.warn("cannot accept", err)
 			s.mu.Lock()
 			s.evict()
 			s.mu.Unlock()
-			time.Sleep(acceptPause)
+			time.Sleep(acceptRetry)
 			continue
 		}
 		s.admit(conn)
@@ -102,9 +102,9 @@
 	p := &peer{server: s, conn: conn, stream: s.last, done: make(chan struct{})}
 	p.place = s.queue.PushBack(p)
 	s.peers[p] = struct{}{}
-	conn.SetReadDeadline(time.Now().Add(joinMost))
+	conn.SetReadDeadline(time.Now().Add(joinTimeout))
 	s.all.Add(1)
-	go p.attend()
+	go p.serve()
 }
 
 func (s *Server) evict() bool {
@@ -119,10 +119,10 @@
 	return true
 }
 
-// name says that a peer is known now. A collector takes the place of the one before it in its zone, which may
+// register notes that a peer is known now. A collector takes the place of the one before it in its zone, which may
 // have vanished without a word: that one is not ended, but is dispensable from then on. Whose place went to another while its
 // joining was read is not named: nothing is told of a connection that is closed already.
-func (s *Server) name(p *peer, as role, zone string) error {
+func (s *Server) register(p *peer, as role, zone string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, here := s.peers[p]; !here {
@@ -165,11 +165,11 @@
 }
 
 // complain logs a line, unless it has just done so.
-func (s *Server) complain(what string, err error, args ...any) {
+func (s *Server) warn(what string, err error, args ...any) {
 	s.mu.Lock()
-	quiet := time.Since(s.complained[what]) < complaintPause
+	quiet := time.Since(s.lastWarning[what]) < warningInterval
 	if !quiet {
-		s.complained[what] = time.Now()
+		s.lastWarning[what] = time.Now()
 	}
 	s.mu.Unlock()
 	if !quiet {
--- a/internal/streams/server_test.go
+++ b/internal/streams/server_test.go
@@ -86,7 +86,7 @@
 func told(t *testing.T, s *Server, n int) (notes []any) {
 	for late := time.After(10 * time.Second); len(notes) < n; {
 		select {
-		case <-s.exchange.Bell():
+		case <-s.exchange.Ready():
 			notes = append(notes, slices.DeleteFunc(s.exchange.Take(), func(n any) bool {
 				_, out := n.(governor.MessageSent)
 				return out
@@ -139,7 +139,7 @@
 		}
 		c.ends(t)
 	}
-	if time.Since(start) > joinMost {
+	if time.Since(start) > joinTimeout {
 		t.Errorf("it took %v", time.Since(start))
 	}
 	broken := call(t, at, "hello id 2 site a rps 2 new 1")
@@ -160,7 +160,7 @@
 	told(t, s, 1)
 	strangers := []caller{call(t, at), call(t, at, "probe"), call(t, at)}
 	io.WriteString(strangers[2], "*3\r\n$5\r\nagent\r\n$4\r\nsi")
-	time.Sleep(joinMost * 3 / 4)
+	time.Sleep(joinTimeout * 3 / 4)
 	strangers[1].say(t, "probe")
 	for k, c := range strangers {
 		for words, err := c.read.Next(); ; words, err = c.read.Next() {
@@ -207,7 +207,7 @@
 		s.mu.Unlock()
 		ended := make(chan struct{})
 		s.all.Add(1)
-		go func() { p.attend(); close(ended) }()
+		go func() { p.serve(); close(ended) }()
 		if c.joins {
 			told(t, s, 1)
 			conn.Close()
@@ -226,10 +226,10 @@
 	here, there := net.Pipe()
 	p := &peer{server: s, conn: there, role: proxy, done: make(chan struct{})}
 	s.all.Add(1)
-	p.server = &Server{exchange: s.exchange, log: s.log, peers: s.peers, queue: s.queue, zones: s.zones, complained: s.complained} // no pool
+	p.server = &Server{exchange: s.exchange, log: s.log, peers: s.peers, queue: s.queue, zones: s.zones, lastWarning: s.lastWarning} // no pool
 	p.server.all.Add(1)
 	go io.WriteString(here, "x")
-	p.attend()
+	p.serve()
 	if s.all.Done(); s.exchange.Tally.Panics.Load() != 1 {
 		t.Error("no panic was counted")
 	}
@@ -241,7 +241,7 @@
 // Hundreds of silent strangers neither keep others out nor hold places for ever; named peers stay.
 func TestStrangersGoFirst(t *testing.T) {
 	const places = 20
-	s := server(descriptorsKept + places)
+	s := server(reservedDescriptors + places)
 	at := running(t, s)
 	good := call(t, at, "hello id 1 site a rps 2 new 1")
 	reports := call(t, at, "agent site a", "outcomes site a target s-5 count 1 fail 0 mean 1 over 1")
@@ -287,8 +287,8 @@
 	call(t, at).ends(t) // taken by the call that had begun
 	began := time.Now()
 	late := call(t, at, "probe") // waits in the listener's queue
-	time.Sleep(5 * acceptPause)
-	if most := int64(time.Since(began)/acceptPause) + 4; l.tries.Load() > most {
+	time.Sleep(5 * acceptRetry)
+	if most := int64(time.Since(began)/acceptRetry) + 4; l.tries.Load() > most {
 		t.Errorf("%d tries, %d in this time", l.tries.Load(), most)
 	}
 	l.out.Store(false)
@@ -298,7 +298,7 @@
 }
 
 func TestNamedPeersAreNotPutOut(t *testing.T) {
-	s := server(descriptorsKept + 2)
+	s := server(reservedDescriptors + 2)
 	at := running(t, s)
 	for id := range 2 {
 		call(t, at, fmt.Sprintf("hello id %d site a rps 2 new 1", id))
@@ -312,7 +312,7 @@
 
 // Collectors that vanish without a word and dial again must not take all places in the end.
 func TestACollectorReplacedIsDispensable(t *testing.T) {
-	s := server(descriptorsKept + 3)
+	s := server(reservedDescriptors + 3)
 	at := running(t, s)
 	const sums = "outcomes site a target s-5 count 1 fail 0 mean 1 over 1"
 	first := call(t, at, "agent site a", sums)
--- a/internal/streams/words.go
+++ b/internal/streams/words.go
@@ -10,9 +10,9 @@
 	"lilacbend/internal/governor"
 )
 
-// linesMost is how many lines go into one part of a message: with the longest names it stays under the
+// maxEndpointsPerPart is how many lines go into one part of a message: with the longest names it stays under the
 // largest size of a message.
-const linesMost = 4 << 10
+const maxEndpointsPerPart = 4 << 10
 
 // fields are the names and values of one message, and the first thing wrong with them.
 type fields struct {
@@ -21,27 +21,27 @@
 	err   error
 }
 
-func read(words []string) *fields {
+func parseFields(words []string) *fields {
 	f := &fields{words: words}
 	if len(words)%2 == 0 {
-		f.note("%d words", len(words))
+		f.failf("%d words", len(words))
 	} else {
 		f.kind = words[0]
 	}
 	return f
 }
 
-func (f *fields) fault(err error) {
+func (f *fields) fail(err error) {
 	if f.err == nil {
 		f.err = err
 	}
 }
 
-func (f *fields) note(format string, args ...any) {
-	f.fault(fmt.Errorf(format, args...))
+func (f *fields) failf(format string, args ...any) {
+	f.fail(fmt.Errorf(format, args...))
 }
 
-func (f *fields) has(name string) (string, bool) {
+func (f *fields) lookup(name string) (string, bool) {
 	for k := 1; k+1 < len(f.words); k += 2 {
 		if f.words[k] == name {
 			return f.words[k+1], true
@@ -51,9 +51,9 @@
 }
 
 func (f *fields) text(name string) string {
-	v, ok := f.has(name)
+	v, ok := f.lookup(name)
 	if !ok {
-		f.note("%s without %s", f.kind, name)
+		f.failf("%s without %s", f.kind, name)
 	}
 	return v
 }
@@ -62,7 +62,7 @@
 	v := f.text(name)
 	n, err := strconv.ParseFloat(v, 64)
 	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) || n < 0 {
-		f.note("%s with %s %.40q", f.kind, name, v)
+		f.failf("%s with %s %.40q", f.kind, name, v)
 		return 0
 	}
 	return n
@@ -70,43 +70,43 @@
 
 // zone reads where a peer stands. It may be left out, as there are deployments without zones: the topology knows.
 func (f *fields) zone() string {
-	name, _ := f.has("site")
+	name, _ := f.lookup("site")
 	return name
 }
 
-// perhaps reads a figure that may be left out: nothing stands on it alone.
-func (f *fields) perhaps(name string) float64 {
-	if _, ok := f.has(name); !ok {
+// optionalNumber reads a figure that may be left out: nothing stands on it alone.
+func (f *fields) optionalNumber(name string) float64 {
+	if _, ok := f.lookup(name); !ok {
 		return 0
 	}
 	return f.number(name)
 }
 
-func (f *fields) whole(name string) int {
+func (f *fields) integer(name string) int {
 	n := f.number(name)
 	if n != math.Trunc(n) || n > math.MaxInt32 {
-		f.note("%s with %s %v", f.kind, name, n)
+		f.failf("%s with %s %v", f.kind, name, n)
 		return 0
 	}
 	return int(n)
 }
 
-func (f *fields) ms(name string) int64 { return control.Nanos(f.number(name)) }
+func (f *fields) milliseconds(name string) int64 { return control.Nanos(f.number(name)) }
 
-func hello(f *fields) governor.StreamOpened {
-	blank, _ := f.has("new")
-	return governor.StreamOpened{Proxy: f.whole("id"), Zone: f.zone(), Rate: f.perhaps("rps"), Blank: blank == "1"}
+func parseHello(f *fields) governor.StreamOpened {
+	blank, _ := f.lookup("new")
+	return governor.StreamOpened{Proxy: f.integer("id"), Zone: f.zone(), Rate: f.optionalNumber("rps"), Blank: blank == "1"}
 }
 
-func ack(f *fields) governor.Ack {
-	return governor.Ack{Nonce: uint64(f.whole("seq")), Delay: control.Nanos(f.perhaps("ms"))}
+func parseAck(f *fields) governor.Ack {
+	return governor.Ack{Nonce: uint64(f.integer("seq")), Delay: control.Nanos(f.optionalNumber("ms"))}
 }
 
-func met(f *fields) governor.Outcomes {
+func parseOutcomes(f *fields) governor.Outcomes {
 	m := governor.Outcomes{Zone: f.zone(), Replica: f.text("target")}
-	m.Attempts, m.Failures, m.ResponseTime, m.Period = f.whole("count"), f.whole("fail"), f.ms("mean"), f.ms("over")
+	m.Attempts, m.Failures, m.ResponseTime, m.Period = f.integer("count"), f.integer("fail"), f.milliseconds("mean"), f.milliseconds("over")
 	m.InFlight = -1
-	if report, ok := f.has("util"); ok {
+	if report, ok := f.lookup("util"); ok {
 		first, _, _ := strings.Cut(report, ",")
 		_, value, _ := strings.Cut(first, ":")
 		if held, err := strconv.ParseFloat(value, 64); err == nil {
@@ -116,21 +116,23 @@
 	return m
 }
 
-func demand(f *fields) governor.Demand {
+func parseDemand(f *fields) governor.Demand {
 	d := governor.Demand{Class: f.text("lane")}
-	d.Proxy, d.Requests, d.Failures, d.Period = f.whole("id"), f.whole("count"), f.whole("fail"), f.ms("over")
+	d.Proxy, d.Requests, d.Failures, d.Period = f.integer("id"), f.integer("count"), f.integer("fail"), f.milliseconds("over")
 	return d
 }
 
-// figure writes a weight or a share: no more of it than a proxy reads, and never infinity.
-func figure(v float64) string { return strconv.FormatFloat(math.Min(v, math.MaxFloat32), 'f', -1, 32) }
+// formatWeight writes a weight or a share: no more of it than a proxy reads, and never infinity.
+func formatWeight(v float64) string {
+	return strconv.FormatFloat(math.Min(v, math.MaxFloat32), 'f', -1, 32)
+}
 
-// partsMost is how many parts a message may have, by the protocol.
-const partsMost = 64
+// maxParts is how many parts a message may have, by the protocol.
+const maxParts = 64
 
-// alike puts levels that say the same into one part each, in the order of the first: a part for every traffic group could
+// mergeAdmissions puts levels that say the same into one part each, in the order of the first: a part for every traffic group could
 // be more than a message may have, and shares and ways of trying again are few.
-func alike(levels []governor.Admission) (all []governor.Admission) {
+func mergeAdmissions(levels []governor.Admission) (all []governor.Admission) {
 	at := map[governor.Admission]int{}
 	for _, l := range levels {
 		name := l.Class
@@ -147,8 +149,8 @@
 	return all
 }
 
-// parts writes a push as the messages that make it up, the mark with the last.
-func parts(p governor.Update) [][]string {
+// encodeUpdate writes a push as the messages that make it up, the mark with the last.
+func encodeUpdate(p governor.Update) [][]string {
 	var out [][]string
 	full, lines, shut, let := p.Full, p.Endpoints, p.Ejected, p.Restored
 	for full || len(lines)+len(shut)+len(let) > 0 {
@@ -156,25 +158,25 @@
 		if full {
 			part, full = append(part, "full", "1"), false
 		}
-		if n := min(len(lines), linesMost); n > 0 {
+		if n := min(len(lines), maxEndpointsPerPart); n > 0 {
 			pairs := make([]string, n)
 			for k, l := range lines[:n] {
-				pairs[k] = l.Replica + ":" + figure(l.Weight)
+				pairs[k] = l.Replica + ":" + formatWeight(l.Weight)
 			}
 			part, lines = append(part, "endpoints", strings.Join(pairs, ",")), lines[n:]
-		} else if n := min(len(shut), linesMost); n > 0 {
+		} else if n := min(len(shut), maxEndpointsPerPart); n > 0 {
 			part, shut = append(part, "eject", strings.Join(shut[:n], ",")), shut[n:]
-		} else if n := min(len(let), linesMost); n > 0 {
+		} else if n := min(len(let), maxEndpointsPerPart); n > 0 {
 			part, let = append(part, "restore", strings.Join(let[:n], ",")), let[n:]
 		}
 		out = append(out, part)
 	}
 	levels := p.Admissions
-	if len(out)+len(levels) > partsMost {
-		levels = alike(levels)
+	if len(out)+len(levels) > maxParts {
+		levels = mergeAdmissions(levels)
 	}
 	for _, l := range levels {
-		out = append(out, []string{"push", "routes", l.Class, "admit", figure(l.Share), "policy", strconv.Itoa(int(l.Retries))})
+		out = append(out, []string{"push", "routes", l.Class, "admit", formatWeight(l.Share), "policy", strconv.Itoa(int(l.Retries))})
 	}
 	if p.WantsAck {
 		if len(out) == 0 {
--- a/internal/streams/words_test.go
+++ b/internal/streams/words_test.go
@@ -28,18 +28,18 @@
 		}
 		p.Admissions = append(p.Admissions, l)
 	}
-	messages := parts(p)
+	messages := encodeUpdate(p)
 	var named []string
 	for k, words := range messages {
-		f := read(words)
-		if _, goes := f.has("continued"); goes != (k < len(messages)-1) {
+		f := parseFields(words)
+		if _, goes := f.lookup("continued"); goes != (k < len(messages)-1) {
 			t.Errorf("part %d of %d: %v", k, len(messages), words)
 		}
-		if routes, has := f.has("routes"); has {
+		if routes, has := f.lookup("routes"); has {
 			for _, name := range strings.Split(routes, "+") {
-				share, _ := f.has("admit")
+				share, _ := f.lookup("admit")
 				at := slices.IndexFunc(p.Admissions, func(l governor.Admission) bool { return l.Class == name })
-				if share != figure(p.Admissions[at].Share) {
+				if share != formatWeight(p.Admissions[at].Share) {
 					t.Errorf("%s gets %s", name, share)
 				}
 				named = append(named, name)
@@ -47,17 +47,17 @@
 		}
 	}
 	slices.Sort(named)
-	if named = slices.Compact(named); len(named) != 200 || len(messages) > partsMost {
+	if named = slices.Compact(named); len(named) != 200 || len(messages) > maxParts {
 		t.Errorf("%d groups in %d parts", len(named), len(messages))
 	}
-	if p.Admissions = p.Admissions[:partsMost-1]; len(parts(p)) != partsMost { // as many as fit go as ever
-		t.Errorf("%d parts", len(parts(p)))
+	if p.Admissions = p.Admissions[:maxParts-1]; len(encodeUpdate(p)) != maxParts { // as many as fit go as ever
+		t.Errorf("%d parts", len(encodeUpdate(p)))
 	}
 }
 
 func TestNoFigureIsInfinite(t *testing.T) {
-	for v, want := range map[float64]string{1e300: figure(math.MaxFloat32), 0.35: "0.35", 0: "0"} {
-		if got := figure(v); got != want || strings.Contains(got, "Inf") {
+	for v, want := range map[float64]string{1e300: formatWeight(math.MaxFloat32), 0.35: "0.35", 0: "0"} {
+		if got := formatWeight(v); got != want || strings.Contains(got, "Inf") {
 			t.Errorf("%v is written %s", v, got)
 		}
 	}
@@ -66,9 +66,9 @@
 // A deployment without zones: peers may leave out where they stand.
 func TestPeersThatNameNoZone(t *testing.T) {
 	x := exchange.New()
-	census := governor.NewTopology(settings.Names{Classes: []string{"a"}},
+	topology := governor.NewTopology(settings.Names{Classes: []string{"a"}},
 		control.Settings{Proxies: 2, Classes: []control.TrafficClass{{Timeout: 1e9}}})
-	s := New(x, resp.NewPool(1<<20), slog.New(slog.DiscardHandler), 99, census)
+	s := New(x, resp.NewPool(1<<20), slog.New(slog.DiscardHandler), 99, topology)
 	at := running(t, s)
 	call(t, at, "agent", "outcomes target x count 1 fail 0 mean 1 over 1000")
 	want := governor.Outcomes{Replica: "x", Outcomes: control.Outcomes{Attempts: 1, ResponseTime: 1e6, Period: 1e9, InFlight: -1}}
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -108,7 +108,7 @@
 	h.mu.Lock()
 	h.offered[v] = offer{markerOf(body), done}
 	h.mu.Unlock()
-	h.exchange.Tell(governor.Configure{Version: v, Names: s.names, Settings: s.provision, Start: h.starting(s)})
+	h.exchange.Publish(governor.Configure{Version: v, Names: s.names, Settings: s.provision, Start: h.starting(s)})
 }
 
 // starting starts modules by settings.
@@ -152,7 +152,7 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-		case <-h.exchange.Bell():
+		case <-h.exchange.Ready():
 		}
 		time.Sleep(gatherSpan)
 		notes := h.exchange.Take()
@@ -181,7 +181,7 @@
 	defer out.Close()
 	random := rand.New(rand.NewPCG(h.plan.Seed, uint64(k)))
 	zone := zoneName(random.IntN(max(1, h.plan.Shape.Zones)))
-	h.exchange.Tell(governor.StreamOpened{Stream: stream, Proxy: k, Zone: zone, Rate: 1, Blank: true})
+	h.exchange.Publish(governor.StreamOpened{Stream: stream, Proxy: k, Zone: zone, Rate: 1, Blank: true})
 	var all sync.WaitGroup
 	defer all.Wait()
 	all.Go(func() { h.report(ctx, stream, k, random) })
@@ -192,7 +192,7 @@
 		}
 		h.exchange.Written(item.Number)
 		if item.WantsAck {
-			h.exchange.Tell(governor.Ack{Stream: stream, Nonce: item.Nonce, Delay: proxyAckDelay})
+			h.exchange.Publish(governor.Ack{Stream: stream, Nonce: item.Nonce, Delay: proxyAckDelay})
 		}
 	}
 }
@@ -206,7 +206,7 @@
 		case <-time.After(pause):
 		}
 		route := fmt.Sprintf("route-%d", random.IntN(h.plan.Shape.Routes))
-		h.exchange.Tell(governor.Demand{Stream: stream, Class: route,
+		h.exchange.Publish(governor.Demand{Stream: stream, Class: route,
 			Demand: control.Demand{Proxy: proxy, Requests: 1, Period: int64(time.Second)}})
 	}
 }
