--- a/internal/governor/budget_test.go
+++ b/internal/governor/budget_test.go
@@ -277,6 +277,7 @@
 }
 
 func TestTheChannelAndTheRulesHoldForCoreAndModule(t *testing.T) {
+	t.Parallel()
 	for seed := range int64(100) { // drawn, and the same every time
 		draw := rand.New(rand.NewSource(seed))
 		proxies := 2 + draw.Intn(39)
@@ -300,6 +301,7 @@
 
 // The same at sizes nobody draws by chance.
 func TestTheChannelHoldsAtFullSize(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ proxies, replicas, governors, limit int }{
 		{2, 1024, 1024, 1800}, {7, 300, 350, 1800}, {450, 200, 5, 49200}, {2400, 200, 5, 49200}, {3000, 1024, 5, 60000},
 	} {
@@ -320,6 +322,7 @@
 // Each part of what a message costs is needed: with any one taken out, which is as if the channel counted it once more,
 // some of the same sequences break the bound.
 func TestEachChargeIsNeeded(t *testing.T) {
+	t.Parallel()
 	for what, more := range map[string]func(governor.Update) int{
 		"nothing":   func(p governor.Update) int { return 0 },
 		"heads":     func(p governor.Update) int { return 4 },
--- a/internal/governor/capped_test.go
+++ b/internal/governor/capped_test.go
@@ -11,14 +11,24 @@
 	"lilacbend/settings"
 )
 
+// cappedSettings are those of six proxies, each of which gets so many messages in 10 s. The channel's are left to the test.
+func cappedSettings(grace int64, messages int) control.Settings {
+	return control.Settings{
+		Seed: 5, Governors: 1, Zones: 1, Kinds: 2, Proxies: 6,
+		MessageHead: 4, MaxTransit: second / 4, DrainGrace: grace,
+		MaxMessages: messages, MessageWindow: 10 * second, HostQueues: true, ReportInterval: second / 2,
+		SlowStartShare: 0.2, SlowStartTime: 10 * second, OverloadMultiple: 3,
+		Admission: control.AdmitShare, AttemptTimeoutFactor: 1, DefaultRetries: control.RetryIfNotExecuted,
+		Classes: []control.TrafficClass{{Utility: 1, LatencyBudget: second, Timeout: 3 * second, Effect: control.Retriable}},
+	}
+}
+
 // A proxy that joins again and again uses up its cap of messages. A drain that is told then reaches the others of its table all
 // the same, within the grace: the core holds what is for that one alone, and the module must not keep the order back from all.
 func TestOneCappedProxyHoldsUpNoWithdrawal(t *testing.T) {
 	const grace = 2 * second
-	p := control.Settings{Seed: 5, Governors: 1, Zones: 1, Kinds: 2, Proxies: 6, ChannelRate: 1200, ChannelLimit: 1800, MessageHead: 4,
-		MaxTransit: second / 4, DrainGrace: grace, MaxMessages: 6, MessageWindow: 10 * second, HostQueues: true, ReportInterval: second / 2,
-		SlowStartShare: 0.2, SlowStartTime: 10 * second, OverloadMultiple: 3, Admission: control.AdmitShare, AttemptTimeoutFactor: 1, DefaultRetries: control.RetryIfNotExecuted,
-		Classes: []control.TrafficClass{{Utility: 1, LatencyBudget: second, Timeout: 3 * second, Effect: control.Retriable}}}
+	p := cappedSettings(grace, 6)
+	p.ChannelRate, p.ChannelLimit = 1200, 1800
 	names := settings.Names{Classes: []string{"read"}, Zones: []string{"a"}, Kinds: []string{"m1"}}
 	core := governor.New(func() governor.Module { return brain.New(p) }, governor.NewTopology(names, p))
 	list := func(drains string) governor.ReplicaList {
@@ -77,10 +87,8 @@
 		replicas = 60
 		step     = second / 7
 	)
-	p := control.Settings{Seed: 5, Governors: 1, Zones: 1, Kinds: 2, Proxies: 6, ChannelRate: 20000, ChannelLimit: 6000, MessageHead: 4,
-		MaxTransit: second / 4, DrainGrace: grace, MaxMessages: 30, MessageWindow: 10 * second, HostQueues: true, ReportInterval: second / 2,
-		SlowStartShare: 0.2, SlowStartTime: 10 * second, OverloadMultiple: 3, Admission: control.AdmitShare, AttemptTimeoutFactor: 1, DefaultRetries: control.RetryIfNotExecuted,
-		Classes: []control.TrafficClass{{Utility: 1, LatencyBudget: second, Timeout: 3 * second, Effect: control.Retriable}}}
+	p := cappedSettings(grace, 30)
+	p.ChannelRate, p.ChannelLimit = 20000, 6000
 	names := settings.Names{Classes: []string{"read"}, Zones: []string{"a"}, Kinds: []string{"m1"}}
 	core := governor.New(func() governor.Module { return brain.New(p) }, governor.NewTopology(names, p))
 	list := governor.ReplicaList{Complete: true, At: second, Wall: second}
--- a/internal/governor/crowd_test.go
+++ b/internal/governor/crowd_test.go
@@ -112,6 +112,7 @@
 }
 
 func TestACrowdInTheMiddleOfAReleaseIsSafeWithinTheGrace(t *testing.T) {
+	t.Parallel()
 	for seed := range int64(24) {
 		draw := rand.New(rand.NewSource(seed))
 		governors := 2 + draw.Intn(6)
--- a/internal/governor/reconfigure_test.go
+++ b/internal/governor/reconfigure_test.go
@@ -43,6 +43,7 @@
 // The bounds of the channel and the rules hold for any sequence of changes, among crowds, releases, faults and a module that
 // fails now and then; after the last change everybody is served as from the start.
 func TestTheRulesHoldThroughChangesOfSettings(t *testing.T) {
+	t.Parallel()
 	zones := [][]string{{"a", "b"}, {"b", "a"}, {"a", "b", "c"}, {"c", "b", "a"}, {"b"}, {"a", "c"}, {}}
 	groups := [][]string{{"read", "order"}, {"order", "read"}, {"browse", "read", "order"}, {"order"}, {"read", "browse"}}
 	for seed := range int64(60) { // drawn, and the same every time
