Governors keep the configuration in force over a restart, where a folder is named

Change: configuration.folder in the operator file, off without it. internal/configcache: one file, checksummed, with service, version and a digest of the governor's own settings; written whole by a goroutine of its own. At a start it is offered to the core like a server's news, before the first turn and before any server is asked, and since names it, so that no copy is taken. Not used: damaged, of a newer program, of another service, with another domain.admit, or where the governor's own settings have changed since, as whoever edits them while all servers are lost wants them in force. Measured: tests of configcache, configwatch, operator and the program (kept_test.go, nine cases of a folder) pass with -race.

--- a/cmd/lilacbend/config.go
+++ b/cmd/lilacbend/config.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"lilacbend/control"
+	"lilacbend/internal/configcache"
 	"lilacbend/internal/discovery"
 	"lilacbend/internal/governor"
 	"lilacbend/internal/operator"
@@ -36,6 +37,7 @@
 	known       governor.ReplicaList // the replicas to start with
 	names       settings.Names
 	settings    control.Settings
+	digest      configcache.Digest // of the settings
 	operator    operator.Rulebook
 }
 
@@ -145,6 +147,7 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	c.digest = configcache.DigestOf(file.Settings)
 	return nil
 }
 
--- a/cmd/lilacbend/configuration.go
+++ b/cmd/lilacbend/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 
 	"lilacbend/brain"
 	"lilacbend/internal/configwatch"
@@ -17,6 +18,7 @@
 // A nil one follows nothing.
 type configurationFollower struct {
 	watcher  *configwatch.Watcher
+	kept     *keptConfiguration // nil: nothing is kept
 	seed     uint64
 	exchange *exchange.Exchange
 	log      *slog.Logger
@@ -29,17 +31,38 @@
 		return nil, nil
 	}
 	f := &configurationFollower{seed: c.seed, exchange: x, log: log}
+	f.kept = openKeptConfiguration(c, log)
 	var err error
 	f.watcher, err = configwatch.New(configwatch.Options{Instance: c.name, Service: following.Service, Region: following.Region,
-		Zone: following.Zone, Servers: following.Servers, Seed: c.seed, Log: log, Offer: f.offer})
+		Zone: following.Zone, Servers: following.Servers, Seed: c.seed, Log: log, Offer: f.offer, InForce: f.kept.keep})
 	return f, err
 }
 
+// topology is the one to begin with: that of the settings which were in force before a restart, or the one of the
+// governor's own file.
+func (f *configurationFollower) topology(own governor.Topology) governor.Topology {
+	if f == nil || f.kept == nil || f.kept.record == nil {
+		return own
+	}
+	return governor.NewTopology(f.kept.names, f.kept.settings)
+}
+
+// resume offers what was in force before a restart to the core. It comes before run and the first turn.
+func (f *configurationFollower) resume() {
+	if f != nil && f.kept != nil && f.kept.record != nil {
+		f.watcher.Resume(f.kept.record.Version, f.kept.record.Settings)
+	}
+}
+
 // run follows the servers until ctx ends.
 func (f *configurationFollower) run(ctx context.Context) {
-	if f != nil {
-		f.watcher.Run(ctx)
+	if f == nil {
+		return
 	}
+	var keeping sync.WaitGroup
+	defer keeping.Wait()
+	keeping.Go(func() { f.kept.run(ctx) })
+	f.watcher.Run(ctx)
 }
 
 // offer checks settings as at a start and hands them to the core.
@@ -56,11 +79,11 @@
 // settle passes the core's verdicts on: to the servers, and to those who check and hold what peers send.
 func (f *configurationFollower) settle(configured []governor.Configured, core *governor.Core, server *streams.Server) {
 	for _, c := range configured {
+		server.Reconfigure(core.CurrentTopology())
 		if c.Err != nil {
 			f.watcher.Refused(c.Version, c.Err)
 			continue
 		}
-		server.Reconfigure(core.CurrentTopology())
 		f.exchange.Expect(notesExpected(c.Settings.Proxies, len(c.Names.Classes)))
 		f.watcher.Applied(c.Version)
 		f.log.Info("configuration in force", "version", c.Version.String(), "proxies", c.Settings.Proxies, "traffic_groups", len(c.Names.Classes))
@@ -77,5 +100,5 @@
 	}
 	n, c := f.watcher.Counts(), core.Counters
 	return slog.Group("configuration", "version", f.watcher.InForce().String(), "changes", c.Configurations, "refused", n.Refused,
-		"requests", n.Requests, "dials", n.Dials, "failures", n.Failures, "sent_away", n.SentAway, "bytes_in", n.BytesIn, "bytes_out", n.BytesOut)
+		"requests", n.Requests, "dials", n.Dials, "failures", n.Failures, "sent_away", n.SentAway, "bytes_in", n.BytesIn, "bytes_out", n.BytesOut, f.kept.figures())
 }
--- /dev/null
+++ b/cmd/lilacbend/kept.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"lilacbend/control"
+	"lilacbend/internal/configcache"
+	"lilacbend/internal/governor"
+	"lilacbend/internal/revision"
+	"lilacbend/internal/vault"
+	"lilacbend/settings"
+)
+
+// keptConfiguration keeps the settings in force over a restart, as the operator file says. A nil one keeps nothing.
+type keptConfiguration struct {
+	service string
+	digest  configcache.Digest // of the settings in the governor's own file
+	keeper  *configcache.Keeper
+	lock    *vault.Lock
+
+	record   *configcache.Record // of before the restart; nil: there is none that can be used
+	names    settings.Names      // of its settings
+	settings control.Settings
+}
+
+// openKeptConfiguration holds the folder and reads what was in force before a restart. What goes wrong is logged, and the
+// governor goes on by its own file.
+func openKeptConfiguration(c configuration, log *slog.Logger) *keptConfiguration {
+	following := c.operator.Configuration
+	if following.Folder == "" {
+		return nil
+	}
+	folder := vault.Folder(following.Folder)
+	lock, err := folder.Take(or(c.name, "a governor"))
+	if err != nil {
+		log.Warn("the configuration in force is neither read nor kept", "folder", following.Folder, "error", err)
+		return nil
+	}
+	k := &keptConfiguration{service: following.Service, digest: c.digest, keeper: configcache.NewKeeper(folder, c.seed, log), lock: lock}
+	r, found, err := configcache.Load(folder)
+	if found {
+		err = k.use(r, c)
+	}
+	switch {
+	case err != nil:
+		log.Warn("the kept configuration is not used", "folder", following.Folder, "version", r.Version.String(), "error", err)
+	case found:
+		log.Info("the kept configuration is used", "folder", following.Folder, "version", r.Version.String())
+	}
+	return k
+}
+
+// use takes a record as what to begin with, if this governor may.
+func (k *keptConfiguration) use(r configcache.Record, c configuration) error {
+	if err := r.Usable(k.service, k.digest); err != nil {
+		return err
+	}
+	names, decoded, err := settings.Load(r.Settings, c.seed)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	own := governor.NewTopology(c.names, c.settings)
+	if err := own.Accepts(governor.NewTopology(names, decoded)); err != nil {
+		return err
+	}
+	k.record, k.names, k.settings = &r, names, decoded
+	return nil
+}
+
+// keep hands over what has come into force.
+func (k *keptConfiguration) keep(v revision.Version, raw []byte) {
+	if k != nil {
+		k.keeper.Keep(configcache.Record{Service: k.service, Version: v, Start: k.digest, Settings: raw})
+	}
+}
+
+// run writes what comes into force until ctx ends.
+func (k *keptConfiguration) run(ctx context.Context) {
+	if k != nil {
+		k.keeper.Run(ctx)
+		k.lock.Release()
+	}
+}
+
+// figures are the counters of keeping; none where nothing is kept.
+func (k *keptConfiguration) figures() slog.Attr {
+	if k == nil {
+		return slog.Attr{}
+	}
+	return slog.Group("kept", "written", k.keeper.Counters.Written.Load(), "failed", k.keeper.Counters.Failed.Load())
+}
--- /dev/null
+++ b/cmd/lilacbend/kept_test.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"lilacbend/internal/configcache"
+	"lilacbend/internal/revision"
+	"lilacbend/internal/vault"
+	"lilacbend/lab/peers"
+)
+
+// keepingFile is an operator file of a governor that keeps what it follows.
+func keepingFile(t *testing.T, folder string, servers ...string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "operator.yaml")
+	text := "configuration:\n  service: orders\n  folder: " + folder + "\n  servers:\n"
+	for _, at := range servers {
+		text += fmt.Sprintf("    - {address: '%s'}\n", at)
+	}
+	write(t, file, []byte(text))
+	return file
+}
+
+// hello joins as a proxy and waits for the first byte of its table.
+func hello(t *testing.T, listen string, proxy int) {
+	t.Helper()
+	conn := peers.DialWhenUp(t, listen)
+	conn.Say(fmt.Sprintf("hello id %d site a rps 20 new 1", proxy))
+	head := make([]byte, 1)
+	if _, err := conn.Read.Read(head); err != nil || head[0] != '*' {
+		t.Errorf("proxy %d: %q %v", proxy, head, err)
+	}
+}
+
+// exampleSettings are the example's settings as a server would send them, with a change.
+func exampleSettings(t *testing.T, before, after string) []byte {
+	t.Helper()
+	raw, err := json.Marshal(example(t)["settings"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := bytes.Replace(raw, []byte(before), []byte(after), 1)
+	if before != after && bytes.Equal(raw, changed) {
+		t.Fatalf("no %s in the example", before)
+	}
+	return changed
+}
+
+// All servers are lost, and a governor is started again: it serves by the version it had, knows the proxies of that version, and
+// takes the next one when a server is back, without a copy of what it has.
+func TestAGovernorBeginsWithWhatWasInForce(t *testing.T) {
+	folder, kept := t.TempDir(), filepath.Join(t.TempDir(), "kept")
+	settingsFile(t, folder, "orders", `"proxy_count":4`, `"proxy_count":6`)
+	writer, follower, at := configservers(t, folder)
+	agent, listen := peers.Listen(t), peers.Free(t)
+	file := configured(t, map[string]any{"discovery": agent.At(), "listen": listen, "name": "n7"})
+	operator := keepingFile(t, kept, at...)
+	first := program(t, []string{"PROXY_CONFIG=" + file}, "serve", "--operator", operator).until("configuration in force")
+	if first.says("kept configuration") {
+		t.Errorf("there was nothing to keep: %s", first.out)
+	}
+	peers.Until(t, "it is not kept", func() bool { _, found, _ := configcache.Load(vault.Folder(kept)); return found })
+	for _, p := range []*child{follower, writer, first} {
+		p.ends(syscall.SIGTERM)
+	}
+
+	second := program(t, []string{"PROXY_CONFIG=" + file}, "serve", "--operator", operator).until("the kept configuration is used").until("configuration in force")
+	hello(t, listen, 5) // which the governor's own file does not know
+	writer = program(t, nil, "configserver", "--name", "s0", "--listen", at[0], "--folder", folder, "--poll", "50ms").until("serving configuration")
+	settingsFile(t, folder, "orders", `"proxy_count":4`, `"proxy_count":7`)
+	second.until("proxies=7")
+	second.tell(syscall.SIGUSR1)
+	second.until("configuration.kept.failed=0")
+	for _, p := range []*child{second, writer} {
+		p.ends(syscall.SIGTERM)
+	}
+	if r, found, err := configcache.Load(vault.Folder(kept)); !found || err != nil || !bytes.Contains(r.Settings, []byte(`"proxy_count":7`)) {
+		t.Errorf("kept: %+v %v %v", r, found, err)
+	}
+}
+
+// Whatever is found in the folder, a governor serves: by what was kept where that is whole and meant for it, else by its own file.
+func TestWhichKeptConfigurationIsUsed(t *testing.T) {
+	own := configcache.DigestOf(exampleSettings(t, "", ""))
+	more := exampleSettings(t, `"proxy_count":4`, `"proxy_count":6`)
+	record := func(service string, start configcache.Digest, raw []byte) []byte {
+		file, err := configcache.Encode(configcache.Record{Service: service, Version: revision.Version{Epoch: 5, Revision: 2}, Start: start, Settings: raw})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	whole := record("orders", own, more)
+	for name, c := range map[string]struct {
+		file []byte
+		says string
+		used bool
+	}{
+		"whole":                  {whole, "the kept configuration is used", true},
+		"damaged":                {append(bytes.Clone(whole), ' '), "it is not as it was written", false},
+		"half":                   {whole[:len(whole)/2], "it is not as it was written", false},
+		"empty":                  {nil, "it is not as it was written", false},
+		"of a newer program":     {bytes.Replace(whole, []byte(`"format":1`), []byte(`"format":9`), 1), "a newer program wrote it", false},
+		"of another service":     {record("stock", own, more), "it is of service", false},
+		"own file changed since": {record("orders", configcache.DigestOf([]byte(`{}`)), more), "have changed since", false},
+		"no settings":            {record("orders", own, []byte(`{}`)), "the kept configuration is not used", false},
+		"another admission":      {record("orders", own, exampleSettings(t, `"admit":"fraction"`, `"admit":"silent"`)), "setting domain.admit cannot change", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			folder := filepath.Join(t.TempDir(), "kept")
+			if err := os.MkdirAll(folder, 0o700); err != nil {
+				t.Fatal(err)
+			}
+			write(t, filepath.Join(folder, "settings"), c.file)
+			agent, listen := peers.Listen(t), peers.Free(t)
+			file := configured(t, map[string]any{"discovery": agent.At(), "listen": listen, "name": "n7"})
+			governor := program(t, []string{"PROXY_CONFIG=" + file}, "serve", "--operator", keepingFile(t, folder, peers.Free(t))).until("serving").until(c.says)
+			hello(t, listen, 3)
+			if c.used {
+				governor.until("version=5.2")
+				hello(t, listen, 5)
+			}
+			if used := governor.says("configuration in force"); used != c.used {
+				t.Errorf("used %v, want %v: %s", used, c.used, governor.out)
+			}
+			governor.ends(syscall.SIGTERM)
+		})
+	}
+}
+
+// Two governors on one folder: the second keeps nothing and serves all the same. A folder that others may write to is not used.
+func TestAFolderThatIsNotItsOwn(t *testing.T) {
+	agent := peers.Listen(t)
+	begin := func(folder string) *child {
+		file := configured(t, map[string]any{"discovery": agent.At(), "listen": peers.Free(t), "name": "n7"})
+		return program(t, []string{"PROXY_CONFIG=" + file}, "serve", "--operator", keepingFile(t, folder, peers.Free(t))).until("serving")
+	}
+	shared, open := filepath.Join(t.TempDir(), "kept"), filepath.Join(t.TempDir(), "open")
+	if err := os.Mkdir(open, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Chmod(open, 0o777); err != nil {
+		t.Fatal(err)
+	}
+	first := begin(shared)
+	second := begin(shared).until("is neither read nor kept").until("held by n7")
+	third := begin(open).until("is neither read nor kept").until("others may write to it")
+	for _, p := range []*child{first, second, third} {
+		p.ends(syscall.SIGTERM)
+	}
+	if strings.Contains(first.out.String(), "neither") {
+		t.Errorf("the first one's: %s", first.out)
+	}
+}
--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -60,22 +60,24 @@
 	defer stop()
 	base, x := clock{time.Now()}, exchange.New()
 	x.Expect(notesExpected(c.settings.Proxies, len(c.names.Classes)))
-	census := governor.NewTopology(c.names, c.settings)
-	core := governor.New(func() governor.Module { return brain.New(c.settings) }, census)
-	kept := openArchive(c.operator.State, &c, core, x, base, log)
+	follower, err := newConfigurationFollower(c, x, log)
+	if err != nil {
+		return fmt.Errorf("cannot follow a configuration: %w", err)
+	}
+	own := governor.NewTopology(c.names, c.settings)
+	topology := follower.topology(own)
+	core := governor.New(func() governor.Module { return brain.New(c.settings) }, own)
+	kept := openArchive(c.operator.State, &c, topology, core, x, base, log)
 	c.known.At, c.known.Wall = base.now(), base.start.UnixNano()
 	x.Publish(c.known)
+	follower.resume()
 	log.Info("serving", "listen", c.listen, "discovery", c.discovery, "revision", c.known.Revision,
 		"replicas", len(c.known.Members), "proxies", c.settings.Proxies)
 
-	follower, err := newConfigurationFollower(c, x, log)
-	if err != nil {
-		return fmt.Errorf("cannot follow a configuration: %w", err)
-	}
 	pool := resp.NewPool(int(buffersPart * float64(c.memory)))
 	var all sync.WaitGroup
 	var broken error
-	server := streams.New(x, pool, log, c.descriptors, census)
+	server := streams.New(x, pool, log, c.descriptors, topology)
 	all.Go(func() {
 		defer stop()
 		broken = server.Serve(ctx, listener)
--- a/cmd/lilacbend/state.go
+++ b/cmd/lilacbend/state.go
@@ -39,7 +39,7 @@
 
 // openArchive holds the folder, tells the core of the newest whole generation that fits, and begins to keep. What
 // goes wrong with the folder is logged, and the governor goes on without. The list is the one to start with.
-func openArchive(r operator.Retention, c *configuration, core *governor.Core, x *exchange.Exchange, base clock, log *slog.Logger) *archive {
+func openArchive(r operator.Retention, c *configuration, topology governor.Topology, core *governor.Core, x *exchange.Exchange, base clock, log *slog.Logger) *archive {
 	if r.Folder == "" {
 		return nil
 	}
@@ -50,7 +50,7 @@
 		return nil
 	}
 	a := &archive{name: c.name, lock: lock, log: log}
-	a.recall(folder, r, c, core, x, base)
+	a.recall(folder, r, c, topology, x, base)
 	core.Remember(r.Every.Nanoseconds(), r.HalfLife.Nanoseconds())
 	again := func() error { // the folder had vanished, and its lock with it
 		lock, err := folder.Take(or(c.name, "a governor"))
@@ -67,7 +67,7 @@
 	return a
 }
 
-func (a *archive) recall(folder vault.Folder, r operator.Retention, c *configuration, core *governor.Core, x *exchange.Exchange, base clock) {
+func (a *archive) recall(folder vault.Folder, r operator.Retention, c *configuration, topology governor.Topology, x *exchange.Exchange, base clock) {
 	g, found, refused, err := vault.Latest(folder)
 	if a.refuse = len(refused); err != nil {
 		a.log.Warn("state cannot be read", "folder", r.Folder, "error", err)
@@ -86,7 +86,7 @@
 		return
 	}
 	age := g.Memory.Taken.Age(vault.Now())
-	m, dropped := memory.Fit(g.Memory, governor.NewTopology(c.names, c.settings).Place(), age, r.HalfLife.Nanoseconds())
+	m, dropped := memory.Fit(g.Memory, topology.Place(), age, r.HalfLife.Nanoseconds())
 	if m.Lists(c.known.Revision, age) {
 		c.known = governor.ListFromSnapshot(m)
 	}
--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -286,6 +286,13 @@
 	return nil
 }
 
+// Resume has the follower begin with a version that was in force before it, as if a server had offered it: Applied or Refused
+// has to be told of it. It comes before the first query.
+func (c *Client) Resume(v revision.Version) { c.offered = v }
+
+// Settings are those in force; nil: they are not known here.
+func (c *Client) Settings() []byte { return c.settings }
+
 // Applied tells that what was offered is in force.
 func (c *Client) Applied(v revision.Version, settings []byte) {
 	if v.Newer(c.inForce) {
--- a/internal/configwatch/watcher.go
+++ b/internal/configwatch/watcher.go
@@ -31,6 +31,8 @@
 	Offer func(v revision.Version, settings []byte)
 	// Take hands over what a server answered to a follower of all services. Its error refuses the answer.
 	Take func(a configapi.Answer) error
+	// InForce, if set, is told of each version of the service that has come into force, with its settings.
+	InForce func(v revision.Version, settings []byte)
 	// Heard, if set, is told of each answer, with or without news.
 	Heard func(a configapi.Answer)
 }
@@ -81,14 +83,36 @@
 	w.client.Applied(v, nil)
 }
 
+// Resume offers settings that were in force before a restart. It comes before Run, which asks nobody until Applied or Refused
+// has been called.
+func (w *Watcher) Resume(v revision.Version, settings []byte) {
+	w.mu.Lock()
+	w.client.Resume(v)
+	w.offered = settings
+	w.mu.Unlock()
+	w.options.Offer(v, settings)
+}
+
 // Applied tells that a version that was offered is in force.
 func (w *Watcher) Applied(v revision.Version) {
 	w.mu.Lock()
+	before := w.client.InForce()
 	w.client.Applied(v, w.offered)
 	w.mu.Unlock()
+	w.tellInForce(before)
 	w.ring()
 }
 
+// tellInForce tells of the version in force if it is another one than before.
+func (w *Watcher) tellInForce(before revision.Version) {
+	w.mu.Lock()
+	now, settings := w.client.InForce(), w.client.Settings()
+	w.mu.Unlock()
+	if w.options.InForce != nil && now != before {
+		w.options.InForce(now, settings)
+	}
+}
+
 // Refused tells that a version that was offered cannot be used, and why. The last good one stays.
 func (w *Watcher) Refused(v revision.Version, reason error) {
 	w.counts.refused.Add(1)
@@ -197,6 +221,7 @@
 func (w *Watcher) answered(ask configclient.Ask, a configapi.Answer) {
 	w.counts.answers.Add(1)
 	w.mu.Lock()
+	before := w.client.InForce()
 	offer, err := w.client.Answered(w.now(), a)
 	if offer && w.options.Service != "" {
 		w.offered = a.Services[0].Settings
@@ -216,6 +241,7 @@
 	if w.options.Heard != nil {
 		w.options.Heard(a)
 	}
+	w.tellInForce(before) // by another name
 	if offer {
 		w.counts.offered.Add(1)
 		w.offer(a)
--- a/internal/configwatch/watcher_test.go
+++ b/internal/configwatch/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -96,6 +97,83 @@
 	}
 }
 
+// A follower that begins with what was in force before it asks nobody until that has its verdict, and then for what is newer. It
+// is told of each version that comes into force, also of one that is only another name.
+func TestAFollowerResumes(t *testing.T) {
+	type told struct {
+		version  revision.Version
+		settings string
+	}
+	server := peers.Listen(t)
+	var verdicts []told
+	inForce := make(chan told, 10)
+	offers := make(chan revision.Version, 10)
+	w, err := New(Options{Instance: "n0", Service: "orders", Servers: []configclient.Server{{Address: server.At()}}, Seed: 1,
+		Offer:   func(v revision.Version, _ []byte) { offers <- v },
+		InForce: func(v revision.Version, settings []byte) { inForce <- told{v, string(settings)} }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := revision.Version{Epoch: 1, Revision: 4}
+	w.Resume(kept, []byte(`{"a":4}`))
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); w.Run(ctx) }()
+	defer func() { stop(); <-ended }()
+	if got := take(t, offers); got != kept {
+		t.Errorf("offered %s, want %s", got, kept)
+	}
+	server.None(200 * time.Millisecond)
+	w.Applied(kept)
+	conn := server.Take()
+	if got := conn.Request(); !strings.Contains(got, "since=1.4&") {
+		t.Errorf("asked %q", got)
+	}
+	conn.Raw(strings.Replace(news(1, `{"a":4}`), `"epoch":1`, `"epoch":2`, 2)) // a new writer, the same settings
+	if got := conn.Request(); !strings.Contains(got, "since=2.1&") {
+		t.Errorf("asked %q", got)
+	}
+	for range 2 {
+		verdicts = append(verdicts, <-inForce)
+	}
+	if want := []told{{kept, `{"a":4}`}, {revision.Version{Epoch: 2, Revision: 1}, `{"a":4}`}}; !slices.Equal(verdicts, want) {
+		t.Errorf("%v, want %v", verdicts, want)
+	}
+	if c := w.Counts(); c.Offered != 0 {
+		t.Errorf("%d offered by servers", c.Offered)
+	}
+}
+
+// What was in force before is refused now: the newest is asked for, and it is not offered again.
+func TestAFollowerWhoseFormerSettingsAreRefused(t *testing.T) {
+	server := peers.Listen(t)
+	offers := make(chan revision.Version, 10)
+	w, err := New(Options{Instance: "n0", Service: "orders", Servers: []configclient.Server{{Address: server.At()}}, Seed: 1,
+		Offer:   func(v revision.Version, _ []byte) { offers <- v },
+		InForce: func(v revision.Version, _ []byte) { t.Errorf("%s is said to be in force", v) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := revision.Version{Epoch: 1, Revision: 4}
+	w.Resume(kept, []byte(`{"a":4}`))
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); w.Run(ctx) }()
+	defer func() { stop(); <-ended }()
+	w.Refused(take(t, offers), errors.New("setting a is 4"))
+	conn := server.Take()
+	if got := conn.Request(); !strings.Contains(got, "refused=1.4&") || strings.Contains(got, "since=") {
+		t.Errorf("asked %q", got)
+	}
+	conn.Raw(news(4, `{"a":4}`))
+	conn.Request()
+	select {
+	case v := <-offers:
+		t.Errorf("%s is offered", v)
+	default:
+	}
+}
+
 // A kept connection that its server has closed is no failure; one that says that it closes is not used again.
 func TestAClosedConnectionIsNoFailure(t *testing.T) {
 	server := peers.Listen(t)
--- a/internal/governor/configure.go
+++ b/internal/governor/configure.go
@@ -47,7 +47,7 @@
 // configure takes over settings with this turn.
 func (c *Core) configure(n Configure) []control.Event {
 	census := NewTopology(n.Names, n.Settings)
-	if err := c.unchangeable(census); err != nil {
+	if err := c.Accepts(census); err != nil {
 		c.Counters.ConfigurationsRefused++
 		c.configured = append(c.configured, Configured{n, err})
 		return nil
@@ -75,9 +75,9 @@
 	return []control.Event{event}
 }
 
-// unchangeable names a setting that cannot change while proxies are joined: what they were told before would mean
-// something else to them.
-func (c *Core) unchangeable(next Topology) error {
+// Accepts names a setting that cannot change while proxies are joined: what they were told before would mean something
+// else to them.
+func (c Topology) Accepts(next Topology) error {
 	if c.admission != next.admission {
 		return fmt.Errorf("setting domain.admit cannot change while the governor runs: restart it")
 	}
--- a/internal/operator/following.go
+++ b/internal/operator/following.go
@@ -12,16 +12,18 @@
 	Region  string                // where this governor stands
 	Zone    string                // likewise, for the servers' status
 	Servers []configclient.Server // of all regions, the nearest of which are asked first
+	Folder  string                // where the settings in force are kept over a restart; empty: they are not
 }
 
 // On says whether a configuration is followed.
 func (f Following) On() bool { return f.Service != "" }
 
-func following(s *form.Section) (f Following) {
+func following(file string, s *form.Section) (f Following) {
 	s.Text("service", &f.Service)
 	s.Text("region", &f.Region)
 	s.Text("zone", &f.Zone)
 	f.Servers = configclient.ReadServers(s, "servers")
+	readFolder(file, s, &f.Folder)
 	if !s.Has("service") {
 		s.Fault("", "lacks service: name the one whose settings this governor is to follow")
 	} else if err := configstore.CheckName(f.Service); err != nil {
--- a/internal/operator/following_test.go
+++ b/internal/operator/following_test.go
@@ -18,19 +18,25 @@
 	if off := (Rulebook{}); off.Configuration.On() || !reflect.DeepEqual(off.Differs(book), []string{"configuration"}) || len(book.Differs(book)) != 0 {
 		t.Errorf("%v", off.Differs(book))
 	}
+	kept := "configuration:\n  service: orders\n  servers: [{address: 's0:7000'}]\n  folder: kept\n"
+	if book, err := Parse("/etc/o.yaml", []byte(kept)); err != nil || book.Configuration.Folder != "/etc/kept" {
+		t.Errorf("%+v %v", book, err)
+	}
 	for raw, says := range map[string]string{
-		"configuration: {}":                                                             "configuration: lacks service",
-		"configuration: {service: orders}":                                              "configuration: lacks servers",
-		"configuration: {service: a/b, servers: [{address: ':7'}]}":                     `configuration.service: "a/b" is no name of a service`,
-		"configuration: {service: orders, servers: []}":                                 "configuration.servers: names no server",
-		"configuration: {service: orders, servers: [{address: x}]}":                     "configuration.servers[0].address: is \"x\"",
-		"configuration: {service: orders, servers: [{address: ':7'}], regoin: a}":       "configuration.regoin: is not known: did you mean region?",
-		"configuration: {service: orders, servers: [{address: ':7'}, {address: ':7'}]}": "is there twice",
-		"configuration: {service: orders, servers: [{address: ':7'}], zone: [a]}":       "configuration.zone: is a list",
-		"configuration: [orders]":                                                       "configuration: is a list",
-		"configuration: {service: orders, servers: [{address: ':7', adress: ':8'}]}":    "configuration.servers[0].adress: is not known",
-		"configurations: {service: orders, servers: [{address: ':7'}]}":                 "configurations: is not known: did you mean configuration?",
-		"configuration: {service: orders, servers: ['s0:7000']}":                        "configuration.servers: names no server: want a list of sections",
+		"configuration: {}":                                                                                     "configuration: lacks service",
+		"configuration: {service: orders}":                                                                      "configuration: lacks servers",
+		"configuration: {service: a/b, servers: [{address: ':7'}]}":                                             `configuration.service: "a/b" is no name of a service`,
+		"configuration: {service: orders, servers: []}":                                                         "configuration.servers: names no server",
+		"configuration: {service: orders, servers: [{address: x}]}":                                             "configuration.servers[0].address: is \"x\"",
+		"configuration: {service: orders, servers: [{address: ':7'}], regoin: a}":                               "configuration.regoin: is not known: did you mean region?",
+		"configuration: {service: orders, servers: [{address: ':7'}, {address: ':7'}]}":                         "is there twice",
+		"configuration: {service: orders, servers: [{address: ':7'}], zone: [a]}":                               "configuration.zone: is a list",
+		"configuration: [orders]":                                                                               "configuration: is a list",
+		"configuration: {service: orders, servers: [{address: ':7', adress: ':8'}]}":                            "configuration.servers[0].adress: is not known",
+		"configuration: {service: orders, servers: [{address: ':7'}], folder: ''}":                              "configuration.folder: is empty",
+		"{state: {folder: /s/x}, configuration: {service: orders, servers: [{address: ':7'}], folder: /s/./x}}": "configuration.folder: is that of state",
+		"configurations: {service: orders, servers: [{address: ':7'}]}":                                         "configurations: is not known: did you mean configuration?",
+		"configuration: {service: orders, servers: ['s0:7000']}":                                                "configuration.servers: names no server: want a list of sections",
 	} {
 		if _, err := Parse("o.yaml", []byte(raw)); err == nil || !strings.Contains(err.Error(), says) {
 			t.Errorf("%q: %v", raw, err)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -53,7 +53,10 @@
 		book.State = retention(file, s)
 	}
 	if s := top.Section("configuration"); s != nil {
-		book.Configuration = following(s)
+		book.Configuration = following(file, s)
+		if folder := book.Configuration.Folder; folder != "" && filepath.Clean(folder) == filepath.Clean(book.State.Folder) {
+			s.Fault("folder", "is that of state: name another one")
+		}
 	}
 	top.Done()
 	if err := f.Err(); err != nil {
@@ -64,22 +67,29 @@
 
 func retention(file string, s *form.Section) Retention {
 	r := usual
-	s.Text("folder", &r.Folder)
 	s.Duration("every", &r.Every, 100*time.Millisecond, time.Hour)
 	s.Duration("half_life", &r.HalfLife, time.Second, 24*time.Hour)
 	s.Whole("keep", &r.Keep, 1, 100)
-	switch {
-	case !s.Has("folder"):
+	if !s.Has("folder") {
 		s.Fault("", "lacks folder: name one that lasts, for this governor alone")
-	case strings.TrimSpace(r.Folder) == "":
-		s.Fault("folder", "is empty: name a folder that lasts, for this governor alone")
-	case !filepath.IsAbs(r.Folder):
-		r.Folder = filepath.Join(filepath.Dir(file), r.Folder)
 	}
+	readFolder(file, s, &r.Folder)
 	s.Done()
 	return r
 }
 
+// readFolder reads a folder of this governor's own, which may be left out. One that is relative is beside the file.
+func readFolder(file string, s *form.Section, folder *string) {
+	s.Text("folder", folder)
+	switch {
+	case !s.Has("folder"):
+	case strings.TrimSpace(*folder) == "":
+		s.Fault("folder", "is empty: name a folder that lasts, for this governor alone")
+	case !filepath.IsAbs(*folder):
+		*folder = filepath.Join(filepath.Dir(file), *folder)
+	}
+}
+
 // Differs names the sections that another rulebook sets otherwise.
 func (b Rulebook) Differs(other Rulebook) (sections []string) {
 	if b.State != other.State {
