Scale run: governors keep their configuration over a restart, and it is checked

Cause: the check that nobody serves an older revision after a newer one began anew with each life of a governor, as none kept anything. Change: each hollow governor has a disk in memory that outlasts its lives; the check goes on over them. Without the record it fails (a case of each in checks_test.go).

--- a/internal/configcache/keeper.go
+++ b/internal/configcache/keeper.go
@@ -109,7 +109,7 @@
 
 // write writes a record and says whether it went well. The log has the first failure and the first success after it.
 func (k *Keeper) write(r Record) bool {
-	err := k.replace(r)
+	err := Write(k.disk, r)
 	if err != nil {
 		k.Counters.Failed.Add(1)
 	} else {
@@ -125,10 +125,11 @@
 	return err == nil
 }
 
-func (k *Keeper) replace(r Record) error {
+// Write writes a record in place of the one before.
+func Write(disk Disk, r Record) error {
 	raw, err := Encode(r)
 	if err != nil {
 		return fmt.Errorf("encoding it: %w", err)
 	}
-	return k.disk.Replace(fileName, raw)
+	return disk.Replace(fileName, raw)
 }
--- a/lab/scale/checks/checks.go
+++ b/lab/scale/checks/checks.go
@@ -31,7 +31,7 @@
 	Published Kind = "published" // Service, Subject, Marker, Valid
 	Cut       Kind = "cut"       // Governor: nothing new can reach it
 	Healed    Kind = "healed"    // Governor
-	Started   Kind = "started"   // Governor, Service
+	Started   Kind = "started"   // Governor, Service, Resumes
 	Stopped   Kind = "stopped"   // Governor
 	Serving   Kind = "serving"   // Governor, Subject, Parts; also a sign of life
 	Refused   Kind = "refused"   // Governor, Subject, Marker
@@ -47,6 +47,7 @@
 	Marker   Marker        `json:"marker,omitempty"`
 	Parts    []Marker      `json:"parts,omitempty"` // the different markers found in what is in force
 	Valid    bool          `json:"valid,omitempty"`
+	Resumes  bool          `json:"resumes,omitempty"` // it keeps its configuration over a restart
 }
 
 // Rule is what must hold.
@@ -204,7 +205,8 @@
 	}
 }
 
-// start begins a new life of a governor: it may begin with an old revision, and is due what was published before.
+// start begins a new life of a governor, which is due what was published before. It may begin with an old revision, of its
+// configuration only where it keeps none over a restart.
 func (j *judge) start(e Event) {
 	before := j.governors[e.Governor]
 	g := &governor{service: e.Service, up: true, started: e.At, sign: e.At, holdings: map[Subject]*holding{}}
@@ -213,6 +215,9 @@
 		g.cutSince = before.cutSince
 		g.healed = before.healed
 	}
+	if before != nil && e.Resumes {
+		g.holding(Configuration).served = before.holding(Configuration).served
+	}
 	j.governors[e.Governor] = g
 }
 
--- a/lab/scale/checks/checks_test.go
+++ b/lab/scale/checks/checks_test.go
@@ -50,6 +50,12 @@
 		"an older one in a new life": {func(e []Event) []Event {
 			return append(e, Event{Kind: Started, At: 29 * second, Governor: 1}, serving(1, 29*second+second/4, 1))
 		}, ""},
+		"an older one in a new life of one that keeps": {func(e []Event) []Event {
+			return append(e, Event{Kind: Started, At: 29 * second, Governor: 1, Resumes: true}, serving(1, 29*second+second/4, 1))
+		}, NoOlder},
+		"the same one in a new life of one that keeps": {func(e []Event) []Event {
+			return append(e, Event{Kind: Started, At: 29 * second, Governor: 1, Resumes: true}, serving(1, 29*second+second/4, 3))
+		}, ""},
 		"one that is not valid": {func(e []Event) []Event { return append(e, serving(0, 11*second+3*second/4, 2)) }, NoRefused},
 		"one that it refused itself": {func(e []Event) []Event {
 			return append(e, Event{Kind: Refused, At: 11 * second, Governor: 1, Marker: 3})
--- a/lab/scale/faulty_test.go
+++ b/lab/scale/faulty_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"lilacbend/internal/configcache"
 	"lilacbend/internal/revision"
 	"lilacbend/lab/scale/checks"
 )
@@ -35,13 +36,12 @@
 	number int
 	shape  ServiceShape
 	file   string // of the service's settings
+	apply  Apply
 }
 
-func (f faultySource) Run(ctx context.Context, apply Apply) {
-	if f.number == mendsBad {
-		go f.mend(ctx, apply)
-	}
-	f.inner.Run(ctx, func(v revision.Version, body []byte, done func(error)) {
+func (f *faultySource) Start(apply Apply) {
+	f.apply = apply
+	f.inner.Start(func(v revision.Version, body []byte, done func(error)) {
 		marker := markerOf(body)
 		switch {
 		case f.number == staysBack:
@@ -51,25 +51,28 @@
 		case f.number == mixes:
 			body = mixed(settingsOf(f.shape, marker-1, true), body)
 		case f.number == goesBack:
-			time.AfterFunc(100*time.Millisecond, func() {
-				if ctx.Err() == nil {
-					apply(v, settingsOf(f.shape, marker-1, true), func(error) {})
-				}
-			})
+			time.AfterFunc(100*time.Millisecond, func() { apply(v, settingsOf(f.shape, marker-1, true), func(error) {}) })
 		}
 		apply(v, body, done)
 	})
 }
 
+func (f *faultySource) Run(ctx context.Context) {
+	if f.number == mendsBad {
+		go f.mend(ctx)
+	}
+	f.inner.Run(ctx)
+}
+
 // mend applies what the servers refuse.
-func (f faultySource) mend(ctx context.Context, apply Apply) {
+func (f *faultySource) mend(ctx context.Context) {
 	for last := checks.Marker(0); ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
 		body, err := os.ReadFile(f.file)
 		if _, refused := readSettings(body, 1); err != nil || refused == nil || markerOf(body) == last {
 			continue
 		}
 		last = markerOf(body)
-		apply(revision.Version{}, settingsOf(f.shape, last, true), func(error) {})
+		f.apply(revision.Version{}, settingsOf(f.shape, last, true), func(error) {})
 	}
 }
 
@@ -111,11 +114,12 @@
 		AtOnce: 1, Crowd: 1, Repair: time.Second, InForce: 8 * time.Second, Silence: 6 * time.Second}
 	var dumb atomic.Bool
 	dir := t.TempDir()
-	source := func(g GovernorPlan) ConfigurationSource {
+	source := func(g GovernorPlan, disk configcache.Disk) ConfigurationSource {
 		if _, wrong := wrongs[g.Number]; wrong && g.Number != fallsDumb {
-			return faultySource{Watch(g), g.Number, g.Shape, filepath.Join(dir, "settings", serviceName(g.Service)+".json")}
+			file := filepath.Join(dir, "settings", serviceName(g.Service)+".json")
+			return &faultySource{inner: Watch(g, disk), number: g.Number, shape: g.Shape, file: file}
 		}
-		return Watch(g)
+		return Watch(g, disk)
 	}
 	log := func(string, ...any) { dumb.Store(true) } // the first phase begins
 	r, err := Run(t.Context(), plan, Options{Launch: launchFaulty(source, &dumb), Serve: ServeHere, Dir: dir, Log: log})
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -63,7 +63,8 @@
 	notes, pushes, turns atomic.Int64
 }
 
-// run runs one life of the governor, which begins with the first revision of its settings.
+// run runs one life of the governor, which begins with what was in force in the life before, or with the first revision of
+// its settings.
 func (h *hollow) run(ctx context.Context) error {
 	first, err := readSettings(settingsOf(h.plan.Shape, 1, true), h.plan.Seed)
 	if err != nil {
@@ -72,15 +73,16 @@
 	h.exchange = exchange.New()
 	h.exchange.Expect(first.provision.Proxies)
 	h.offered = map[revision.Version]offer{{}: {marker: 1, done: func(error) {}}}
-	h.tell(checks.Event{Kind: checks.Started})
+	h.tell(checks.Event{Kind: checks.Started, Resumes: true})
 	defer h.tell(checks.Event{Kind: checks.Stopped})
+	h.source.Start(h.apply)
 	client := discovery.New(h.plan.Discovery, 0, h.exchange, slog.New(slog.DiscardHandler), now, h.plan.Seed)
 	var all sync.WaitGroup
 	defer all.Wait()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	all.Go(func() { client.Run(ctx) })
-	all.Go(func() { h.source.Run(ctx, h.apply) })
+	all.Go(func() { h.source.Run(ctx) })
 	for k := range h.plan.Shape.Proxies {
 		all.Go(func() { h.proxy(ctx, k) })
 	}
--- a/lab/scale/host.go
+++ b/lab/scale/host.go
@@ -42,6 +42,7 @@
 // host runs hollow governors until its input ends.
 type host struct {
 	plans  map[int]GovernorPlan
+	disks  map[int]*memoryDisk // of the governors' machines
 	source SourceOf
 	count  messageCount
 
@@ -65,10 +66,11 @@
 	if err := decoder.Decode(&plan); err != nil {
 		return fmt.Errorf("no plan: %w", err)
 	}
-	h := &host{plans: map[int]GovernorPlan{}, source: source, out: json.NewEncoder(out), lives: map[int]life{}}
+	h := &host{plans: map[int]GovernorPlan{}, disks: map[int]*memoryDisk{}, source: source, out: json.NewEncoder(out), lives: map[int]life{}}
 	var numbers []int
 	for _, g := range plan.Governors {
 		h.plans[g.Number] = g
+		h.disks[g.Number] = newMemoryDisk()
 		numbers = append(numbers, g.Number)
 	}
 	defer h.all.Wait()
@@ -104,7 +106,7 @@
 		ctx, stop := context.WithCancel(ctx)
 		l := life{stop, make(chan struct{})}
 		h.lives[number] = l
-		g := &hollow{plan: plan, emit: func(e checks.Event) { h.write(report{Event: &e}) }, count: &h.count, source: h.source(plan)}
+		g := &hollow{plan: plan, emit: func(e checks.Event) { h.write(report{Event: &e}) }, count: &h.count, source: h.source(plan, h.disks[number])}
 		h.all.Go(func() {
 			defer close(l.ended)
 			if err := g.run(ctx); err != nil {
--- a/lab/scale/source.go
+++ b/lab/scale/source.go
@@ -1,9 +1,13 @@
 package scale
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io/fs"
+	"sync"
 
+	"lilacbend/internal/configcache"
 	"lilacbend/internal/configwatch"
 	"lilacbend/internal/revision"
 )
@@ -11,35 +15,81 @@
 // Apply takes settings that have arrived. done is called once, when they are in force or have been refused.
 type Apply func(v revision.Version, body []byte, done func(error))
 
-// ConfigurationSource brings the settings of one service.
+// ConfigurationSource brings the settings of one service to one life of a governor.
 type ConfigurationSource interface {
-	Run(ctx context.Context, apply Apply)
+	// Start brings what was in force in the life before, before the first turn.
+	Start(apply Apply)
+	// Run brings what comes until ctx ends.
+	Run(ctx context.Context)
 }
 
-// SourceOf makes the configuration source of a governor.
-type SourceOf func(plan GovernorPlan) ConfigurationSource
+// SourceOf makes the configuration source of a governor, whose disk outlasts its lives.
+type SourceOf func(plan GovernorPlan, disk configcache.Disk) ConfigurationSource
 
 // Watch is the product's client.
-func Watch(plan GovernorPlan) ConfigurationSource { return watchSource{plan} }
+func Watch(plan GovernorPlan, disk configcache.Disk) ConfigurationSource {
+	return &watchSource{plan: plan, disk: disk, service: serviceName(plan.Service), digest: configcache.DigestOf(settingsOf(plan.Shape, 1, true))}
+}
 
-type watchSource struct{ plan GovernorPlan }
+type watchSource struct {
+	plan    GovernorPlan
+	disk    configcache.Disk
+	service string
+	digest  configcache.Digest // of the settings that each life begins with
+	watcher *configwatch.Watcher
+}
 
-func (s watchSource) Run(ctx context.Context, apply Apply) {
-	var w *configwatch.Watcher // offers nothing before it runs
+func (s *watchSource) Start(apply Apply) {
 	offer := func(v revision.Version, body []byte) {
 		apply(v, body, func(err error) {
 			if err != nil {
-				w.Refused(v, err)
+				s.watcher.Refused(v, err)
 			} else {
-				w.Applied(v)
+				s.watcher.Applied(v)
 			}
 		})
 	}
-	w, err := configwatch.New(configwatch.Options{Instance: fmt.Sprintf("governor-%d", s.plan.Number), Service: serviceName(s.plan.Service),
+	var err error
+	s.watcher, err = configwatch.New(configwatch.Options{Instance: fmt.Sprintf("governor-%d", s.plan.Number), Service: s.service,
 		Region: regionName(s.plan.Region), Zone: zoneName(s.plan.Number % max(1, s.plan.Shape.Zones)), Servers: s.plan.Servers,
-		Seed: s.plan.Seed, Offer: offer})
+		Seed: s.plan.Seed, Offer: offer, InForce: s.keep})
 	if err != nil {
 		panic(fmt.Sprintf("governor %d: %v", s.plan.Number, err)) // the rig's own plan is wrong
 	}
-	w.Run(ctx)
+	record, found, err := configcache.Load(s.disk)
+	if err == nil && found && record.Usable(s.service, s.digest) == nil {
+		s.watcher.Resume(record.Version, record.Settings)
+	}
+}
+
+func (s *watchSource) Run(ctx context.Context) { s.watcher.Run(ctx) }
+
+// keep writes what has come into force. The disk is memory, so the turn need not be spared it.
+func (s *watchSource) keep(v revision.Version, settings []byte) {
+	configcache.Write(s.disk, configcache.Record{Service: s.service, Version: v, Start: s.digest, Settings: settings})
+}
+
+// memoryDisk stands in for the disk of a governor's machine.
+type memoryDisk struct {
+	mu    sync.Mutex
+	files map[string][]byte
+}
+
+func newMemoryDisk() *memoryDisk { return &memoryDisk{files: map[string][]byte{}} }
+
+func (d *memoryDisk) Read(name string, _ int64) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	data, found := d.files[name]
+	if !found {
+		return nil, fs.ErrNotExist
+	}
+	return data, nil
+}
+
+func (d *memoryDisk) Replace(name string, data []byte) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.files[name] = bytes.Clone(data)
+	return nil
 }
