--- a/brain/mail.go
+++ b/brain/mail.go
@@ -80,7 +80,7 @@
 
 func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
-// settle empties the inboxes until nobody has a note left, in the order in which the notes came.
+// settle empties the queues until no message is left, in the order in which the messages came.
 func (d *sharedState) settle() {
 	for ; len(d.due) > 0; d.due = d.due[1:] {
 		box := d.queues[d.due[0]]
--- a/brain/types.go
+++ b/brain/types.go
@@ -187,6 +187,6 @@
 	sharedState
 	replicas map[uint32]*replica
 	born     int64
-	free     []int // inboxes of replicas that were forgotten
+	free     []int // queues of replicas that were forgotten
 	started  bool
 }
--- a/cmd/lilacbend/state.go
+++ b/cmd/lilacbend/state.go
@@ -93,7 +93,7 @@
 	a.read, a.age = g.Name, time.Duration(age)
 	x.Publish(governor.SnapshotRestored{Snapshot: memory.NewPast(m, base.now(), age, r.HalfLife.Nanoseconds())})
 	a.log.Info("state read", "file", g.Name, "age", a.age.Round(time.Millisecond), "weight", fmt.Sprintf("%.2f", memory.Weight(age, r.HalfLife.Nanoseconds())),
-		"replicas", len(m.Replicas), "list", c.known.Revision, "unfit", dropped.Replicas, "too_old", dropped.Old, "usage_dropped", dropped.Usage, "groups_changed", dropped.Groups)
+		"replicas", len(m.Replicas), "list", c.known.Revision, "unfit", dropped.Replicas, "too_old", dropped.Old, "usage_dropped", dropped.Usage, "groups_changed", dropped.Classes)
 }
 
 // put hands over what was learned.
@@ -298,19 +298,19 @@
 	fmt.Fprintf(out, "%s: generation %d, format %d, %d bytes\n", g.Name, g.Number, g.Format, g.Bytes)
 	fmt.Fprintf(out, "governor %s, taken %s, %v ago; list %d\n", m.Governor, time.Unix(0, m.Taken.Wall).UTC().Format(time.RFC3339), age.Round(time.Second), m.Revision)
 	fmt.Fprintf(out, "traffic groups %s; let in %.0f%%; one try only %v; %d tables, %d proxies bound, %d flows of proxies\n\n",
-		strings.Join(m.Groups, ", "), 100*m.Line, m.Once, m.Tables, len(m.Seats), len(m.Usage))
+		strings.Join(m.Classes, ", "), 100*m.AdmissionThreshold, m.RetriesStopped, m.Tables, len(m.Bindings), len(m.Usage))
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "replica\tzone\tkind\tlisted\tverdict\trelapses\tspeed\ttries\tage")
 	for _, r := range m.Replicas {
 		listed, verdict := [...]string{"ready", "draining", "gone"}[max(0, min(2, int(r.State)))], "well"
 		switch {
-		case r.Rest > 0:
-			verdict = fmt.Sprintf("sick, %v left", time.Duration(r.Rest).Round(100*time.Millisecond))
-		case r.Trial:
+		case r.EjectedFor > 0:
+			verdict = fmt.Sprintf("sick, %v left", time.Duration(r.EjectedFor).Round(100*time.Millisecond))
+		case r.Probation:
 			verdict = "on trial"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.2f\t%.0f\t%v\n", r.ID, r.Zone, r.Kind, listed, verdict, r.Relapses, r.Speed, r.Evidence,
-			(age + time.Duration(r.Idle)).Round(time.Second))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%.2f\t%.0f\t%v\n", r.ID, r.Zone, r.Kind, listed, verdict, r.Ejections, r.Speed, r.SampleCount,
+			(age + time.Duration(r.SinceLastSample)).Round(time.Second))
 	}
 	return w.Flush()
 }
--- a/cmd/lilacbend/state_test.go
+++ b/cmd/lilacbend/state_test.go
@@ -164,7 +164,7 @@
 
 func TestStateCommands(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "s")
-	m := memory.Memory{Governor: "n0", Taken: vault.Now(), Groups: []string{"read"}, Line: 1, Replicas: []memory.Replica{{ID: "box-2", Zone: "a", Speed: 0.5, Rest: 3e9, Relapses: 1}}}
+	m := memory.Memory{Governor: "n0", Taken: vault.Now(), Classes: []string{"read"}, AdmissionThreshold: 1, Replicas: []memory.Replica{{ID: "box-2", Zone: "a", Speed: 0.5, EjectedFor: 3e9, Ejections: 1}}}
 	paper, err := vault.Export(m)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/governor/snapshot.go
+++ b/internal/governor/snapshot.go
@@ -27,7 +27,7 @@
 
 // Place is what a memory has to fit.
 func (c Topology) Place() memory.Place {
-	return memory.Place{Groups: c.names.Classes, Kinds: c.names.Kinds, Proxies: c.proxies}
+	return memory.Place{Classes: c.names.Classes, Kinds: c.names.Kinds, Proxies: c.proxies}
 }
 
 // Remember has the module asked for what it has learned every so long; halfLife is that of what is learned.
@@ -57,7 +57,7 @@
 		}
 		c.Counters.Restored++
 		all = append(all, control.ReplicaRestored{Weight: weight, Age: age, LearnedReplica: control.LearnedReplica{Replica: e.Replica, Table: r.Table,
-			Ticket: r.Ticket, Speed: r.Speed, SampleCount: r.Evidence, EjectedFor: r.Rest, Probation: r.Trial, Ejections: r.Relapses, SinceLastSample: r.Idle}})
+			Ticket: r.Ticket, Speed: r.Speed, SampleCount: r.SampleCount, EjectedFor: r.EjectedFor, Probation: r.Probation, Ejections: r.Ejections, SinceLastSample: r.SinceLastSample}})
 	}
 	return all
 }
@@ -67,15 +67,15 @@
 	if past == nil || past.Weight(now) == 0 {
 		return nil
 	}
-	f := control.LearnedFleet{Tables: past.Tables, Bindings: past.Seats, AdmissionThreshold: past.Line, MaxSuccessRate: past.Served, RetriesStopped: past.Once,
+	f := control.LearnedFleet{Tables: past.Tables, Bindings: past.Bindings, AdmissionThreshold: past.AdmissionThreshold, MaxSuccessRate: past.MaxSuccessRate, RetriesStopped: past.RetriesStopped,
 		UsualResponseTimes: make([][]float64, c.kinds+1)}
-	for _, calm := range past.Calm {
+	for _, calm := range past.UsualResponses {
 		if k := c.kindIndex(calm.Kind); k >= 0 {
-			f.UsualResponseTimes[k] = calm.Answers
+			f.UsualResponseTimes[k] = calm.Times
 		}
 	}
 	for _, u := range past.Usage {
-		if g := slices.Index(c.names.Classes, u.Group); g >= 0 {
+		if g := slices.Index(c.names.Classes, u.Class); g >= 0 {
 			f.Usage = append(f.Usage, control.ClassRate{Proxy: u.Proxy, Class: g, Rate: u.Rate})
 		}
 	}
@@ -93,28 +93,28 @@
 // snapshot turns what the module has learned into a memory, adds what was brought of replicas that are not
 // listed, and keeps it for a fresh module.
 func (c *Core) snapshot(l control.Snapshot, now int64) memory.Memory {
-	m := memory.Memory{Revision: c.revision, Groups: c.names.Classes, Tables: l.Tables, Seats: l.Bindings, Line: l.AdmissionThreshold,
-		Served: l.MaxSuccessRate, Once: l.RetriesStopped}
+	m := memory.Memory{Revision: c.revision, Classes: c.names.Classes, Tables: l.Tables, Bindings: l.Bindings, AdmissionThreshold: l.AdmissionThreshold,
+		MaxSuccessRate: l.MaxSuccessRate, RetriesStopped: l.RetriesStopped}
 	for _, k := range l.Replicas {
 		r := c.replicas.known[k.Replica]
 		if r == nil || r.State == control.Gone {
 			continue
 		}
 		m.Replicas = append(m.Replicas, memory.Replica{ID: r.name, Zone: r.zone, Kind: r.kind, UpSince: r.upSince, State: r.State,
-			Size: r.Weight, Speed: k.Speed, Evidence: k.SampleCount, Ticket: k.Ticket, Table: k.Table, Rest: k.EjectedFor, Trial: k.Probation,
-			Relapses: k.Ejections, Idle: k.SinceLastSample})
+			Weight: r.Weight, Speed: k.Speed, SampleCount: k.SampleCount, Ticket: k.Ticket, Table: k.Table, EjectedFor: k.EjectedFor, Probation: k.Probation,
+			Ejections: k.Ejections, SinceLastSample: k.SinceLastSample})
 	}
 	slices.SortFunc(m.Replicas, func(a, b memory.Replica) int { return strings.Compare(a.ID, b.ID) })
 	for k, answers := range l.UsualResponseTimes {
 		if len(answers) > 0 && k == c.kinds {
-			m.Calm = append(m.Calm, memory.Calm{Answers: answers})
+			m.UsualResponses = append(m.UsualResponses, memory.KindResponses{Times: answers})
 		} else if len(answers) > 0 && k < len(c.names.Kinds) {
-			m.Calm = append(m.Calm, memory.Calm{Kind: c.names.Kinds[k], Answers: answers})
+			m.UsualResponses = append(m.UsualResponses, memory.KindResponses{Kind: c.names.Kinds[k], Times: answers})
 		}
 	}
 	for _, u := range l.Usage {
 		if u.Class >= 0 && u.Class < len(c.names.Classes) {
-			m.Usage = append(m.Usage, memory.Usage{Proxy: u.Proxy, Group: c.names.Classes[u.Class], Rate: u.Rate})
+			m.Usage = append(m.Usage, memory.Usage{Proxy: u.Proxy, Class: c.names.Classes[u.Class], Rate: u.Rate})
 		}
 	}
 	if c.restored != nil {
@@ -129,7 +129,7 @@
 	l := ReplicaList{Revision: m.Revision, Complete: true}
 	for _, r := range m.Replicas {
 		if r.State != control.Gone {
-			l.Members = append(l.Members, Member{ID: r.ID, Zone: r.Zone, Kind: r.Kind, State: r.State, Weight: r.Size, UpSince: r.UpSince})
+			l.Members = append(l.Members, Member{ID: r.ID, Zone: r.Zone, Kind: r.Kind, State: r.State, Weight: r.Weight, UpSince: r.UpSince})
 		}
 	}
 	return l
--- a/internal/governor/snapshot_test.go
+++ b/internal/governor/snapshot_test.go
@@ -9,8 +9,8 @@
 )
 
 func past(at, age int64, replicas ...memory.Replica) *memory.Past {
-	m := memory.Memory{Tables: 2, Line: 0.5, Replicas: replicas, Calm: []memory.Calm{{Kind: "m2", Answers: []float64{0.1}}, {Answers: []float64{0.2}}, {Kind: "m9", Answers: []float64{9}}},
-		Usage: []memory.Usage{{Proxy: 4, Group: "order", Rate: 3}}, Seats: []control.Binding{{Proxy: 4, Table: 1}}}
+	m := memory.Memory{Tables: 2, AdmissionThreshold: 0.5, Replicas: replicas, UsualResponses: []memory.KindResponses{{Kind: "m2", Times: []float64{0.1}}, {Times: []float64{0.2}}, {Kind: "m9", Times: []float64{9}}},
+		Usage: []memory.Usage{{Proxy: 4, Class: "order", Rate: 3}}, Bindings: []control.Binding{{Proxy: 4, Table: 1}}}
 	return memory.NewPast(m, at, age, defaultHalfLife)
 }
 
@@ -39,7 +39,7 @@
 
 func TestWhatWasBroughtIsToldOnceAReplicaIsListed(t *testing.T) {
 	c, s := remembering()
-	x := memory.Replica{ID: "x", Zone: "b", Kind: "m2", Speed: 0.5, Evidence: 9, Table: 1}
+	x := memory.Replica{ID: "x", Zone: "b", Kind: "m2", Speed: 0.5, SampleCount: 9, Table: 1}
 	c.Turn(100e9, []any{SnapshotRestored{past(100e9, defaultHalfLife, x)}, list(true, "yr")})
 	all, fleet := recalledIn(s.told)
 	if _, first := s.told[0].(control.FleetRestored); !first || len(all) != 0 || len(fleet) != 1 || fleet[0].Weight != 0.5 ||
@@ -64,15 +64,15 @@
 
 func TestAFreshModuleStartsFromWhatWasLearnedHere(t *testing.T) {
 	c, s := remembering(nil, nil, learned(0.25), panics)
-	x := memory.Replica{ID: "x", Zone: "b", Kind: "m2", Speed: 0.5, Evidence: 9}
-	z := memory.Replica{ID: "z", Zone: "b", Kind: "m2", Speed: 4, Evidence: 9}
+	x := memory.Replica{ID: "x", Zone: "b", Kind: "m2", Speed: 0.5, SampleCount: 9}
+	z := memory.Replica{ID: "z", Zone: "b", Kind: "m2", Speed: 4, SampleCount: 9}
 	c.Turn(100e9, []any{SnapshotRestored{past(100e9, 0, x, z)}, list(true, "xr", "yr")})
 	if o := c.Turn(100e9+defaultSnapshotInterval, nil); o.Snapshot != nil || c.FinalSnapshot(100e9+settleTime-1) != nil {
 		t.Error("what was brought is overwritten by one who knows less")
 	}
 	o := c.Turn(100e9+settleTime, nil)
 	if o.Snapshot == nil || len(o.Snapshot.Replicas) != 2 || o.Snapshot.Replicas[0].Speed != 0.25 || o.Snapshot.Replicas[1].ID != "z" ||
-		o.Snapshot.Replicas[1].Idle != settleTime || len(o.Snapshot.Usage) != 1 || len(o.Snapshot.Calm) != 2 {
+		o.Snapshot.Replicas[1].SinceLastSample != settleTime || len(o.Snapshot.Usage) != 1 || len(o.Snapshot.UsualResponses) != 2 {
 		t.Fatalf("learned %+v", o.Snapshot)
 	}
 	o = c.Turn(100e9+settleTime+defaultHalfLife, nil)
@@ -85,7 +85,7 @@
 // What was learned may be what a module fails by: it is left out before the module rests.
 func TestAModuleThatFailsByWhatItIsToldStartsBare(t *testing.T) {
 	c, s := remembering(nil, panics, panics, nil)
-	x := memory.Replica{ID: "x", Zone: "b", Kind: "m2", Speed: 0.5, Evidence: 9}
+	x := memory.Replica{ID: "x", Zone: "b", Kind: "m2", Speed: 0.5, SampleCount: 9}
 	c.Turn(100e9, []any{SnapshotRestored{past(100e9, 0, x)}, list(true, "xr")})
 	o := c.Turn(101e9, nil)
 	if all, fleet := recalledIn(s.told); len(all)+len(fleet) != 0 || len(s.told) != 1 || c.Counters.BareRestarts != 1 || o.NextTurn != 0 {
@@ -94,7 +94,7 @@
 }
 
 func TestTheListOfAMemory(t *testing.T) {
-	m := memory.Memory{Revision: 7, Replicas: []memory.Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, Size: 2, State: control.Draining}, {ID: "y", State: control.Gone}}}
+	m := memory.Memory{Revision: 7, Replicas: []memory.Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, Weight: 2, State: control.Draining}, {ID: "y", State: control.Gone}}}
 	want := ReplicaList{Revision: 7, Complete: true, Members: []Member{{ID: "x", Zone: "a", Kind: "m1", State: control.Draining, Weight: 2, UpSince: 5}}}
 	if got := ListFromSnapshot(m); !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v", got)
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -13,18 +13,18 @@
 
 const (
 	// What is left of an entry after six half-lives changes no decision and is dropped.
-	LeastWeight = 1.0 / 64
+	MinWeight = 1.0 / 64
 	// Bounds of one memory: four times the largest site we know of.
-	ReplicasMost, UsageMost, NamesMost = 1 << 14, 1 << 18, 1 << 10
-	// Calm answer times kept of a kind, and the longest name of anything.
-	CalmMost, NameMost = 32, 128
+	MaxReplicas, MaxUsage, MaxNames = 1 << 14, 1 << 18, 1 << 10
+	// Response times kept of a kind, and the length of the longest name of anything.
+	MaxResponseTimes, MaxNameLength = 32, 128
 	// The module's own figures lie far within these; what lies outside was not written by it.
-	speedLeast, speedMost, rateMost, answerMost = 1.0 / 1024, 1024.0, 1e6, 600.0
-	relapsesMost, restMost                      = 1 << 10, int64(60 * 1e9)
-	tablesMost, evidenceMost                    = 1 << 14, 1e9
+	minSpeed, maxSpeed, maxRate, maxResponseSeconds = 1.0 / 1024, 1024.0, 1e6, 600.0
+	maxEjections, maxEjection                       = 1 << 10, int64(60 * 1e9)
+	maxTables, maxSampleCount                       = 1 << 14, 1e9
 	// A list that is older is no better than the one in the configuration, whatever its revision says:
 	// discovery may have begun to count anew since.
-	listSpan = int64(15 * 60 * 1e9)
+	maxListAge = int64(15 * 60 * 1e9)
 )
 
 // Moment is a time as a machine shows it. The wall clock may step; Up, the time since the machine's start Boot,
@@ -49,10 +49,10 @@
 	return wall
 }
 
-// Weight is what an age leaves of what was learned: half after each half-life, nothing under LeastWeight.
+// Weight is what an age leaves of what was learned: half after each half-life, nothing under MinWeight.
 func Weight(age, halfLife int64) float64 {
 	w := math.Exp2(-float64(max(0, age)) / float64(max(1, halfLife)))
-	if w < LeastWeight {
+	if w < MinWeight {
 		return 0
 	}
 	return w
@@ -60,51 +60,51 @@
 
 // Replica is what was learned of one replica, and how discovery listed it.
 type Replica struct {
-	ID, Zone, Kind string
-	UpSince        int64 // by the wall clock, as listed: one that started since is another
-	State          control.State
-	Size           float64 // as listed
-	Speed          float64 // as control.LearnedReplica
-	Evidence       float64
-	Ticket         float64
-	Table          int
-	Rest           int64
-	Trial          bool
-	Relapses       int
-	Idle           int64 // between its last evidence and Taken
+	ID, Zone, Kind  string
+	UpSince         int64 // by the wall clock, as listed: one that started since is another
+	State           control.State
+	Weight          float64 // as listed
+	Speed           float64 // as control.LearnedReplica
+	SampleCount     float64
+	Ticket          float64
+	Table           int
+	EjectedFor      int64
+	Probation       bool
+	Ejections       int
+	SinceLastSample int64 // between its last evidence and Taken
 }
 
-// Calm is the answer times of a kind when it was not busy, in seconds. The empty name is all kinds together.
-type Calm struct {
-	Kind    string
-	Answers []float64
+// KindResponses is the answer times of a kind when it was not busy, in seconds. The empty name is all kinds together.
+type KindResponses struct {
+	Kind  string
+	Times []float64
 }
 
 // Usage is the flows a second of a traffic group that came to a proxy.
 type Usage struct {
 	Proxy int
-	Group string
+	Class string
 	Rate  float64
 }
 
 // Memory is all that one governor had learned at a moment.
 type Memory struct {
-	Governor string
-	Taken    Moment
-	Revision int64 // of the list
-	Groups   []string
-	Replicas []Replica // by ID
-	Calm     []Calm
-	Usage    []Usage
-	Seats    []control.Binding
-	Tables   int
-	Line     float64
-	Served   float64
-	Once     bool
+	Governor           string
+	Taken              Moment
+	Revision           int64 // of the list
+	Classes            []string
+	Replicas           []Replica // by ID
+	UsualResponses     []KindResponses
+	Usage              []Usage
+	Bindings           []control.Binding
+	Tables             int
+	AdmissionThreshold float64
+	MaxSuccessRate     float64
+	RetriesStopped     bool
 }
 
 // Merge adds to what was learned now what was learned earlier of replicas that now says nothing of: those that
-// are not listed just now, or not yet. Earlier ones of less than LeastWeight are left out. Since is the time
+// are not listed just now, or not yet. Earlier ones of less than MinWeight are left out. Since is the time
 // from earlier to now.
 func Merge(now, earlier Memory, since, halfLife int64) Memory {
 	has := make(map[string]bool, len(now.Replicas))
@@ -113,12 +113,12 @@
 	}
 	all := slices.Clone(now.Replicas)
 	for _, r := range earlier.Replicas {
-		r.Idle = addSpans(r.Idle, since)
-		if r.Rest > 0 && r.Rest <= since {
-			r.Trial = true
+		r.SinceLastSample = addSpans(r.SinceLastSample, since)
+		if r.EjectedFor > 0 && r.EjectedFor <= since {
+			r.Probation = true
 		}
-		r.Rest = max(0, r.Rest-max(0, since))
-		if !has[r.ID] && len(all) < ReplicasMost && Weight(r.Idle, halfLife) > 0 {
+		r.EjectedFor = max(0, r.EjectedFor-max(0, since))
+		if !has[r.ID] && len(all) < MaxReplicas && Weight(r.SinceLastSample, halfLife) > 0 {
 			r.State = control.Gone // it is no member of the list
 			all = append(all, r)
 		}
@@ -137,8 +137,8 @@
 
 // Place is the installation that a memory is to serve in.
 type Place struct {
-	Groups, Kinds []string
-	Proxies       int
+	Classes, Kinds []string
+	Proxies        int
 }
 
 // Dropped counts what a memory held that does not fit, by reason.
@@ -146,7 +146,7 @@
 	Replicas int // whose figures cannot be
 	Old      int // replicas whose evidence counts for nothing any more
 	Usage    int // of traffic groups or proxies that there are not
-	Groups   bool
+	Classes  bool
 }
 
 // Fit keeps of a memory what fits the place and is not too old, and says what it has dropped. Levels are by the
@@ -159,7 +159,7 @@
 		switch {
 		case !sound(r): // zone and kind are held to the list when it names the replica
 			d.Replicas++
-		case Weight(addSpans(r.Idle, age), halfLife) == 0:
+		case Weight(addSpans(r.SinceLastSample, age), halfLife) == 0:
 			d.Old++
 		default:
 			keep = append(keep, r)
@@ -168,39 +168,39 @@
 	m.Replicas = keep
 	usage := m.Usage[:0:0]
 	for _, u := range m.Usage {
-		if u.Proxy >= 0 && u.Proxy < p.Proxies && slices.Contains(p.Groups, u.Group) && within(u.Rate, 0, rateMost) {
+		if u.Proxy >= 0 && u.Proxy < p.Proxies && slices.Contains(p.Classes, u.Class) && within(u.Rate, 0, maxRate) {
 			usage = append(usage, u)
 		} else {
 			d.Usage++
 		}
 	}
 	m.Usage = usage
-	m.Seats = slices.DeleteFunc(slices.Clone(m.Seats), func(s control.Binding) bool {
+	m.Bindings = slices.DeleteFunc(slices.Clone(m.Bindings), func(s control.Binding) bool {
 		return s.Proxy < 0 || s.Proxy >= p.Proxies || s.Table < 0 || s.Table >= m.Tables
 	})
-	calm := m.Calm[:0:0]
-	for _, c := range m.Calm {
+	calm := m.UsualResponses[:0:0]
+	for _, c := range m.UsualResponses {
 		if slices.Contains(p.Kinds, c.Kind) || c.Kind == "" {
-			c.Answers = slices.DeleteFunc(slices.Clone(c.Answers), func(a float64) bool {
-				return !within(a, 1e-9, answerMost)
+			c.Times = slices.DeleteFunc(slices.Clone(c.Times), func(a float64) bool {
+				return !within(a, 1e-9, maxResponseSeconds)
 			})
-			c.Answers = c.Answers[max(0, len(c.Answers)-CalmMost):]
+			c.Times = c.Times[max(0, len(c.Times)-MaxResponseTimes):]
 			calm = append(calm, c)
 		}
 	}
-	m.Calm = calm
-	if d.Groups = !slices.Equal(m.Groups, p.Groups); d.Groups || !within(m.Line, 0, 1) {
-		m.Line, m.Once = 1, false
+	m.UsualResponses = calm
+	if d.Classes = !slices.Equal(m.Classes, p.Classes); d.Classes || !within(m.AdmissionThreshold, 0, 1) {
+		m.AdmissionThreshold, m.RetriesStopped = 1, false
 	}
-	if !within(m.Served, 0, rateMost) {
-		m.Served = 0
+	if !within(m.MaxSuccessRate, 0, maxRate) {
+		m.MaxSuccessRate = 0
 	}
-	if m.Tables < 0 || m.Tables > tablesMost {
-		m.Tables, m.Seats = 0, nil
+	if m.Tables < 0 || m.Tables > maxTables {
+		m.Tables, m.Bindings = 0, nil
 	}
 	if !whole { // nothing of the fleet is left
 		d.Usage += len(m.Usage)
-		m.Usage, m.Seats, m.Calm, m.Tables, m.Line, m.Served, m.Once = nil, nil, nil, 0, 1, 0, false
+		m.Usage, m.Bindings, m.UsualResponses, m.Tables, m.AdmissionThreshold, m.MaxSuccessRate, m.RetriesStopped = nil, nil, nil, 0, 1, 0, false
 	}
 	return m, d
 }
@@ -209,14 +209,14 @@
 
 // sound says whether the figures of a replica can be.
 func sound(r Replica) bool {
-	return r.ID != "" && len(r.ID) <= NameMost && within(r.Speed, speedLeast, speedMost) &&
-		within(r.Evidence, 0, evidenceMost) && within(r.Ticket, 0, 1) && within(r.Size, 0, math.MaxFloat64) &&
-		r.Table >= 0 && r.Table <= tablesMost && r.Rest >= 0 && r.Rest <= restMost &&
-		r.Relapses >= 0 && r.Relapses <= relapsesMost && r.Idle >= 0 && r.UpSince >= 0 &&
+	return r.ID != "" && len(r.ID) <= MaxNameLength && within(r.Speed, minSpeed, maxSpeed) &&
+		within(r.SampleCount, 0, maxSampleCount) && within(r.Ticket, 0, 1) && within(r.Weight, 0, math.MaxFloat64) &&
+		r.Table >= 0 && r.Table <= maxTables && r.EjectedFor >= 0 && r.EjectedFor <= maxEjection &&
+		r.Ejections >= 0 && r.Ejections <= maxEjections && r.SinceLastSample >= 0 && r.UpSince >= 0 &&
 		r.State >= control.Ready && r.State <= control.Gone
 }
 
 // Lists says whether the memory's list is to serve until discovery answers, instead of one of this revision.
 func (m Memory) Lists(revision, age int64) bool {
-	return m.Revision > revision && age <= listSpan && len(m.Replicas) > 0
+	return m.Revision > revision && age <= maxListAge && len(m.Replicas) > 0
 }
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -43,7 +43,7 @@
 }
 
 func TestWeightHalves(t *testing.T) {
-	for age, want := range map[int64]float64{-minute: 1, 0: 1, minute: 0.5, 2 * minute: 0.25, 6 * minute: LeastWeight, 7 * minute: 0, math.MaxInt64: 0} {
+	for age, want := range map[int64]float64{-minute: 1, 0: 1, minute: 0.5, 2 * minute: 0.25, 6 * minute: MinWeight, 7 * minute: 0, math.MaxInt64: 0} {
 		if got := Weight(age, minute); math.Abs(got-want) > 1e-12 {
 			t.Errorf("%d: %v, want %v", age, got, want)
 		}
@@ -51,15 +51,15 @@
 }
 
 func sample() Memory {
-	return Memory{Governor: "n0", Taken: Moment{Wall: 100 * minute}, Revision: 9, Groups: []string{"read", "order"},
-		Replicas: []Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, Size: 1, Speed: 0.5, Evidence: 12, Ticket: 0.3, Table: 1, Rest: 2 * second, Relapses: 2, Idle: second},
-			{ID: "y", Zone: "b", Kind: "m2", Size: 1, Speed: 2, Evidence: 16, Ticket: 0.4}},
-		Calm:  []Calm{{"m1", []float64{0.1, 0.2}}, {"", []float64{0.15}}},
-		Usage: []Usage{{1, "read", 20}, {2, "order", 0.5}}, Seats: []control.Binding{{Proxy: 1, Table: 1}, {Proxy: 2}},
-		Tables: 2, Line: 0.7, Served: 40, Once: true}
+	return Memory{Governor: "n0", Taken: Moment{Wall: 100 * minute}, Revision: 9, Classes: []string{"read", "order"},
+		Replicas: []Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, Weight: 1, Speed: 0.5, SampleCount: 12, Ticket: 0.3, Table: 1, EjectedFor: 2 * second, Ejections: 2, SinceLastSample: second},
+			{ID: "y", Zone: "b", Kind: "m2", Weight: 1, Speed: 2, SampleCount: 16, Ticket: 0.4}},
+		UsualResponses: []KindResponses{{"m1", []float64{0.1, 0.2}}, {"", []float64{0.15}}},
+		Usage:          []Usage{{1, "read", 20}, {2, "order", 0.5}}, Bindings: []control.Binding{{Proxy: 1, Table: 1}, {Proxy: 2}},
+		Tables: 2, AdmissionThreshold: 0.7, MaxSuccessRate: 40, RetriesStopped: true}
 }
 
-var place = Place{Groups: []string{"read", "order"}, Kinds: []string{"m1", "m2"}, Proxies: 3}
+var place = Place{Classes: []string{"read", "order"}, Kinds: []string{"m1", "m2"}, Proxies: 3}
 
 func TestWhatFitsIsKept(t *testing.T) {
 	for _, c := range []struct {
@@ -72,19 +72,19 @@
 		{"all of it", func(*Memory, *Place) {}, 0, func(m Memory) bool { return reflect.DeepEqual(m, sample()) }, Dropped{}},
 		{"half of its weight", func(*Memory, *Place) {}, minute, func(m Memory) bool { return reflect.DeepEqual(m, sample()) }, Dropped{}},
 		{"a day old", func(*Memory, *Place) {}, 1440 * minute, func(m Memory) bool {
-			return len(m.Replicas)+len(m.Usage)+len(m.Seats)+len(m.Calm) == 0 && m.Line == 1 && !m.Once && m.Served == 0
+			return len(m.Replicas)+len(m.Usage)+len(m.Bindings)+len(m.UsualResponses) == 0 && m.AdmissionThreshold == 1 && !m.RetriesStopped && m.MaxSuccessRate == 0
 		}, Dropped{Old: 2, Usage: 2}},
-		{"one evidence is too old", func(m *Memory, _ *Place) { m.Replicas[0].Idle = 6 * minute }, minute, func(m Memory) bool { return len(m.Replicas) == 1 }, Dropped{Old: 1}},
-		{"a group less", func(_ *Memory, p *Place) { p.Groups = p.Groups[:1] }, 0, func(m Memory) bool { return m.Line == 1 && !m.Once && len(m.Usage) == 1 }, Dropped{Usage: 1, Groups: true}},
-		{"groups in another order", func(_ *Memory, p *Place) { p.Groups = []string{"order", "read"} }, 0, func(m Memory) bool { return m.Line == 1 && len(m.Usage) == 2 }, Dropped{Groups: true}},
-		{"fewer proxies", func(_ *Memory, p *Place) { p.Proxies = 2 }, 0, func(m Memory) bool { return len(m.Seats) == 1 }, Dropped{Usage: 1}},
-		{"a kind less", func(_ *Memory, p *Place) { p.Kinds = []string{"m2"} }, 0, func(m Memory) bool { return len(m.Calm) == 1 && m.Calm[0].Kind == "" }, Dropped{}},
+		{"one evidence is too old", func(m *Memory, _ *Place) { m.Replicas[0].SinceLastSample = 6 * minute }, minute, func(m Memory) bool { return len(m.Replicas) == 1 }, Dropped{Old: 1}},
+		{"a group less", func(_ *Memory, p *Place) { p.Classes = p.Classes[:1] }, 0, func(m Memory) bool { return m.AdmissionThreshold == 1 && !m.RetriesStopped && len(m.Usage) == 1 }, Dropped{Usage: 1, Classes: true}},
+		{"groups in another order", func(_ *Memory, p *Place) { p.Classes = []string{"order", "read"} }, 0, func(m Memory) bool { return m.AdmissionThreshold == 1 && len(m.Usage) == 2 }, Dropped{Classes: true}},
+		{"fewer proxies", func(_ *Memory, p *Place) { p.Proxies = 2 }, 0, func(m Memory) bool { return len(m.Bindings) == 1 }, Dropped{Usage: 1}},
+		{"a kind less", func(_ *Memory, p *Place) { p.Kinds = []string{"m2"} }, 0, func(m Memory) bool { return len(m.UsualResponses) == 1 && m.UsualResponses[0].Kind == "" }, Dropped{}},
 		{"no number", func(m *Memory, _ *Place) { m.Replicas[0].Speed = math.NaN() }, 0, func(m Memory) bool { return len(m.Replicas) == 1 }, Dropped{Replicas: 1}},
 		{"a speed that cannot be", func(m *Memory, _ *Place) { m.Replicas[1].Speed = 0 }, 0, func(m Memory) bool { return m.Replicas[0].ID == "x" }, Dropped{Replicas: 1}},
-		{"a rest without end", func(m *Memory, _ *Place) { m.Replicas[0].Rest = math.MaxInt64 }, 0, func(m Memory) bool { return len(m.Replicas) == 1 }, Dropped{Replicas: 1}},
-		{"a line that cannot be", func(m *Memory, _ *Place) { m.Line = -3 }, 0, func(m Memory) bool { return m.Line == 1 }, Dropped{}},
-		{"tables that cannot be", func(m *Memory, _ *Place) { m.Tables = 1 << 30 }, 0, func(m Memory) bool { return m.Tables == 0 && m.Seats == nil }, Dropped{}},
-		{"answers that cannot be", func(m *Memory, _ *Place) { m.Calm[0].Answers = []float64{-1, math.Inf(1), 0.2} }, 0, func(m Memory) bool { return len(m.Calm[0].Answers) == 1 }, Dropped{}},
+		{"a rest without end", func(m *Memory, _ *Place) { m.Replicas[0].EjectedFor = math.MaxInt64 }, 0, func(m Memory) bool { return len(m.Replicas) == 1 }, Dropped{Replicas: 1}},
+		{"a line that cannot be", func(m *Memory, _ *Place) { m.AdmissionThreshold = -3 }, 0, func(m Memory) bool { return m.AdmissionThreshold == 1 }, Dropped{}},
+		{"tables that cannot be", func(m *Memory, _ *Place) { m.Tables = 1 << 30 }, 0, func(m Memory) bool { return m.Tables == 0 && m.Bindings == nil }, Dropped{}},
+		{"answers that cannot be", func(m *Memory, _ *Place) { m.UsualResponses[0].Times = []float64{-1, math.Inf(1), 0.2} }, 0, func(m Memory) bool { return len(m.UsualResponses[0].Times) == 1 }, Dropped{}},
 	} {
 		m, p := sample(), place
 		c.change(&m, &p)
@@ -100,13 +100,13 @@
 	if len(m.Replicas) != 2 || m.Replicas[1].Speed != 3 {
 		t.Fatalf("%+v", m.Replicas)
 	}
-	if x := m.Replicas[0]; x.ID != "x" || x.Idle != 5*second || x.Rest != 0 || !x.Trial || x.State != control.Gone {
+	if x := m.Replicas[0]; x.ID != "x" || x.SinceLastSample != 5*second || x.EjectedFor != 0 || !x.Probation || x.State != control.Gone {
 		t.Errorf("%+v", x)
 	}
 	if m = Merge(now, sample(), 10*minute, minute); len(m.Replicas) != 1 {
 		t.Errorf("who counts for nothing is kept: %+v", m.Replicas)
 	}
-	if len(now.Replicas) != 1 || sample().Replicas[0].Rest == 0 {
+	if len(now.Replicas) != 1 || sample().Replicas[0].EjectedFor == 0 {
 		t.Error("merging has changed its sources")
 	}
 }
@@ -114,7 +114,7 @@
 func TestAReplicaIsRememberedWhileItIsTheSame(t *testing.T) {
 	p := NewPast(sample(), 1000*second, 10*second, minute)
 	r, age, weight := p.Of("x", "a", "m1", 5, 1001*second)
-	if age != 12*second || math.Abs(weight-math.Exp2(-0.2)) > 1e-9 || r.Rest != 0 || !r.Trial || r.Speed != 0.5 {
+	if age != 12*second || math.Abs(weight-math.Exp2(-0.2)) > 1e-9 || r.EjectedFor != 0 || !r.Probation || r.Speed != 0.5 {
 		t.Errorf("%+v, age %d, weight %v", r, age, weight)
 	}
 	for _, who := range [][4]any{{"x", "a", "m1", int64(6)}, {"x", "b", "m1", int64(5)}, {"x", "a", "m2", int64(5)}, {"z", "a", "m1", int64(5)}} {
@@ -133,7 +133,7 @@
 
 func TestTheNewerListServes(t *testing.T) {
 	m := sample()
-	if !m.Lists(8, minute) || m.Lists(9, minute) || m.Lists(8, listSpan+1) || (Memory{Revision: 9}).Lists(8, 0) {
+	if !m.Lists(8, minute) || m.Lists(9, minute) || m.Lists(8, maxListAge+1) || (Memory{Revision: 9}).Lists(8, 0) {
 		t.Error("the wrong list serves")
 	}
 }
--- a/internal/memory/moment.go
+++ b/internal/memory/moment.go
@@ -34,10 +34,10 @@
 		return Replica{}, 0, 0
 	}
 	passed := p.Age(now)
-	if r.Rest > 0 && r.Rest <= passed { // over meanwhile: it was about to be tried
-		r.Trial = true
+	if r.EjectedFor > 0 && r.EjectedFor <= passed { // over meanwhile: it was about to be tried
+		r.Probation = true
 	}
-	r.Rest = max(0, r.Rest-passed)
-	age = addSpans(r.Idle, passed)
+	r.EjectedFor = max(0, r.EjectedFor-passed)
+	age = addSpans(r.SinceLastSample, passed)
 	return r, age, Weight(age, p.halfLife)
 }
--- a/internal/vault/codec.go
+++ b/internal/vault/codec.go
@@ -42,74 +42,74 @@
 
 // body1 is format 1: flows by proxy alone, no seats, verdicts as a word.
 type body1 struct {
-	Governor string             `cbor:"1,keyasint"`
-	Wall     int64              `cbor:"2,keyasint"`
-	Revision int64              `cbor:"3,keyasint"`
-	Replicas []replica1         `cbor:"4,keyasint"`
-	Rates    map[int]float64    `cbor:"5,keyasint"`
-	Calm     map[string]float64 `cbor:"6,keyasint"`
-	Groups   []string           `cbor:"7,keyasint"`
-	Line     float64            `cbor:"8,keyasint"`
+	Governor           string             `cbor:"1,keyasint"`
+	Wall               int64              `cbor:"2,keyasint"`
+	Revision           int64              `cbor:"3,keyasint"`
+	Replicas           []replica1         `cbor:"4,keyasint"`
+	Rates              map[int]float64    `cbor:"5,keyasint"`
+	UsualResponses     map[string]float64 `cbor:"6,keyasint"`
+	Classes            []string           `cbor:"7,keyasint"`
+	AdmissionThreshold float64            `cbor:"8,keyasint"`
 }
 
 type replica1 struct {
-	ID       string  `cbor:"1,keyasint"`
-	Zone     string  `cbor:"2,keyasint"`
-	Kind     string  `cbor:"3,keyasint"`
-	UpSince  int64   `cbor:"4,keyasint"`
-	Size     float64 `cbor:"5,keyasint"`
-	Draining bool    `cbor:"6,keyasint,omitempty"`
-	Speed    float64 `cbor:"7,keyasint"`
-	Evidence float64 `cbor:"8,keyasint"`
-	Verdict  string  `cbor:"9,keyasint,omitempty"` // empty, sick or trial
-	Relapses int     `cbor:"10,keyasint,omitempty"`
-	Idle     int64   `cbor:"11,keyasint,omitempty"`
+	ID              string  `cbor:"1,keyasint"`
+	Zone            string  `cbor:"2,keyasint"`
+	Kind            string  `cbor:"3,keyasint"`
+	UpSince         int64   `cbor:"4,keyasint"`
+	Weight          float64 `cbor:"5,keyasint"`
+	Draining        bool    `cbor:"6,keyasint,omitempty"`
+	Speed           float64 `cbor:"7,keyasint"`
+	SampleCount     float64 `cbor:"8,keyasint"`
+	Verdict         string  `cbor:"9,keyasint,omitempty"` // empty, sick or trial
+	Ejections       int     `cbor:"10,keyasint,omitempty"`
+	SinceLastSample int64   `cbor:"11,keyasint,omitempty"`
 }
 
 // body2 is format 2.
 type body2 struct {
-	Governor string            `cbor:"1,keyasint" json:"governor"`
-	Wall     int64             `cbor:"2,keyasint" json:"taken_ns"`
-	Boot     string            `cbor:"3,keyasint,omitempty" json:"boot"`
-	Up       int64             `cbor:"4,keyasint,omitempty" json:"up_ns"`
-	Revision int64             `cbor:"5,keyasint" json:"revision"`
-	Groups   []string          `cbor:"6,keyasint" json:"groups"`
-	Replicas []replica2        `cbor:"7,keyasint" json:"replicas"`
-	Calm     []calm2           `cbor:"8,keyasint" json:"calm"`
-	Usage    map[int][]float64 `cbor:"9,keyasint" json:"flows"` // flows a second by proxy, in the order of Groups
-	Seats    map[int]int       `cbor:"10,keyasint" json:"seats"`
-	Tables   int               `cbor:"11,keyasint" json:"tables"`
-	Line     float64           `cbor:"12,keyasint" json:"line"`
-	Served   float64           `cbor:"13,keyasint" json:"served"`
-	Once     bool              `cbor:"14,keyasint,omitempty" json:"once"`
+	Governor           string            `cbor:"1,keyasint" json:"governor"`
+	Wall               int64             `cbor:"2,keyasint" json:"taken_ns"`
+	Boot               string            `cbor:"3,keyasint,omitempty" json:"boot"`
+	Up                 int64             `cbor:"4,keyasint,omitempty" json:"up_ns"`
+	Revision           int64             `cbor:"5,keyasint" json:"revision"`
+	Classes            []string          `cbor:"6,keyasint" json:"groups"`
+	Replicas           []replica2        `cbor:"7,keyasint" json:"replicas"`
+	UsualResponses     []responses2      `cbor:"8,keyasint" json:"calm"`
+	Usage              map[int][]float64 `cbor:"9,keyasint" json:"flows"` // flows a second by proxy, in the order of Classes
+	Bindings           map[int]int       `cbor:"10,keyasint" json:"seats"`
+	Tables             int               `cbor:"11,keyasint" json:"tables"`
+	AdmissionThreshold float64           `cbor:"12,keyasint" json:"line"`
+	MaxSuccessRate     float64           `cbor:"13,keyasint" json:"served"`
+	RetriesStopped     bool              `cbor:"14,keyasint,omitempty" json:"once"`
 }
 
 type replica2 struct {
-	ID       string  `cbor:"1,keyasint" json:"id"`
-	Zone     string  `cbor:"2,keyasint" json:"zone"`
-	Kind     string  `cbor:"3,keyasint" json:"kind"`
-	UpSince  int64   `cbor:"4,keyasint,omitempty" json:"up_since_ns"`
-	State    int     `cbor:"5,keyasint,omitempty" json:"state"`
-	Size     float64 `cbor:"6,keyasint" json:"size"`
-	Speed    float64 `cbor:"7,keyasint" json:"speed"`
-	Evidence float64 `cbor:"8,keyasint" json:"evidence"`
-	Ticket   float64 `cbor:"9,keyasint" json:"ticket"`
-	Table    int     `cbor:"10,keyasint,omitempty" json:"table"`
-	Rest     int64   `cbor:"11,keyasint,omitempty" json:"rest_ns"`
-	Trial    bool    `cbor:"12,keyasint,omitempty" json:"trial"`
-	Relapses int     `cbor:"13,keyasint,omitempty" json:"relapses"`
-	Idle     int64   `cbor:"14,keyasint,omitempty" json:"idle_ns"`
+	ID              string  `cbor:"1,keyasint" json:"id"`
+	Zone            string  `cbor:"2,keyasint" json:"zone"`
+	Kind            string  `cbor:"3,keyasint" json:"kind"`
+	UpSince         int64   `cbor:"4,keyasint,omitempty" json:"up_since_ns"`
+	State           int     `cbor:"5,keyasint,omitempty" json:"state"`
+	Weight          float64 `cbor:"6,keyasint" json:"size"`
+	Speed           float64 `cbor:"7,keyasint" json:"speed"`
+	SampleCount     float64 `cbor:"8,keyasint" json:"evidence"`
+	Ticket          float64 `cbor:"9,keyasint" json:"ticket"`
+	Table           int     `cbor:"10,keyasint,omitempty" json:"table"`
+	EjectedFor      int64   `cbor:"11,keyasint,omitempty" json:"rest_ns"`
+	Probation       bool    `cbor:"12,keyasint,omitempty" json:"trial"`
+	Ejections       int     `cbor:"13,keyasint,omitempty" json:"relapses"`
+	SinceLastSample int64   `cbor:"14,keyasint,omitempty" json:"idle_ns"`
 }
 
-type calm2 struct {
-	Kind    string    `cbor:"1,keyasint" json:"kind"`
-	Answers []float64 `cbor:"2,keyasint" json:"answers_s"`
+type responses2 struct {
+	Kind  string    `cbor:"1,keyasint" json:"kind"`
+	Times []float64 `cbor:"2,keyasint" json:"answers_s"`
 }
 
 var (
 	writes = must(cbor.EncOptions{Sort: cbor.SortCoreDeterministic, ShortestFloat: cbor.ShortestFloat16}.EncMode())
 	// A body may name little more than a memory may hold, so that a crafted length asks for nothing.
-	reads = must(cbor.DecOptions{MaxArrayElements: 2 * memory.ReplicasMost, MaxMapPairs: 4 * memory.ReplicasMost, MaxNestedLevels: 8,
+	reads = must(cbor.DecOptions{MaxArrayElements: 2 * memory.MaxReplicas, MaxMapPairs: 4 * memory.MaxReplicas, MaxNestedLevels: 8,
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode())
 )
 
@@ -127,29 +127,29 @@
 
 func bodyOf(m memory.Memory) body2 {
 	b := body2{Governor: m.Governor, Wall: m.Taken.Wall, Boot: m.Taken.Boot, Up: m.Taken.Up, Revision: m.Revision,
-		Groups: m.Groups, Tables: m.Tables, Line: m.Line, Served: m.Served, Once: m.Once,
-		Replicas: make([]replica2, 0, len(m.Replicas)), Usage: map[int][]float64{}, Seats: map[int]int{}}
+		Classes: m.Classes, Tables: m.Tables, AdmissionThreshold: m.AdmissionThreshold, MaxSuccessRate: m.MaxSuccessRate, RetriesStopped: m.RetriesStopped,
+		Replicas: make([]replica2, 0, len(m.Replicas)), Usage: map[int][]float64{}, Bindings: map[int]int{}}
 	for _, r := range m.Replicas {
-		b.Replicas = append(b.Replicas, replica2{r.ID, r.Zone, r.Kind, r.UpSince, int(r.State), r.Size, r.Speed,
-			r.Evidence, r.Ticket, r.Table, r.Rest, r.Trial, r.Relapses, r.Idle})
+		b.Replicas = append(b.Replicas, replica2{r.ID, r.Zone, r.Kind, r.UpSince, int(r.State), r.Weight, r.Speed,
+			r.SampleCount, r.Ticket, r.Table, r.EjectedFor, r.Probation, r.Ejections, r.SinceLastSample})
 	}
-	for _, c := range m.Calm {
-		b.Calm = append(b.Calm, calm2(c))
+	for _, c := range m.UsualResponses {
+		b.UsualResponses = append(b.UsualResponses, responses2(c))
 	}
 	order := map[string]int{}
-	for k, g := range m.Groups {
+	for k, g := range m.Classes {
 		order[g] = k
 	}
 	for _, u := range m.Usage {
-		if k, ok := order[u.Group]; ok {
+		if k, ok := order[u.Class]; ok {
 			if b.Usage[u.Proxy] == nil {
-				b.Usage[u.Proxy] = make([]float64, len(m.Groups))
+				b.Usage[u.Proxy] = make([]float64, len(m.Classes))
 			}
 			b.Usage[u.Proxy][k] = float64(float32(u.Rate)) // more digits say nothing of a rate
 		}
 	}
-	for _, s := range m.Seats {
-		b.Seats[s.Proxy] = s.Table
+	for _, s := range m.Bindings {
+		b.Bindings[s.Proxy] = s.Table
 	}
 	return b
 }
@@ -228,24 +228,24 @@
 
 func (b body2) memory() (memory.Memory, error) {
 	m := memory.Memory{Governor: b.Governor, Taken: memory.Moment{Wall: b.Wall, Boot: b.Boot, Up: b.Up}, Revision: b.Revision,
-		Groups: b.Groups, Tables: b.Tables, Line: b.Line, Served: b.Served, Once: b.Once}
+		Classes: b.Classes, Tables: b.Tables, AdmissionThreshold: b.AdmissionThreshold, MaxSuccessRate: b.MaxSuccessRate, RetriesStopped: b.RetriesStopped}
 	for _, r := range b.Replicas {
 		m.Replicas = append(m.Replicas, memory.Replica{ID: r.ID, Zone: r.Zone, Kind: r.Kind, UpSince: r.UpSince,
-			State: control.State(r.State), Size: r.Size, Speed: r.Speed, Evidence: r.Evidence, Ticket: r.Ticket, Table: r.Table,
-			Rest: r.Rest, Trial: r.Trial, Relapses: r.Relapses, Idle: r.Idle})
+			State: control.State(r.State), Weight: r.Weight, Speed: r.Speed, SampleCount: r.SampleCount, Ticket: r.Ticket, Table: r.Table,
+			EjectedFor: r.EjectedFor, Probation: r.Probation, Ejections: r.Ejections, SinceLastSample: r.SinceLastSample})
 	}
-	for _, c := range b.Calm {
-		m.Calm = append(m.Calm, memory.Calm(c))
+	for _, c := range b.UsualResponses {
+		m.UsualResponses = append(m.UsualResponses, memory.KindResponses(c))
 	}
 	for _, proxy := range sortedKeys(b.Usage) {
 		for k, rate := range b.Usage[proxy] {
-			if k < len(b.Groups) && rate != 0 {
-				m.Usage = append(m.Usage, memory.Usage{Proxy: proxy, Group: b.Groups[k], Rate: rate})
+			if k < len(b.Classes) && rate != 0 {
+				m.Usage = append(m.Usage, memory.Usage{Proxy: proxy, Class: b.Classes[k], Rate: rate})
 			}
 		}
 	}
-	for _, proxy := range sortedKeys(b.Seats) {
-		m.Seats = append(m.Seats, control.Binding{Proxy: proxy, Table: b.Seats[proxy]})
+	for _, proxy := range sortedKeys(b.Bindings) {
+		m.Bindings = append(m.Bindings, control.Binding{Proxy: proxy, Table: b.Bindings[proxy]})
 	}
 	return m, bounded(m)
 }
@@ -257,36 +257,36 @@
 	if err := reads.Unmarshal(body, &b); err != nil {
 		return m, err
 	}
-	m = memory.Memory{Governor: b.Governor, Taken: memory.Moment{Wall: b.Wall}, Revision: b.Revision, Groups: b.Groups, Line: b.Line}
+	m = memory.Memory{Governor: b.Governor, Taken: memory.Moment{Wall: b.Wall}, Revision: b.Revision, Classes: b.Classes, AdmissionThreshold: b.AdmissionThreshold}
 	for _, r := range b.Replicas {
-		n := memory.Replica{ID: r.ID, Zone: r.Zone, Kind: r.Kind, UpSince: r.UpSince, Size: r.Size, Speed: r.Speed,
-			Evidence: r.Evidence, Relapses: r.Relapses, Idle: r.Idle, Trial: r.Verdict == "trial"}
+		n := memory.Replica{ID: r.ID, Zone: r.Zone, Kind: r.Kind, UpSince: r.UpSince, Weight: r.Weight, Speed: r.Speed,
+			SampleCount: r.SampleCount, Ejections: r.Ejections, SinceLastSample: r.SinceLastSample, Probation: r.Verdict == "trial"}
 		if r.Draining {
 			n.State = control.Draining
 		}
 		if r.Verdict == "sick" {
-			n.Rest = firstRest
+			n.EjectedFor = firstEjection
 		}
 		m.Replicas = append(m.Replicas, n)
 	}
-	for _, kind := range sortedKeys(b.Calm) {
-		m.Calm = append(m.Calm, memory.Calm{Kind: kind, Answers: []float64{b.Calm[kind]}})
+	for _, kind := range sortedKeys(b.UsualResponses) {
+		m.UsualResponses = append(m.UsualResponses, memory.KindResponses{Kind: kind, Times: []float64{b.UsualResponses[kind]}})
 	}
 	for _, proxy := range sortedKeys(b.Rates) {
-		for _, g := range b.Groups {
-			m.Usage = append(m.Usage, memory.Usage{Proxy: proxy, Group: g, Rate: b.Rates[proxy] / float64(len(b.Groups))})
+		for _, g := range b.Classes {
+			m.Usage = append(m.Usage, memory.Usage{Proxy: proxy, Class: g, Rate: b.Rates[proxy] / float64(len(b.Classes))})
 		}
 	}
 	return m, bounded(m)
 }
 
-// firstRest stands for the rest that format 1 did not tell.
-const firstRest = int64(3 * 1e9)
+// firstEjection stands for the rest that format 1 did not tell.
+const firstEjection = int64(3 * 1e9)
 
 func bounded(m memory.Memory) error {
-	if len(m.Replicas) > memory.ReplicasMost || len(m.Usage) > memory.UsageMost || len(m.Calm) > memory.NamesMost ||
-		len(m.Groups) > memory.NamesMost || m.Taken.Wall < math.MinInt64/2 || m.Taken.Wall > math.MaxInt64/2 {
-		return fmt.Errorf("%d replicas, %d flows of proxies, %d groups: more than there can be", len(m.Replicas), len(m.Usage), len(m.Groups))
+	if len(m.Replicas) > memory.MaxReplicas || len(m.Usage) > memory.MaxUsage || len(m.UsualResponses) > memory.MaxNames ||
+		len(m.Classes) > memory.MaxNames || m.Taken.Wall < math.MinInt64/2 || m.Taken.Wall > math.MaxInt64/2 {
+		return fmt.Errorf("%d replicas, %d flows of proxies, %d groups: more than there can be", len(m.Replicas), len(m.Usage), len(m.Classes))
 	}
 	return nil
 }
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -28,12 +28,12 @@
 
 func sample(k int) memory.Memory {
 	m := memory.Memory{Governor: "n0", Taken: memory.Moment{Wall: 1_700_000_000e9 + int64(k), Boot: "b", Up: 5e9}, Revision: int64(k),
-		Groups: []string{"read", "order"}, Tables: 2, Line: 0.7, Served: 40, Once: true,
-		Replicas: []memory.Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, State: control.Draining, Size: 1, Speed: 0.5, Evidence: 12, Ticket: 0.3, Table: 1,
-			Rest: 2e9, Relapses: 2, Idle: 1e9}, {ID: "y", Zone: "b", Kind: "m2", Size: 1, Speed: 2, Evidence: 16, Ticket: 0.4, Trial: true}},
-		Calm:  []memory.Calm{{Kind: "m1", Answers: []float64{0.125, 0.25}}, {Answers: []float64{0.15}}},
-		Usage: []memory.Usage{{Proxy: 1, Group: "read", Rate: 20}, {Proxy: 2, Group: "order", Rate: 0.5}},
-		Seats: []control.Binding{{Proxy: 1, Table: 1}, {Proxy: 2, Table: 0}}}
+		Classes: []string{"read", "order"}, Tables: 2, AdmissionThreshold: 0.7, MaxSuccessRate: 40, RetriesStopped: true,
+		Replicas: []memory.Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, State: control.Draining, Weight: 1, Speed: 0.5, SampleCount: 12, Ticket: 0.3, Table: 1,
+			EjectedFor: 2e9, Ejections: 2, SinceLastSample: 1e9}, {ID: "y", Zone: "b", Kind: "m2", Weight: 1, Speed: 2, SampleCount: 16, Ticket: 0.4, Probation: true}},
+		UsualResponses: []memory.KindResponses{{Kind: "m1", Times: []float64{0.125, 0.25}}, {Times: []float64{0.15}}},
+		Usage:          []memory.Usage{{Proxy: 1, Class: "read", Rate: 20}, {Proxy: 2, Class: "order", Rate: 0.5}},
+		Bindings:       []control.Binding{{Proxy: 1, Table: 1}, {Proxy: 2, Table: 0}}}
 	return m
 }
 
@@ -42,7 +42,7 @@
 		m := sample(rapid.IntRange(0, 1<<40).Draw(t, "k"))
 		for k := range rapid.IntRange(0, 50).Draw(t, "replicas") {
 			m.Replicas = append(m.Replicas, memory.Replica{ID: fmt.Sprint("r", k), Zone: rapid.String().Draw(t, "zone"),
-				Speed: rapid.Float64().Draw(t, "speed"), Idle: rapid.Int64().Draw(t, "idle"), Trial: rapid.Bool().Draw(t, "trial")})
+				Speed: rapid.Float64().Draw(t, "speed"), SinceLastSample: rapid.Int64().Draw(t, "idle"), Probation: rapid.Bool().Draw(t, "trial")})
 		}
 		raw, err := Encode(m, 7)
 		if err != nil {
@@ -139,11 +139,11 @@
 
 // Files as programs wrote them: testdata/format1.lbs and format2.lbs are never written anew.
 func TestKeptFilesOfEachFormatAreRead(t *testing.T) {
-	for format, want := range map[int]memory.Memory{1: {Governor: "n0", Taken: memory.Moment{Wall: 1_700_000_000e9}, Revision: 41, Groups: []string{"read", "order"}, Line: 0.5,
-		Replicas: []memory.Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, State: control.Draining, Size: 1, Speed: 0.5, Evidence: 12, Rest: firstRest, Relapses: 2, Idle: 1e9},
-			{ID: "y", Zone: "b", Kind: "m2", Size: 2, Speed: 2, Evidence: 16, Trial: true}},
-		Calm:  []memory.Calm{{Answers: []float64{0.125}}, {Kind: "m1", Answers: []float64{0.25}}},
-		Usage: []memory.Usage{{Proxy: 3, Group: "read", Rate: 10}, {Proxy: 3, Group: "order", Rate: 10}}}, 2: sample(41)} {
+	for format, want := range map[int]memory.Memory{1: {Governor: "n0", Taken: memory.Moment{Wall: 1_700_000_000e9}, Revision: 41, Classes: []string{"read", "order"}, AdmissionThreshold: 0.5,
+		Replicas: []memory.Replica{{ID: "x", Zone: "a", Kind: "m1", UpSince: 5, State: control.Draining, Weight: 1, Speed: 0.5, SampleCount: 12, EjectedFor: firstEjection, Ejections: 2, SinceLastSample: 1e9},
+			{ID: "y", Zone: "b", Kind: "m2", Weight: 2, Speed: 2, SampleCount: 16, Probation: true}},
+		UsualResponses: []memory.KindResponses{{Times: []float64{0.125}}, {Kind: "m1", Times: []float64{0.25}}},
+		Usage:          []memory.Usage{{Proxy: 3, Class: "read", Rate: 10}, {Proxy: 3, Class: "order", Rate: 10}}}, 2: sample(41)} {
 		raw, err := os.ReadFile(fmt.Sprintf("testdata/format%d.lbs", format))
 		if err != nil {
 			t.Fatal(err)
--- a/lab/restart/restart.go
+++ b/lab/restart/restart.go
@@ -95,19 +95,19 @@
 		age += 2 * halfLife
 		for k := range kept.Replicas {
 			r := &kept.Replicas[k]
-			if sick := r.Rest > 0 || r.Trial; sick {
-				r.Rest, r.Trial = 0, false
+			if sick := r.EjectedFor > 0 || r.Probation; sick {
+				r.EjectedFor, r.Probation = 0, false
 			} else {
-				r.Trial, r.Relapses = true, 1
+				r.Probation, r.Ejections = true, 1
 			}
 		}
 	case Wrong:
 		other := slices.Clone(kept.Replicas)
 		for k, n := range chance.Perm(len(other)) {
 			r := &kept.Replicas[k]
-			r.Speed, r.Evidence, r.Rest, r.Trial, r.Relapses = other[n].Speed, other[n].Evidence, other[n].Rest, other[n].Trial, other[n].Relapses
+			r.Speed, r.SampleCount, r.EjectedFor, r.Probation, r.Ejections = other[n].Speed, other[n].SampleCount, other[n].EjectedFor, other[n].Probation, other[n].Ejections
 		}
 	}
-	kept, _ = memory.Fit(kept, memory.Place{Groups: w.Site.Names.Classes, Kinds: w.Site.Names.Kinds, Proxies: w.Site.Proxies}, age, halfLife)
+	kept, _ = memory.Fit(kept, memory.Place{Classes: w.Site.Names.Classes, Kinds: w.Site.Names.Kinds, Proxies: w.Site.Proxies}, age, halfLife)
 	return memory.NewPast(kept, w.Now(), age, halfLife), nil
 }
