A folder that is still held is waited for, as an address in use is

Cause: a governor started while its predecessor ends listens as soon as the address is free, up to 0.3 s before the folder's lock is released, and then kept nothing for the whole of its life (read in the code of the end; no log shows it yet). Change: holdFolder waits for as long as listen does, for the state's folder and the configuration's. Measured: TestAFolderThatIsStillHeld, tests of the program with -race.

--- a/cmd/lilacbend/configuration.go
+++ b/cmd/lilacbend/configuration.go
@@ -25,13 +25,13 @@
 }
 
 // newConfigurationFollower is nil where the operator file has no such section.
-func newConfigurationFollower(c configuration, x *exchange.Exchange, log *slog.Logger) (*configurationFollower, error) {
+func newConfigurationFollower(ctx context.Context, c configuration, x *exchange.Exchange, log *slog.Logger) (*configurationFollower, error) {
 	following := c.operator.Configuration
 	if !following.On() {
 		return nil, nil
 	}
 	f := &configurationFollower{seed: c.seed, exchange: x, log: log}
-	f.kept = openKeptConfiguration(c, log)
+	f.kept = openKeptConfiguration(ctx, c, log)
 	var err error
 	f.watcher, err = configwatch.New(configwatch.Options{Instance: c.name, Service: following.Service, Region: following.Region,
 		Zone: following.Zone, Servers: following.Servers, Seed: c.seed, Log: log, Offer: f.offer, InForce: f.kept.keep})
--- a/cmd/lilacbend/kept.go
+++ b/cmd/lilacbend/kept.go
@@ -27,13 +27,13 @@
 
 // openKeptConfiguration holds the folder and reads what was in force before a restart. What goes wrong is logged, and the
 // governor goes on by its own file.
-func openKeptConfiguration(c configuration, log *slog.Logger) *keptConfiguration {
+func openKeptConfiguration(ctx context.Context, c configuration, log *slog.Logger) *keptConfiguration {
 	following := c.operator.Configuration
 	if following.Folder == "" {
 		return nil
 	}
 	folder := vault.Folder(following.Folder)
-	lock, err := folder.Take(or(c.name, "a governor"))
+	lock, err := holdFolder(ctx, folder, or(c.name, "a governor"))
 	if err != nil {
 		log.Warn("the configuration in force is neither read nor kept", "folder", following.Folder, "error", err)
 		return nil
--- a/cmd/lilacbend/kept_test.go
+++ b/cmd/lilacbend/kept_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"lilacbend/internal/configcache"
 	"lilacbend/internal/revision"
@@ -136,6 +139,35 @@
 	}
 }
 
+// The governor of before a restart still holds its folder as the next one begins: that waits for it.
+func TestAFolderThatIsStillHeld(t *testing.T) {
+	folder := vault.Folder(filepath.Join(t.TempDir(), "kept"))
+	before, err := folder.Take("n6")
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(inUseMost/4, before.Release)
+	lock, err := holdFolder(t.Context(), folder, "n7")
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	var held *vault.Held
+	if _, err := holdFolder(t.Context(), folder, "n8"); !errors.As(err, &held) || held.By == "" {
+		t.Errorf("a folder that stays held: %v", err)
+	}
+	if waited := time.Since(began); waited < inUseMost || waited > 2*inUseMost {
+		t.Errorf("waited for %v, want %v", waited, inUseMost)
+	}
+	ended, end := context.WithCancel(t.Context())
+	end()
+	began = time.Now()
+	if _, err := holdFolder(ended, folder, "n8"); !errors.As(err, &held) || time.Since(began) > inUseMost/2 {
+		t.Errorf("told to end: %v after %v", err, time.Since(began))
+	}
+	lock.Release()
+}
+
 // Two governors on one folder: the second keeps nothing and serves all the same. A folder that others may write to is not used.
 func TestAFolderThatIsNotItsOwn(t *testing.T) {
 	agent := peers.Listen(t)
--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -60,14 +60,14 @@
 	defer stop()
 	base, x := clock{time.Now()}, exchange.New()
 	x.Expect(notesExpected(c.settings.Proxies, len(c.names.Classes)))
-	follower, err := newConfigurationFollower(c, x, log)
+	follower, err := newConfigurationFollower(ctx, c, x, log)
 	if err != nil {
 		return fmt.Errorf("cannot follow a configuration: %w", err)
 	}
 	own := governor.NewTopology(c.names, c.settings)
 	topology := follower.topology(own)
 	core := governor.New(func() governor.Module { return brain.New(c.settings) }, own)
-	kept := openArchive(c.operator.State, &c, topology, core, x, base, log)
+	kept := openArchive(ctx, c.operator.State, &c, topology, core, x, base, log)
 	c.known.At, c.known.Wall = base.now(), base.start.UnixNano()
 	x.Publish(c.known)
 	follower.resume()
--- a/cmd/lilacbend/state.go
+++ b/cmd/lilacbend/state.go
@@ -39,12 +39,12 @@
 
 // openArchive holds the folder, tells the core of the newest whole generation that fits, and begins to keep. What
 // goes wrong with the folder is logged, and the governor goes on without. The list is the one to start with.
-func openArchive(r operator.Retention, c *configuration, topology governor.Topology, core *governor.Core, x *exchange.Exchange, base clock, log *slog.Logger) *archive {
+func openArchive(ctx context.Context, r operator.Retention, c *configuration, topology governor.Topology, core *governor.Core, x *exchange.Exchange, base clock, log *slog.Logger) *archive {
 	if r.Folder == "" {
 		return nil
 	}
 	folder := vault.Folder(r.Folder)
-	lock, err := folder.Take(or(c.name, "a governor"))
+	lock, err := holdFolder(ctx, folder, or(c.name, "a governor"))
 	if err != nil {
 		log.Warn("state is neither read nor kept", "folder", r.Folder, "error", err)
 		return nil
@@ -61,9 +61,9 @@
 		return err
 	}
 	a.keeper = vault.NewKeeper(folder, r.Keep, r.Every, again, log)
-	ctx, stop := context.WithCancel(context.Background())
+	keeping, stop := context.WithCancel(context.Background())
 	a.stop = stop
-	go a.keeper.Run(ctx)
+	go a.keeper.Run(keeping)
 	return a
 }
 
