Brain: registry, acknowledge, bind; one price for the writing and the fit of commands

Cause: roll, strike, caught, seat are words of the earlier house style; pacer.fit priced commands as pacer.write does, head by head. No behaviour changes.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -357,7 +357,7 @@
 		}
 	}
 	p.post(thePacer, p.coldest(ids))
-	p.post(theRoll, seats)
+	p.post(theRegistry, seats)
 	p.post(theSequence, t)
 }
 
@@ -422,18 +422,18 @@
 	return out
 }
 
-// ---- roll: proxies, streams, bindings, marks
+// ---- registry: proxies, streams, bindings, marks
 
-func (r *roll) take(n any) {
+func (r *registry) take(n any) {
 	switch n := n.(type) {
 	case []int:
-		if r.loose == 0 && slices.Equal(n, r.sits) { // nobody to bind or to move
+		if r.loose == 0 && slices.Equal(n, r.boundTo) { // nobody to bind or to move
 			return
 		}
 		load := make([]float64, len(n))
 		for _, proxy := range sorted(r.here) {
 			if c := r.here[proxy]; c.table >= 0 {
-				if load[c.table] += c.Rate; n[c.table] != r.sits[c.table] {
+				if load[c.table] += c.Rate; n[c.table] != r.boundTo[c.table] {
 					r.post(theSequence, control.Bind{Proxy: proxy, Table: n[c.table]})
 				}
 			}
@@ -441,18 +441,18 @@
 		for _, proxy := range sorted(r.here) {
 			if c := r.here[proxy]; c.table < 0 {
 				c.table = r.least(c.Zone, load)
-				if sat, ok := r.sat[proxy]; ok && r.past.Tables == len(n) && sat < len(n) &&
+				if sat, ok := r.formerTables[proxy]; ok && r.past.Tables == len(n) && sat < len(n) &&
 					sat%r.rows(len(n)) == c.Zone%r.rows(len(n)) {
 					c.table = sat // as its connections are
 				}
-				delete(r.sat, proxy)
+				delete(r.formerTables, proxy)
 				load[c.table] += c.Rate
 				r.loose--
 				r.post(thePlanner, *c)
 				r.post(thePacer, control.Bind{Proxy: proxy, Table: n[c.table]})
 			}
 		}
-		r.sits = n
+		r.boundTo = n
 	case control.StreamOpened:
 		if came, ok := r.came[n.Proxy]; ok { // a hello tells a rough figure
 			n.Rate += (came - n.Rate) * r.past.Weight
@@ -466,8 +466,8 @@
 		r.drop(n.Proxy)
 	case control.Ack:
 		mark := r.last - (r.last-n.Nonce)&marksMask // marks go round on the way
-		r.post(thePacer, caught{mark: mark})
-		r.strike(n.Proxy, mark)
+		r.post(thePacer, acked{mark: mark})
+		r.acknowledge(n.Proxy, mark)
 	case marked:
 		r.await(n)
 	}
@@ -597,7 +597,7 @@
 	case marked:
 		s.note(n)
 		return
-	case caught:
+	case acked:
 		delete(s.open, n.mark)
 	case tick:
 		maps.DeleteFunc(s.open, func(_ uint64, since int64) bool { return s.now-since > stepTimeout })
@@ -689,7 +689,7 @@
 		p.cold = n
 	case step:
 		p.step = n
-	case caught: // messages leave in order: an answer clears all that was written before its own
+	case acked: // messages leave in order: an answer clears all that was written before its own
 		p.orphan(n)
 		p.clear(n)
 	case closing:
@@ -699,14 +699,10 @@
 
 // write orders something if the queue and each reached proxy's message cap keep room for what can't wait.
 func (p *pacer) write(o control.Command, part, messages float64) bool {
-	to, lines := p.reach(o)
-	more := float64(lines * len(to))
+	to, more := p.price(o, nil)
 	for _, proxy := range to {
-		if !p.reached[proxy] {
-			more += float64(p.MessageHead + 1)
-			if p.MaxMessages > 0 && float64(p.written(proxy)+1) > messages*float64(p.MaxMessages) {
-				return false
-			}
+		if !p.reached[proxy] && p.MaxMessages > 0 && float64(p.written(proxy)+1) > messages*float64(p.MaxMessages) {
+			return false
 		}
 	}
 	if len(to) > 0 && p.waits+p.cost+more > part*float64(p.ChannelLimit) {
@@ -717,9 +713,9 @@
 		if _, joined := p.bound[o.Proxy]; len(p.laid[o.Table]) == 0 || !joined { // not before its table is laid
 			return !joined
 		}
-		p.seat(o.Proxy, o.Table)
+		p.bind(o.Proxy, o.Table)
 	case control.BindPart:
-		p.seatPart(o)
+		p.bindPart(o)
 	case control.SetEndpoint:
 		p.lay(o)
 	case control.SetAdmission:
@@ -739,7 +735,7 @@
 // those who come at once share as much again; withdrawals have the rest. Whole tables for a crowd would hold them up.
 func (p *pacer) share() float64 {
 	grace := p.graceLines() * float64(p.ChannelLimit)
-	settled := len(p.bound) - len(p.seated[-1]) - len(p.partial)
+	settled := len(p.bound) - len(p.members[-1]) - len(p.partial)
 	return firstPart*grace/float64(max(1, p.Proxies-settled)) + math.Max(0, sharedPart*grace-p.waits)/float64(1+len(p.urgent))
 }
 
@@ -813,7 +809,7 @@
 		due := p.now + beat + p.MaxTransit + int64((p.waits+p.cost)/p.ChannelRate*float64(second))
 		p.under = append(p.under, batch{mark: m.mark, lines: p.cost, at: p.now, due: due})
 		p.count(m.proxies)
-		p.post(theRoll, m)
+		p.post(theRegistry, m)
 	}
 	p.post(theSequence, m)
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -235,11 +235,11 @@
 	lines := mail[target](g, theSequence)[0].lines
 	want(t, "guest", lines[line{1, 1}] > 0, true)
 	want(t, "gone", lines[line{1, 2}], 0.0)
-	want(t, "a zone that lost all stays at its table", mail[[]int](g, theRoll)[0][1], 1)
+	want(t, "a zone that lost all stays at its table", mail[[]int](g, theRegistry)[0][1], 1)
 	p = planning(at(0), offered(1, 0, false, control.Ready), offered(2, 0, false, control.Gone))
 	p.tables, p.own = 4, map[uint32]int{1: 0, 2: 2}
 	p.redraw()
-	want(t, "to a sister", mail[[]int](&Governor{sharedState: *p.sharedState}, theRoll)[0][2], 0)
+	want(t, "to a sister", mail[[]int](&Governor{sharedState: *p.sharedState}, theRegistry)[0][2], 0)
 }
 
 // A governor among hundreds has a few proxies, one table, and all replicas as its own: a table of them all would cost more
@@ -439,11 +439,11 @@
 		control.SetEndpoint{Table: 2, Replica: 1, Weight: 0.2}, control.SetEjected{Replica: 1}}))
 	p := g.queues[thePacer].part.(*pacer)
 	for proxy := range 2 {
-		p.seat(proxy, proxy)
+		p.bind(proxy, proxy)
 		p.laid[proxy] = map[uint32]float64{1: 1}
 	}
 	g.MaxMessages, g.MessageWindow = 4, 10*second
-	p.wrote[0] = []int64{0, 0, 0} // may take no more
+	p.sendTimes[0] = []int64{0, 0, 0} // may take no more
 	p.step = step{len(orders), orders}
 	p.send()
 	for _, o := range g.out {
@@ -464,11 +464,11 @@
 	p := g.queues[thePacer].part.(*pacer)
 	p.laid = map[int]map[uint32]float64{0: {1: 0.2}, 1: {1: 0.4}, 2: {}}
 	for table := range 3 {
-		p.seat(table, table)
+		p.bind(table, table)
 	}
 	p.ejected[1], p.cold.together = true, true
 	g.MaxMessages = 4
-	p.wrote[2] = []int64{0, 0, 0} // its line is held up, and the lift with it
+	p.sendTimes[2] = []int64{0, 0, 0} // its line is held up, and the lift with it
 	p.step = step{4, s.orders(add)}
 	p.send()
 	for _, o := range g.out {
@@ -476,7 +476,7 @@
 			t.Errorf("rises though it is not let in: %v", g.out)
 		}
 	}
-	p.wrote[2], g.out = nil, nil
+	p.sendTimes[2], g.out = nil, nil
 	p.send()
 	want(t, "let in", len(orders[control.SetEjected](g.out)), 1)
 	want(t, "and raised", len(p.step.orders), 0)
@@ -523,8 +523,8 @@
 	p.step.adds++
 	g.MaxMessages, g.ChannelLimit = 4, 4000
 	p.laid[1] = map[uint32]float64{3: 0.5}
-	p.seat(11, 1)
-	p.wrote[11] = []int64{0, 0, 0}
+	p.bind(11, 1)
+	p.sendTimes[11] = []int64{0, 0, 0}
 	p.send()
 	want(t, "none while one has a line of more weight", len(orders[control.SetEjected](g.out)), 0)
 }
@@ -550,12 +550,12 @@
 
 func TestNothingWaitsForAProxyThatLeft(t *testing.T) {
 	g := at(0)
-	r := g.queues[theRoll].part.(*roll)
+	r := g.queues[theRegistry].part.(*registry)
 	r.take(marked{mark: 70000, proxies: []int{1, 2}})
 	r.take(control.Ack{Proxy: 1, Nonce: 70000 & marksMask})
-	want(t, "still open", len(mail[caught](g, theSequence)), 0)
+	want(t, "still open", len(mail[acked](g, theSequence)), 0)
 	r.take(control.StreamClosed{Proxy: 2})
-	want(t, "closed", mail[caught](g, theSequence)[0], caught{mark: 70000, all: true})
+	want(t, "closed", mail[acked](g, theSequence)[0], acked{mark: 70000, all: true})
 }
 
 // A crowd that leaves at once empties no channel: its lines, and all before them, are charged until somebody answers
@@ -563,13 +563,13 @@
 func TestLeavingClearsNothingFromTheChannel(t *testing.T) {
 	g := at(0)
 	g.ChannelLimit, g.ChannelRate = 49200, 1200
-	r, p := g.queues[theRoll].part.(*roll), pacing(g, 1)
+	r, p := g.queues[theRegistry].part.(*registry), pacing(g, 1)
 	p.under = []batch{{mark: 1, lines: 20000, due: 17 * second}, {mark: 2, lines: 20000, due: 34 * second}}
 	for mark := uint64(1); mark <= 2; mark++ {
 		r.take(marked{mark: mark, proxies: []int{int(mark)}})
 	}
 	clear := func() float64 {
-		for _, c := range mail[caught](g, thePacer) {
+		for _, c := range mail[acked](g, thePacer) {
 			p.take(c)
 		}
 		return p.queue()
@@ -612,7 +612,7 @@
 func pacing(g *Governor, proxies int) *pacer {
 	p := g.queues[thePacer].part.(*pacer)
 	for proxy := range proxies {
-		p.seat(proxy, 0)
+		p.bind(proxy, 0)
 	}
 	p.laid[0] = map[uint32]float64{}
 	for id := range uint32(20) {
@@ -636,7 +636,7 @@
 	sent := len(g.out)
 	p.send()
 	want(t, "more while nobody answers", len(g.out), sent)
-	p.take(caught{mark: p.mark, all: true})
+	p.take(acked{mark: p.mark, all: true})
 	p.send()
 	want(t, "goes on once answered", len(g.out) > sent, true)
 }
@@ -645,8 +645,8 @@
 	g := at(0)
 	g.MaxMessages = 4
 	p := pacing(g, 2)
-	p.laid[1], p.wrote[0] = map[uint32]float64{}, []int64{0, 0, 0}
-	p.seat(1, 1)
+	p.laid[1], p.sendTimes[0] = map[uint32]float64{}, []int64{0, 0, 0}
+	p.bind(1, 1)
 	p.take(step{2, []control.Command{control.SetEndpoint{Replica: 1, Weight: 1},
 		control.SetEndpoint{Table: 1, Replica: 1, Weight: 1}}})
 	p.send()
@@ -678,18 +678,18 @@
 		p.take(control.SetEjected{Replica: uint32(k), Ejected: true})
 		p.send()
 	}
-	want(t, "messages", len(p.wrote[0]) <= 10, true)
-	want(t, "room for withdrawals", float64(len(p.wrote[0])) > addMsgs*10, true)
+	want(t, "messages", len(p.sendTimes[0]) <= 10, true)
+	want(t, "room for withdrawals", float64(len(p.sendTimes[0])) > addMsgs*10, true)
 }
 
 func TestAWithdrawalWaitsOnlyForThoseWhoHoldALine(t *testing.T) {
 	g := at(0)
 	p := pacing(g, 2)
 	p.laid[1] = map[uint32]float64{99: 1}
-	p.seat(1, 1)
+	p.bind(1, 1)
 	p.take(control.SetEjected{Replica: 99, Ejected: true})
 	p.send()
-	m := mail[marked](g, theRoll)[0]
+	m := mail[marked](g, theRegistry)[0]
 	want(t, "only the proxy that holds it", len(m.proxies) == 1 && m.proxies[0] == 1, true)
 	p.now = p.under[0].due + lostSpan + 1
 	want(t, "what nobody answers is forgotten", p.queue(), 0.0)
@@ -924,7 +924,7 @@
 	g.MaxMessages, g.MessageWindow = 10, 10*second
 	p := g.queues[thePacer].part.(*pacer)
 	p.take(control.StreamOpened{Proxy: 0})
-	p.wrote[0] = []int64{11 * second, 12 * second, 13 * second, 14 * second, 15 * second, 16 * second, 17 * second, 18 * second, 19 * second}
+	p.sendTimes[0] = []int64{11 * second, 12 * second, 13 * second, 14 * second, 15 * second, 16 * second, 17 * second, 18 * second, 19 * second}
 	p.laid[0] = map[uint32]float64{9: 1}
 	p.reached = map[int]bool{}
 	p.take(control.StreamClosed{Proxy: 0})
--- a/brain/keep.go
+++ b/brain/keep.go
@@ -12,7 +12,7 @@
 
 // learned answers control.SnapshotRequested.
 func (g *Governor) learned() control.Snapshot {
-	p, r, l := g.queues[thePlanner].part.(*planner), g.queues[theRoll].part.(*roll), g.queues[theLevels].part.(*levels)
+	p, r, l := g.queues[thePlanner].part.(*planner), g.queues[theRegistry].part.(*registry), g.queues[theLevels].part.(*levels)
 	var all control.Snapshot
 	for _, id := range sorted(g.replicas) {
 		r := g.replicas[id]
--- a/brain/keep_test.go
+++ b/brain/keep_test.go
@@ -153,7 +153,7 @@
 	}{{1, 0.5, true, 4, 50}, {0.5, 0.75, true, 2, 30}, {0.1, 0.95, false, 0, 14}} {
 		g, _ := told(entries(4), fleet, c.weight)
 		g.Turn(100*second, []control.Event{control.TimerFired{}})
-		l, p, r := g.queues[theLevels].part.(*levels), g.queues[thePlanner].part.(*planner), g.queues[theRoll].part.(*roll)
+		l, p, r := g.queues[theLevels].part.(*levels), g.queues[thePlanner].part.(*planner), g.queues[theRegistry].part.(*registry)
 		want(t, "once", l.once, c.once)
 		want(t, "calm", len(p.calm[0]), c.calm)
 		want(t, "rate", math.Round(r.here[0].Rate), c.rate)
--- a/brain/mail.go
+++ b/brain/mail.go
@@ -14,7 +14,7 @@
 // empties them, chance. It decides nothing.
 
 const ( // the parts' queues; those of the replicas come after
-	theRoll = iota
+	theRegistry = iota
 	thePlanner
 	theLevels
 	theSequence
@@ -101,14 +101,14 @@
 	g := &Governor{sharedState: sharedState{Settings: p}, replicas: map[uint32]*replica{}}
 	d := &g.sharedState
 	d.queues = []*queue{
-		theRoll: {part: &roll{sharedState: d, here: map[int]*binding{}, wait: map[uint64]map[int]bool{}}},
+		theRegistry: {part: &registry{sharedState: d, here: map[int]*binding{}, wait: map[uint64]map[int]bool{}}},
 		thePlanner: {part: &planner{sharedState: d, calm: map[int][]float64{},
 			own: map[uint32]int{}, laid: map[uint32]int{}, offers: map[uint32]offer{}}},
 		theLevels: {part: &levels{sharedState: d, set: map[int]control.SetAdmission{}}},
 		theSequence: {part: &sequence{sharedState: d, laid: map[line]float64{}, out: map[uint32]bool{},
 			moves: map[int]int{}, open: map[uint64]int64{}}},
-		thePacer: {part: &pacer{sharedState: d, bound: map[int]int{}, seated: map[int][]int{}, laid: map[int]map[uint32]float64{},
-			wrote: map[int][]int64{}, partial: map[int]*partial{}, rates: map[int]float64{},
+		thePacer: {part: &pacer{sharedState: d, bound: map[int]int{}, members: map[int][]int{}, laid: map[int]map[uint32]float64{},
+			sendTimes: map[int][]int64{}, partial: map[int]*partial{}, rates: map[int]float64{},
 			ejected: map[uint32]bool{}, leveled: map[int]bool{}}},
 	}
 	return g
@@ -201,17 +201,17 @@
 	}
 }
 
-// strike: no mark up to this one waits for the proxy any more. An answer speaks for the proxy's earlier
+// acknowledge: no mark up to this one waits for the proxy any more. An answer speaks for the proxy's earlier
 // marks, and nothing waits for a proxy that has left. Its leaving tells nothing of the channel, though: what was
 // written to it, and to all others before, may wait there still, and taken for sent lets a crowd that leaves at
 // once fill the channel twice.
-func (r *roll) strike(proxy int, upto uint64) {
+func (r *registry) acknowledge(proxy int, upto uint64) {
 	for _, mark := range sorted(r.wait) {
 		if w := r.wait[mark]; mark <= upto && w[proxy] {
 			if delete(w, proxy); len(w) == 0 {
 				delete(r.wait, mark)
-				r.post(thePacer, caught{mark, true, upto == math.MaxUint64})
-				r.post(theSequence, caught{mark: mark, all: true})
+				r.post(thePacer, acked{mark, true, upto == math.MaxUint64})
+				r.post(theSequence, acked{mark: mark, all: true})
 			}
 		}
 	}
@@ -237,10 +237,10 @@
 }
 
 // remember keeps what an earlier governor knew of proxies.
-func (r *roll) remember(n control.FleetRestored) {
-	r.past, r.sat, r.came = n, map[int]int{}, map[int]float64{}
+func (r *registry) remember(n control.FleetRestored) {
+	r.past, r.formerTables, r.came = n, map[int]int{}, map[int]float64{}
 	for _, s := range n.Bindings {
-		r.sat[s.Proxy] = s.Table
+		r.formerTables[s.Proxy] = s.Table
 	}
 	for _, u := range n.Usage {
 		r.came[u.Proxy] += u.Rate
@@ -248,7 +248,7 @@
 }
 
 // await notes whose answers to a mark are missing.
-func (r *roll) await(n marked) {
+func (r *registry) await(n marked) {
 	r.last, r.wait[n.mark] = n.mark, map[int]bool{}
 	for _, proxy := range n.proxies {
 		r.wait[n.mark][proxy] = true
@@ -256,8 +256,8 @@
 }
 
 // drop forgets a proxy that has left: no mark waits for it any more.
-func (r *roll) drop(proxy int) {
-	r.strike(proxy, math.MaxUint64)
+func (r *registry) drop(proxy int) {
+	r.acknowledge(proxy, math.MaxUint64)
 	if c := r.here[proxy]; c != nil && c.table < 0 {
 		r.loose--
 	}
@@ -265,7 +265,7 @@
 }
 
 // orphan notes that nobody is left to answer for what was written under a mark.
-func (p *pacer) orphan(n caught) {
+func (p *pacer) orphan(n acked) {
 	for k := range p.under {
 		if n.gone && p.under[k].mark == n.mark {
 			p.under[k].orphan = true
@@ -289,12 +289,12 @@
 // count notes a message to each proxy, for its cap.
 func (p *pacer) count(proxies []int) {
 	for _, proxy := range proxies {
-		p.wrote[proxy] = append(p.wrote[proxy], p.now)
+		p.sendTimes[proxy] = append(p.sendTimes[proxy], p.now)
 	}
 }
 
 // clear takes what an answer clears off the account of the channel.
-func (p *pacer) clear(n caught) {
+func (p *pacer) clear(n acked) {
 	for len(p.under) > 0 && !n.gone && (p.under[0].mark < n.mark || n.all && p.under[0].mark == n.mark) {
 		p.late = math.Max(1, float64(p.now-p.under[0].at)/float64(p.under[0].due-p.under[0].at))
 		p.under = p.under[1:]
@@ -304,32 +304,32 @@
 // written counts the messages to a proxy within the span of its cap.
 func (p *pacer) written(proxy int) int {
 	past := func(at int64) bool { return p.now-at > p.MessageWindow }
-	p.wrote[proxy] = slices.DeleteFunc(p.wrote[proxy], past)
-	return len(p.wrote[proxy])
+	p.sendTimes[proxy] = slices.DeleteFunc(p.sendTimes[proxy], past)
+	return len(p.sendTimes[proxy])
 }
 
 func (p *pacer) join(n control.StreamOpened) {
-	p.seat(n.Proxy, -1)
+	p.bind(n.Proxy, -1)
 	p.rates[n.Proxy] = n.Rate
 }
 
 func (p *pacer) leave(proxy int) {
-	p.unseat(proxy)
+	p.unbind(proxy)
 	delete(p.rates, proxy)
 }
 
-// seat puts a joined proxy on a table.
-func (p *pacer) seat(proxy, table int) {
-	p.unseat(proxy)
+// bind puts a joined proxy on a table.
+func (p *pacer) bind(proxy, table int) {
+	p.unbind(proxy)
 	p.bound[proxy] = table
-	k, _ := slices.BinarySearch(p.seated[table], proxy)
-	p.seated[table] = slices.Insert(p.seated[table], k, proxy)
+	k, _ := slices.BinarySearch(p.members[table], proxy)
+	p.members[table] = slices.Insert(p.members[table], k, proxy)
 }
 
-func (p *pacer) unseat(proxy int) {
+func (p *pacer) unbind(proxy int) {
 	if table, here := p.bound[proxy]; here {
-		k, _ := slices.BinarySearch(p.seated[table], proxy)
-		p.seated[table] = slices.Delete(p.seated[table], k, k+1)
+		k, _ := slices.BinarySearch(p.members[table], proxy)
+		p.members[table] = slices.Delete(p.members[table], k, k+1)
 		delete(p.bound, proxy)
 		delete(p.partial, proxy)
 	}
--- a/brain/parts.go
+++ b/brain/parts.go
@@ -136,9 +136,9 @@
 	}
 }
 
-// seatPart puts a proxy on a part of a table.
-func (p *pacer) seatPart(o control.BindPart) {
-	p.seat(o.Proxy, o.Table)
+// bindPart puts a proxy on a part of a table.
+func (p *pacer) bindPart(o control.BindPart) {
+	p.bind(o.Proxy, o.Table)
 	t := &partial{replicas: map[uint32]bool{}, given: len(o.Replicas)}
 	for _, id := range o.Replicas {
 		t.replicas[id] = true
@@ -149,10 +149,10 @@
 // holders are the proxies on a table that hold a line of a replica, or would with the whole table.
 func (p *pacer) holders(table int, id uint32) []int {
 	if len(p.partial) == 0 {
-		return p.seated[table]
+		return p.members[table]
 	}
 	var all []int
-	for _, proxy := range p.seated[table] {
+	for _, proxy := range p.members[table] {
 		if t := p.partial[proxy]; t == nil || t.replicas[id] {
 			all = append(all, proxy)
 		}
@@ -242,20 +242,29 @@
 	return slices.ContainsFunc(lifts, func(o control.Command) bool { return replicas[o.(control.SetEjected).Replica] })
 }
 
+// price returns whom a command reaches, and what it takes of the channel: its lines, and the heads of messages that were not
+// begun in this turn. It notes those in begun, if that is given.
+func (p *pacer) price(o control.Command, begun map[int]bool) (to []int, cost float64) {
+	to, lines := p.reach(o)
+	cost = float64(lines * len(to))
+	for _, proxy := range to {
+		if p.reached[proxy] || begun[proxy] {
+			continue
+		}
+		cost += float64(p.MessageHead + 1)
+		if begun != nil {
+			begun[proxy] = true
+		}
+	}
+	return to, cost
+}
+
 // fit says whether there is room for all of some commands in a part of the channel's limit.
 func (p *pacer) fit(commands []control.Command, part float64) bool {
-	cost, heads := 0.0, map[int]bool{}
+	sum, begun := 0.0, map[int]bool{}
 	for _, o := range commands {
-		to, lines := p.reach(o)
-		cost += float64(lines * len(to))
-		for _, proxy := range to {
-			heads[proxy] = !p.reached[proxy]
-		}
-	}
-	for _, more := range heads {
-		if more {
-			cost += float64(p.MessageHead + 1)
-		}
+		_, cost := p.price(o, begun)
+		sum += cost
 	}
-	return p.waits+p.cost+cost <= part*float64(p.ChannelLimit)
+	return p.waits+p.cost+sum <= part*float64(p.ChannelLimit)
 }
--- a/brain/reconfigure.go
+++ b/brain/reconfigure.go
@@ -17,7 +17,7 @@
 
 // reconfigure puts changed settings in force.
 func (g *Governor) reconfigure(e control.SettingsChanged) {
-	p, r, l := g.queues[thePlanner].part.(*planner), g.queues[theRoll].part.(*roll), g.queues[theLevels].part.(*levels)
+	p, r, l := g.queues[thePlanner].part.(*planner), g.queues[theRegistry].part.(*registry), g.queues[theLevels].part.(*levels)
 	before, tables := g.Settings, p.tables
 	fits := g.keepsRows(e, tables)
 	g.Settings = e.Settings
@@ -30,7 +30,7 @@
 	p.same = p.same && drawsAlike(before, e.Settings)
 	if tables > 0 && (!fits || p.tablesUnder(before) != p.tablesUnder(e.Settings)) {
 		p.redeal(tables)
-		r.reseat(tables, p.tablesUnder(e.Settings), g.recallBinds())
+		r.rebind(tables, p.tablesUnder(e.Settings), g.recallBinds())
 		g.settle()
 	}
 }
@@ -62,7 +62,7 @@
 			return false
 		}
 	}
-	here := g.queues[theRoll].part.(*roll).here
+	here := g.queues[theRegistry].part.(*registry).here
 	for _, joined := range e.Proxies {
 		if c := here[joined.Proxy]; c != nil && c.Zone%row != joined.Zone%row {
 			return false
@@ -114,7 +114,7 @@
 }
 
 // renumberZones takes over the zones of the proxies.
-func (r *roll) renumberZones(proxies []control.StreamOpened) {
+func (r *registry) renumberZones(proxies []control.StreamOpened) {
 	for _, joined := range proxies {
 		c := r.here[joined.Proxy]
 		if c == nil {
@@ -126,21 +126,21 @@
 	}
 }
 
-// reseat puts the proxies on tables that were dealt anew. Where there are as many as before who is still in its row stays;
+// rebind puts the proxies on tables that were dealt anew. Where there are as many as before who is still in its row stays;
 // all others move as in any update, once their new table is laid out. Bound says where each is bound now.
-func (r *roll) reseat(before, tables int, bound map[int]int) {
+func (r *registry) rebind(before, tables int, bound map[int]int) {
 	load, row := make([]float64, tables), r.rows(tables)
-	r.sits = slices.Collect(numbers(tables))
+	r.boundTo = slices.Collect(numbers(tables))
 	stays := func(c *binding) bool {
 		return before == tables && c.table%row == c.Zone%row
 	}
-	seated := slices.DeleteFunc(sorted(r.here), func(proxy int) bool { return r.here[proxy].table < 0 })
-	for _, proxy := range seated {
+	members := slices.DeleteFunc(sorted(r.here), func(proxy int) bool { return r.here[proxy].table < 0 })
+	for _, proxy := range members {
 		if c := r.here[proxy]; stays(c) {
 			load[c.table] += c.Rate
 		}
 	}
-	for _, proxy := range seated {
+	for _, proxy := range members {
 		c := r.here[proxy]
 		if !stays(c) {
 			c.table = r.least(c.Zone, load)
--- a/brain/reconfigure_test.go
+++ b/brain/reconfigure_test.go
@@ -55,8 +55,8 @@
 	return g, e
 }
 
-func (g *Governor) parts() (*planner, *roll, *levels) {
-	return g.queues[thePlanner].part.(*planner), g.queues[theRoll].part.(*roll), g.queues[theLevels].part.(*levels)
+func (g *Governor) parts() (*planner, *registry, *levels) {
+	return g.queues[thePlanner].part.(*planner), g.queues[theRegistry].part.(*registry), g.queues[theLevels].part.(*levels)
 }
 
 // Other figures, and other numbers for the same groups and kinds, leave all that was learned and bound as it was.
@@ -174,7 +174,7 @@
 		}
 		for proxy, c := range r.here {
 			want(t, what+": a proxy's row", c.table%row, c.Zone%row)
-			want(t, fmt.Sprintf("%s: the table of proxy %d", what, proxy), pacer.bound[proxy], r.sits[c.table])
+			want(t, fmt.Sprintf("%s: the table of proxy %d", what, proxy), pacer.bound[proxy], r.boundTo[c.table])
 		}
 		want(t, what+": moves left", len(g.queues[theSequence].part.(*sequence).moves), 0)
 	}
--- a/brain/types.go
+++ b/brain/types.go
@@ -41,12 +41,12 @@
 		adds   int // the first so many are additions
 		orders []control.Command
 	}
-	marked struct { // pacer to roll and sequence: what went out, to whom, under which mark
+	marked struct { // pacer to registry and sequence: what went out, to whom, under which mark
 		mark    uint64
 		proxies []int
 		orders  []control.Command
 	}
-	caught struct { // roll to pacer and sequence: somebody applied all up to the mark, or all have, or have left
+	acked struct { // registry to pacer and sequence: somebody applied all up to the mark, or all have, or have left
 		mark      uint64
 		all, gone bool
 	}
@@ -105,16 +105,16 @@
 	before int
 }
 
-type roll struct {
+type registry struct {
 	*sharedState
-	here  map[int]*binding
-	loose int   // of them, without a table
-	sits  []int // where each table's proxies are bound
-	past  control.FleetRestored
-	sat   map[int]int     // tables of proxies at an earlier governor
-	came  map[int]float64 // flows a second of each there
-	wait  map[uint64]map[int]bool
-	last  uint64
+	here         map[int]*binding
+	loose        int   // of them, without a table
+	boundTo      []int // where each table's proxies are bound
+	past         control.FleetRestored
+	formerTables map[int]int     // tables of proxies at an earlier governor
+	came         map[int]float64 // flows a second of each there
+	wait         map[uint64]map[int]bool
+	last         uint64
 }
 
 type sums struct {
@@ -159,15 +159,15 @@
 
 type pacer struct {
 	*sharedState
-	urgent []control.Command // withdrawals, binds and levels wait here
-	step   step
-	bound  map[int]int                // joined proxies; -1 holds its standing table
-	seated map[int][]int              // the same by table, in order
-	laid   map[int]map[uint32]float64 // the weights of each table
-	wrote  map[int][]int64
-	under  []batch // sent, and no answer tells that it has left the channel
-	mark   uint64
-	late   float64 // how many times its time the last one took
+	urgent    []control.Command // withdrawals, binds and levels wait here
+	step      step
+	bound     map[int]int                // joined proxies; -1 holds its standing table
+	members   map[int][]int              // the same by table, in order
+	laid      map[int]map[uint32]float64 // the weights of each table
+	sendTimes map[int][]int64
+	under     []batch // sent, and no answer tells that it has left the channel
+	mark      uint64
+	late      float64 // how many times its time the last one took
 
 	partial map[int]*partial // proxies that hold a part of their table
 	dealt   map[int]*dealing // the parts of each table, of this turn
