Tests: watchers know their own connections, kept configuration asks nobody's port

The kept-configuration tests of the program, new here, had up to twelve governors dial addresses of peers.Free for seconds. Ruled out as far as runs show: load (42 plays beside governor and seeds tests with -race, none failed). Not seen in a log: the foreign request itself. Change: these governors dial listeners of their own tests that never answer; the watchers' tests take connections of their own process alone. No check is eased: what is offered, how often and by whom is asked as before. Measured: configwatch twice and the program's tests with -race pass.

--- a/cmd/lilacbend/kept_test.go
+++ b/cmd/lilacbend/kept_test.go
@@ -19,7 +19,8 @@
 	"lilacbend/lab/peers"
 )
 
-// keepingFile is an operator file of a governor that keeps what it follows.
+// keepingFile is an operator file of a governor that keeps what it follows. A server that is not to answer is a listener of the
+// test's own: an address where nobody listens may be given to another test, whose server then hears this governor.
 func keepingFile(t *testing.T, folder string, servers ...string) string {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "operator.yaml")
@@ -125,7 +126,7 @@
 			write(t, filepath.Join(folder, "settings"), c.file)
 			agent, listen := peers.Listen(t), peers.Free(t)
 			file := configured(t, map[string]any{"discovery": agent.At(), "listen": listen, "name": "n7"})
-			governor := program(t, []string{"PROXY_CONFIG=" + file}, "serve", "--operator", keepingFile(t, folder, peers.Free(t))).until("serving").until(c.says)
+			governor := program(t, []string{"PROXY_CONFIG=" + file}, "serve", "--operator", keepingFile(t, folder, peers.Listen(t).At())).until("serving").until(c.says)
 			hello(t, listen, 3)
 			if c.used {
 				governor.until("version=5.2")
@@ -173,7 +174,7 @@
 	agent := peers.Listen(t)
 	begin := func(folder string) *child {
 		file := configured(t, map[string]any{"discovery": agent.At(), "listen": peers.Free(t), "name": "n7"})
-		return program(t, []string{"PROXY_CONFIG=" + file}, "serve", "--operator", keepingFile(t, folder, peers.Free(t))).until("serving")
+		return program(t, []string{"PROXY_CONFIG=" + file}, "serve", "--operator", keepingFile(t, folder, peers.Listen(t).At())).until("serving")
 	}
 	shared, open := filepath.Join(t.TempDir(), "kept"), filepath.Join(t.TempDir(), "open")
 	if err := os.Mkdir(open, 0o700); err != nil {
--- a/internal/configwatch/watcher_test.go
+++ b/internal/configwatch/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -15,6 +16,22 @@
 	"lilacbend/lab/peers"
 )
 
+// instance is the name of this process's watchers. Other tests' clients go on asking servers that have ended, whose ports may
+// be given to servers of this test: they have other names.
+var instance = fmt.Sprintf("watcher-%d", os.Getpid())
+
+// takeOwn accepts the next connection of a watcher of this process, and reads its request.
+func takeOwn(t *testing.T, l *peers.Listener) *peers.Conn {
+	t.Helper()
+	for {
+		conn := l.Take()
+		if strings.Contains(conn.Request(), "instance="+instance+"&") {
+			return conn
+		}
+		conn.Close()
+	}
+}
+
 // watching runs a watcher of orders until the end of the test; offers come on the channel.
 func watching(t *testing.T, servers ...*peers.Listener) (*Watcher, chan revision.Version) {
 	t.Helper()
@@ -23,7 +40,7 @@
 		all = append(all, configclient.Server{Address: l.At()})
 	}
 	offers := make(chan revision.Version, 10)
-	w, err := New(Options{Instance: "n0", Service: "orders", Zone: "a", Servers: all, Ordered: true, Seed: 1,
+	w, err := New(Options{Instance: instance, Service: "orders", Zone: "a", Servers: all, Ordered: true, Seed: 1,
 		Offer: func(v revision.Version, settings []byte) {
 			if strings.Contains(string(settings), "panic") {
 				panic("as told")
@@ -71,7 +88,7 @@
 	server := peers.Listen(t)
 	w, offers := watching(t, server)
 	conn := server.Take()
-	if got := conn.Request(); got != "GET /configuration?instance=n0&service=orders&zone=a HTTP/1.1" {
+	if got := conn.Request(); got != "GET /configuration?instance="+instance+"&service=orders&zone=a HTTP/1.1" {
 		t.Errorf("asked %q", got)
 	}
 	conn.Raw(news(1, `{"a":1}`))
@@ -80,12 +97,12 @@
 		t.Errorf("%s in force before it was said", w.InForce())
 	}
 	w.Applied(v)
-	if got := conn.Request(); got != "GET /configuration?instance=n0&service=orders&since=1.1&timeout_ms=5000&zone=a HTTP/1.1" {
+	if got := conn.Request(); got != "GET /configuration?instance="+instance+"&service=orders&since=1.1&timeout_ms=5000&zone=a HTTP/1.1" {
 		t.Errorf("asked %q", got)
 	}
 	conn.Drip(news(2, `{"a":2}`))
 	w.Refused(take(t, offers), errors.New("setting a is 2"))
-	if got := conn.Request(); got != "GET /configuration?instance=n0&refused=1.2&service=orders&since=1.1&timeout_ms=5000&zone=a HTTP/1.1" {
+	if got := conn.Request(); got != "GET /configuration?instance="+instance+"&refused=1.2&service=orders&since=1.1&timeout_ms=5000&zone=a HTTP/1.1" {
 		t.Errorf("asked %q", got)
 	}
 	conn.Raw(news(3, `{"panic":1}`))
@@ -108,7 +125,7 @@
 	var verdicts []told
 	inForce := make(chan told, 10)
 	offers := make(chan revision.Version, 10)
-	w, err := New(Options{Instance: "n0", Service: "orders", Servers: []configclient.Server{{Address: server.At()}}, Seed: 1,
+	w, err := New(Options{Instance: instance, Service: "orders", Servers: []configclient.Server{{Address: server.At()}}, Seed: 1,
 		Offer:   func(v revision.Version, _ []byte) { offers <- v },
 		InForce: func(v revision.Version, settings []byte) { inForce <- told{v, string(settings)} }})
 	if err != nil {
@@ -148,7 +165,7 @@
 func TestAFollowerWhoseFormerSettingsAreRefused(t *testing.T) {
 	server := peers.Listen(t)
 	offers := make(chan revision.Version, 10)
-	w, err := New(Options{Instance: "n0", Service: "orders", Servers: []configclient.Server{{Address: server.At()}}, Seed: 1,
+	w, err := New(Options{Instance: instance, Service: "orders", Servers: []configclient.Server{{Address: server.At()}}, Seed: 1,
 		Offer:   func(v revision.Version, _ []byte) { offers <- v },
 		InForce: func(v revision.Version, _ []byte) { t.Errorf("%s is said to be in force", v) }})
 	if err != nil {
@@ -217,11 +234,9 @@
 			t.Parallel()
 			first, second := peers.Listen(t), peers.Listen(t)
 			w, offers := watching(t, first, second)
-			conn := first.Take()
-			conn.Request()
+			conn := takeOwn(t, first)
 			go func() { conn.Write([]byte(text)); conn.Close() }()
-			other := second.Take()
-			other.Request()
+			other := takeOwn(t, second)
 			other.Raw(news(7, `{}`))
 			if v := take(t, offers); v.Revision != 7 || w.Counts().Failures != 1 {
 				t.Errorf("%s offered, %+v", v, w.Counts())
@@ -237,12 +252,11 @@
 		first, second := peers.Listen(t), peers.Listen(t)
 		_, offers := watching(t, first, second)
 		begun := time.Now()
-		first.Take().Request()
-		other := second.Take()
+		takeOwn(t, first)
+		other := takeOwn(t, second)
 		if span := time.Since(begun); span < configclient.AnswerLate/2 {
 			t.Errorf("given up after %v", span)
 		}
-		other.Request()
 		other.Raw(news(7, `{}`))
 		take(t, offers)
 	})
@@ -250,15 +264,13 @@
 		t.Parallel()
 		first, second := peers.Listen(t), peers.Listen(t)
 		_, offers := watching(t, first, second)
-		conn := first.Take()
-		conn.Request()
+		conn := takeOwn(t, first)
 		go func() {
 			for _, err := conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n ")); err == nil; time.Sleep(200 * time.Millisecond) {
 				_, err = conn.Write([]byte(" "))
 			}
 		}()
-		other := second.Take()
-		other.Request()
+		other := takeOwn(t, second)
 		other.Raw(news(7, `{}`))
 		take(t, offers)
 	})
@@ -352,7 +364,7 @@
 	server := peers.Listen(t)
 	lost, regional := configclient.Server{Address: peers.Free(t)}, configclient.Server{Address: server.At()}
 	offers := make(chan revision.Version, 1)
-	w, err := New(Options{Instance: "n0", Service: "orders", Servers: []configclient.Server{lost, regional}, Ordered: true, Seed: 1,
+	w, err := New(Options{Instance: instance, Service: "orders", Servers: []configclient.Server{lost, regional}, Ordered: true, Seed: 1,
 		Offer: func(v revision.Version, _ []byte) { offers <- v }})
 	if err != nil {
 		t.Fatal(err)
