--- a/cmd/lab/service.go
+++ b/cmd/lab/service.go
@@ -19,7 +19,7 @@
 	var rate float64
 	var seed int64
 	var budget int
-	troubles := []string{"none", "silent", "zone-cut", "release", "restart", "restart-state"}
+	troubles := []string{"none", "silent", "zone-cut", "release", "slow", "collector-lost", "collector-failover", "restart", "restart-state"}
 	return &cli.Command{Name: "service", Usage: "the whole product on loopback through a trouble, with governors and without",
 		Flags: []cli.Flag{&cli.FloatFlag{Name: "rate", Value: 800, Destination: &rate}, &cli.Int64Flag{Name: "seed", Value: 1, Destination: &seed},
 			&cli.StringSliceFlag{Name: "trouble", Value: troubles, Destination: &troubles},
@@ -27,7 +27,7 @@
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			for _, trouble := range troubles {
 				for _, steered := range []bool{false, true} {
-					if !steered && (trouble == "restart" || trouble == "restart-state") {
+					if !steered && onlySteered(trouble) {
 						continue
 					}
 					r, twice, err := service(ctx, trouble, steered, rate, seed, budget)
@@ -42,6 +42,11 @@
 		}}
 }
 
+// onlySteered says whether a trouble means nothing where there is no governor.
+func onlySteered(trouble string) bool {
+	return trouble != "none" && trouble != "silent" && trouble != "zone-cut" && trouble != "release" && trouble != "slow"
+}
+
 const serviceSpan, hurtAfter = 25 * time.Second, 8 * time.Second
 
 // service plays one trouble: it begins after 8 s and lasts to the end.
@@ -54,7 +59,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	s, err := site.Start(ctx, site.Shape{Zones: 2, Replicas: 20, Places: 4, Sidecars: 4, Governors: 2, Span: 20 * time.Millisecond, Slow: 2,
-		Dir: dir, Steered: steered, State: trouble == "restart-state", ReportBudget: budget, Log: logOf()})
+		Dir: dir, Steered: steered, State: trouble == "restart-state", Standby: trouble == "collector-failover", ReportBudget: budget, Log: logOf()})
 	if err != nil {
 		return load.Result{}, 0, err
 	}
@@ -98,6 +103,14 @@
 				r.Silent.Store(true)
 			}
 		}
+	case "slow": // a third answers all, five times slower
+		for k := 0; k < len(s.Replicas); k += 3 {
+			s.Replicas[k].Span.Store(5 * s.Replicas[k].Span.Load())
+		}
+	case "collector-lost", "collector-failover": // the collector that each zone reports to is killed just before
+		s.Kill("collector-a")
+		s.Kill("collector-b")
+		inflict(ctx, s, "slow")
 	case "release": // a third is replaced, one after the other, and comes back cold: five times slower for 5 s
 		for k := 0; k < len(s.Replicas); k += 3 {
 			s.Change(k, func(m *site.Member) { m.Phase = "Terminating" })
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -30,6 +30,7 @@
 	Slow                                         float64       // every second replica takes so many times as long; 0: equal
 	H1, H2                                       string        // of the first sidecar; empty: any
 	State                                        bool          // governors keep what they learn
+	Standby                                      bool          // each zone has a second collector
 	ReportBudget                                 int           // bytes a second of a collector to each governor; 0: no limit
 	Operator                                     string        // further sections of the governors' operator file
 	Program                                      string        // that is built already; empty: it is built
@@ -63,7 +64,7 @@
 	news       chan struct{}
 	discovery  net.Listener
 	governors  []string
-	collectors []string
+	collectors [][]string // of each zone, the preferred one first
 	procs      map[string]*exec.Cmd
 }
 
@@ -108,15 +109,8 @@
 		s.governors = append(s.governors, Free())
 	}
 	for k := range s.Zones {
-		s.collectors = append(s.collectors, Free())
-		args := []string{"collector", "--zone", zone(k), "--listen", s.collectors[k], "--every", "500ms", "--budget", strconv.Itoa(s.ReportBudget)}
-		for _, g := range s.governors {
-			args = append(args, "--governor", g)
-		}
-		if s.Steered {
-			if err := s.run(ctx, "collector-"+zone(k), args...); err != nil {
-				return s, err
-			}
+		if err := s.startCollectors(ctx, k); err != nil {
+			return s, err
 		}
 	}
 	if s.Steered {
@@ -134,6 +128,31 @@
 	return s, s.ready(ctx)
 }
 
+// startCollectors starts the collectors of a zone: collector-a, and collector-a-standby.
+func (s *Site) startCollectors(ctx context.Context, number int) error {
+	names := []string{"collector-" + zone(number)}
+	if s.Standby {
+		names = append(names, names[0]+"-standby")
+	}
+	var addresses []string
+	for _, name := range names {
+		at := Free()
+		addresses = append(addresses, at)
+		if !s.Steered {
+			continue
+		}
+		args := []string{"collector", "--zone", zone(number), "--listen", at, "--every", "500ms", "--budget", strconv.Itoa(s.ReportBudget)}
+		for _, g := range s.governors {
+			args = append(args, "--governor", g)
+		}
+		if err := s.run(ctx, name, args...); err != nil {
+			return err
+		}
+	}
+	s.collectors = append(s.collectors, addresses)
+	return nil
+}
+
 func (s *Site) build(ctx context.Context) error {
 	s.program = filepath.Join(s.Dir, "lilacbend")
 	out, err := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-o", s.program, "lilacbend/cmd/lilacbend").CombinedOutput()
@@ -278,12 +297,12 @@
 	if k == 0 && s.H1 != "" {
 		h1, h2 = s.H1, s.H2
 	}
-	governors, collector := "[]", ""
+	governors, collectors := "[]", ""
 	if s.Steered {
-		raw, _ := json.Marshal(s.governors)
-		governors, collector = string(raw), "collector: "+s.collectors[k%s.Zones]
+		governors = asJSON(s.governors)
+		collectors = "collectors: " + asJSON(s.collectors[k%s.Zones])
 	}
-	file, err := s.file(fmt.Sprintf("sidecar-%d.yaml", k), fmt.Sprintf(sidecarFile, k, k, zone(k%s.Zones), h1, h2, governors, s.discovery.Addr(), collector))
+	file, err := s.file(fmt.Sprintf("sidecar-%d.yaml", k), fmt.Sprintf(sidecarFile, k, k, zone(k%s.Zones), h1, h2, governors, s.discovery.Addr(), collectors))
 	if err != nil {
 		return err
 	}
@@ -291,6 +310,12 @@
 	return s.run(ctx, fmt.Sprint("sidecar-", k), "sidecar", "--manifest", file)
 }
 
+// asJSON writes addresses as JSON, which YAML reads as well.
+func asJSON(addresses []string) string {
+	raw, _ := json.Marshal(addresses) // texts can always be written
+	return string(raw)
+}
+
 // ready waits until each sidecar answers.
 func (s *Site) ready(ctx context.Context) error {
 	for _, at := range s.H1s {
