--- a/brain/brain.go
+++ b/brain/brain.go
@@ -800,6 +800,9 @@
 		if b, is := o.(control.Bind); is && p.graceLines() > 0 {
 			return p.write(p.part(b), math.Inf(1), math.Inf(1))
 		}
+		if _, is := o.(control.Bind); is {
+			return p.write(o, p.bindRoom(), urgentMsgs)
+		}
 		return p.write(o, urgentPart, urgentMsgs)
 	})
 	if m.proxies = sorted(p.reached); len(m.proxies) > 0 {
--- a/brain/parts.go
+++ b/brain/parts.go
@@ -104,6 +104,17 @@
 	return p.ChannelRate * span / float64(p.ChannelLimit)
 }
 
+// bindRoom is the part of the channel's limit that the tables of a crowd may fill where no host holds messages for one proxy. A
+// withdrawal then waits for room behind the tables that are under way, and goes out beside as many more: both are to take half
+// of a drain's grace each. It is never less than what ordinary changes may fill, so that proxies are bound.
+func (p *pacer) bindRoom() float64 {
+	if p.DrainGrace == 0 || p.HostQueues {
+		return urgentPart
+	}
+	span := float64(p.DrainGrace/2-p.MaxTransit) / float64(second)
+	return min(urgentPart, max(ordinaryPart, p.ChannelRate*span/float64(max(1, p.ChannelLimit))))
+}
+
 // lay sets a line of a table; a line that is removed leaves the parts it is in.
 func (p *pacer) lay(o control.SetEndpoint) {
 	if p.laid[o.Table] == nil {
--- a/brain/parts_test.go
+++ b/brain/parts_test.go
@@ -93,6 +93,26 @@
 	want(t, "all within half of a grace and what is shared", p.cost <= (firstPart+sharedPart)*6000, true)
 }
 
+// Where no host holds messages a crowd gets whole tables, as many at a time as half of a grace lets through: who is withdrawn while they are
+// under way need not wait for their answers.
+func TestTablesOfACrowdLeaveRoomForAWithdrawal(t *testing.T) {
+	g, p := crowded(40, 200, 160)
+	g.HostQueues, g.ChannelRate, g.ChannelLimit = false, 1500, 3800
+	g.DrainGrace, g.MaxTransit = 38*second/10, second/2
+	p.send()
+	bound := len(orders[control.Bind](g.out))
+	want(t, "some are bound", bound > 0, true)
+	want(t, "within half of a grace", p.queue() <= 1500*1.4, true)
+	g.out = nil
+	p.take(control.SetEjected{Replica: 3, Ejected: true})
+	p.send()
+	want(t, "withdrawn while nobody has answered", len(orders[control.SetEjected](g.out)), 1)
+	g.DrainGrace = second // in half of which nothing gets through
+	p.under, g.out = nil, nil
+	p.send()
+	want(t, "a short grace stops nobody from being bound", len(orders[control.Bind](g.out)) > 0, true)
+}
+
 // Once the crowd has its parts the rest follows as the channel has room; a part of which half is gone is renewed at once.
 func TestTheRestOfATableFollowsAndALostPartIsRenewed(t *testing.T) {
 	g, p := crowded(60, 200, 160)
