Brain: one formula for what the channel sends in a span

Cause: bindRoom wrote the formula of graceLines again, and send asked twice whether an order binds. Change: pacer.roomWithin, called by both; one branch for binds.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -797,10 +797,10 @@
 		if w, is := o.(control.SetEjected); is && w.Ejected && p.HostQueues { // one capped proxy holds up no other
 			return p.write(o, math.Inf(1), math.Inf(1))
 		}
-		if b, is := o.(control.Bind); is && p.graceLines() > 0 {
-			return p.write(p.part(b), math.Inf(1), math.Inf(1))
-		}
-		if _, is := o.(control.Bind); is {
+		if b, is := o.(control.Bind); is {
+			if p.graceLines() > 0 {
+				return p.write(p.part(b), math.Inf(1), math.Inf(1))
+			}
 			return p.write(o, p.bindRoom(), urgentMsgs)
 		}
 		return p.write(o, urgentPart, urgentMsgs)
--- a/brain/parts.go
+++ b/brain/parts.go
@@ -97,11 +97,18 @@
 // graceLines is the part of the channel's limit that reaches proxies within a drain's grace; 0: there is no grace, or no
 // host that holds messages.
 func (p *pacer) graceLines() float64 {
-	if !p.HostQueues || p.ChannelLimit == 0 {
+	if !p.HostQueues {
 		return 0
 	}
-	span := float64(max(0, p.DrainGrace-p.MaxTransit)) / float64(second)
-	return p.ChannelRate * span / float64(p.ChannelLimit)
+	return p.roomWithin(p.DrainGrace - p.MaxTransit)
+}
+
+// roomWithin is the part of the channel's limit that it sends in a span; 0: there is no such span, or no limit.
+func (p *pacer) roomWithin(span int64) float64 {
+	if p.ChannelLimit == 0 {
+		return 0
+	}
+	return p.ChannelRate * (float64(max(0, span)) / float64(second)) / float64(p.ChannelLimit)
 }
 
 // bindRoom is the part of the channel's limit that the tables of a crowd may fill where no host holds messages for one proxy. A
@@ -111,8 +118,7 @@
 	if p.DrainGrace == 0 || p.HostQueues {
 		return urgentPart
 	}
-	span := float64(p.DrainGrace/2-p.MaxTransit) / float64(second)
-	return min(urgentPart, max(ordinaryPart, p.ChannelRate*span/float64(max(1, p.ChannelLimit))))
+	return min(urgentPart, max(ordinaryPart, p.roomWithin(p.DrainGrace/2-p.MaxTransit)))
 }
 
 // lay sets a line of a table; a line that is removed leaves the parts it is in.
