One wait for what a predecessor still holds; the kept topology is worked out once

Change: whileInUse for address and folder; keptConfiguration holds the topology; exampleSettings serves both tests. No behaviour changes.

--- a/cmd/lilacbend/configuration.go
+++ b/cmd/lilacbend/configuration.go
@@ -25,13 +25,13 @@
 }
 
 // newConfigurationFollower is nil where the operator file has no such section.
-func newConfigurationFollower(ctx context.Context, c configuration, x *exchange.Exchange, log *slog.Logger) (*configurationFollower, error) {
+func newConfigurationFollower(ctx context.Context, c configuration, own governor.Topology, x *exchange.Exchange, log *slog.Logger) (*configurationFollower, error) {
 	following := c.operator.Configuration
 	if !following.On() {
 		return nil, nil
 	}
 	f := &configurationFollower{seed: c.seed, exchange: x, log: log}
-	f.kept = openKeptConfiguration(ctx, c, log)
+	f.kept = openKeptConfiguration(ctx, c, own, log)
 	var err error
 	f.watcher, err = configwatch.New(configwatch.Options{Instance: c.name, Service: following.Service, Region: following.Region,
 		Zone: following.Zone, Servers: following.Servers, Seed: c.seed, Log: log, Offer: f.offer, InForce: f.kept.keep})
@@ -41,15 +41,20 @@
 // topology is the one to begin with: that of the settings which were in force before a restart, or the one of the
 // governor's own file.
 func (f *configurationFollower) topology(own governor.Topology) governor.Topology {
-	if f == nil || f.kept == nil || f.kept.record == nil {
-		return own
+	if f.resumes() {
+		return f.kept.topology
 	}
-	return governor.NewTopology(f.kept.names, f.kept.settings)
+	return own
+}
+
+// resumes says whether it begins with what was in force before a restart.
+func (f *configurationFollower) resumes() bool {
+	return f != nil && f.kept != nil && f.kept.record != nil
 }
 
 // resume offers what was in force before a restart to the core. It comes before run and the first turn.
 func (f *configurationFollower) resume() {
-	if f != nil && f.kept != nil && f.kept.record != nil {
+	if f.resumes() {
 		f.watcher.Resume(f.kept.record.Version, f.kept.record.Settings)
 	}
 }
--- a/cmd/lilacbend/configuration_test.go
+++ b/cmd/lilacbend/configuration_test.go
@@ -15,8 +15,9 @@
 	"lilacbend/lab/peers"
 )
 
-// settingsFile writes the example's settings with some changes into a folder, at once.
-func settingsFile(t testing.TB, folder, service string, changes ...string) {
+// exampleSettings are the example's settings as a server would send them, with some changes: each text is followed by what takes
+// its place.
+func exampleSettings(t testing.TB, changes ...string) []byte {
 	t.Helper()
 	raw, err := json.Marshal(example(t)["settings"])
 	if err != nil {
@@ -29,7 +30,13 @@
 		}
 		raw = changed
 	}
-	replace(t.(*testing.T), filepath.Join(folder, service+".json"), raw)
+	return raw
+}
+
+// settingsFile writes the example's settings with some changes into a folder, at once.
+func settingsFile(t testing.TB, folder, service string, changes ...string) {
+	t.Helper()
+	replace(t.(*testing.T), filepath.Join(folder, service+".json"), exampleSettings(t, changes...))
 }
 
 // configservers starts a writer and a server that follows it.
--- a/cmd/lilacbend/kept.go
+++ b/cmd/lilacbend/kept.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 
-	"lilacbend/control"
 	"lilacbend/internal/configcache"
 	"lilacbend/internal/governor"
 	"lilacbend/internal/revision"
@@ -21,13 +20,12 @@
 	lock    *vault.Lock
 
 	record   *configcache.Record // of before the restart; nil: there is none that can be used
-	names    settings.Names      // of its settings
-	settings control.Settings
+	topology governor.Topology   // of its settings
 }
 
 // openKeptConfiguration holds the folder and reads what was in force before a restart. What goes wrong is logged, and the
 // governor goes on by its own file.
-func openKeptConfiguration(ctx context.Context, c configuration, log *slog.Logger) *keptConfiguration {
+func openKeptConfiguration(ctx context.Context, c configuration, own governor.Topology, log *slog.Logger) *keptConfiguration {
 	following := c.operator.Configuration
 	if following.Folder == "" {
 		return nil
@@ -41,7 +39,7 @@
 	k := &keptConfiguration{service: following.Service, digest: c.digest, keeper: configcache.NewKeeper(folder, c.seed, log), lock: lock}
 	r, found, err := configcache.Load(folder)
 	if found {
-		err = k.use(r, c)
+		err = k.use(r, own, c.seed)
 	}
 	switch {
 	case err != nil:
@@ -53,19 +51,19 @@
 }
 
 // use takes a record as what to begin with, if this governor may.
-func (k *keptConfiguration) use(r configcache.Record, c configuration) error {
+func (k *keptConfiguration) use(r configcache.Record, own governor.Topology, seed uint64) error {
 	if err := r.Usable(k.service, k.digest); err != nil {
 		return err
 	}
-	names, decoded, err := settings.Load(r.Settings, c.seed)
+	names, decoded, err := settings.Load(r.Settings, seed)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	own := governor.NewTopology(c.names, c.settings)
-	if err := own.Accepts(governor.NewTopology(names, decoded)); err != nil {
+	topology := governor.NewTopology(names, decoded)
+	if err := own.Accepts(topology); err != nil {
 		return err
 	}
-	k.record, k.names, k.settings = &r, names, decoded
+	k.record, k.topology = &r, topology
 	return nil
 }
 
--- a/cmd/lilacbend/kept_test.go
+++ b/cmd/lilacbend/kept_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -43,20 +42,6 @@
 	}
 }
 
-// exampleSettings are the example's settings as a server would send them, with a change.
-func exampleSettings(t *testing.T, before, after string) []byte {
-	t.Helper()
-	raw, err := json.Marshal(example(t)["settings"])
-	if err != nil {
-		t.Fatal(err)
-	}
-	changed := bytes.Replace(raw, []byte(before), []byte(after), 1)
-	if before != after && bytes.Equal(raw, changed) {
-		t.Fatalf("no %s in the example", before)
-	}
-	return changed
-}
-
 // All servers are lost, and a governor is started again: it serves by the version it had, knows the proxies of that version, and
 // takes the next one when a server is back, without a copy of what it has.
 func TestAGovernorBeginsWithWhatWasInForce(t *testing.T) {
@@ -92,7 +77,7 @@
 
 // Whatever is found in the folder, a governor serves: by what was kept where that is whole and meant for it, else by its own file.
 func TestWhichKeptConfigurationIsUsed(t *testing.T) {
-	own := configcache.DigestOf(exampleSettings(t, "", ""))
+	own := configcache.DigestOf(exampleSettings(t))
 	more := exampleSettings(t, `"proxy_count":4`, `"proxy_count":6`)
 	record := func(service string, start configcache.Digest, raw []byte) []byte {
 		file, err := configcache.Encode(configcache.Record{Service: service, Version: revision.Version{Epoch: 5, Revision: 2}, Start: start, Settings: raw})
--- a/cmd/lilacbend/serve.go
+++ b/cmd/lilacbend/serve.go
@@ -60,11 +60,11 @@
 	defer stop()
 	base, x := clock{time.Now()}, exchange.New()
 	x.Expect(notesExpected(c.settings.Proxies, len(c.names.Classes)))
-	follower, err := newConfigurationFollower(ctx, c, x, log)
+	own := governor.NewTopology(c.names, c.settings)
+	follower, err := newConfigurationFollower(ctx, c, own, x, log)
 	if err != nil {
 		return fmt.Errorf("cannot follow a configuration: %w", err)
 	}
-	own := governor.NewTopology(c.names, c.settings)
 	topology := follower.topology(own)
 	core := governor.New(func() governor.Module { return brain.New(c.settings) }, own)
 	kept := openArchive(ctx, c.operator.State, &c, topology, core, x, base, log)
@@ -101,23 +101,19 @@
 	}
 }
 
-// listen waits for an address in use, for as long as whoever came before may take to end, or until ctx ends.
-func listen(ctx context.Context, address string, log *slog.Logger) (net.Listener, error) {
-	since := time.Now()
-	for waits := false; ; waits = true {
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
-		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(since) > inUseMost {
-			return l, err
-		}
-		if !waits {
+// listen waits for an address in use, and says so once.
+func listen(ctx context.Context, address string, log *slog.Logger) (l net.Listener, err error) {
+	said := false
+	err = whileInUse(ctx, func() (inUse bool, err error) {
+		l, err = (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		inUse = errors.Is(err, syscall.EADDRINUSE)
+		if inUse && !said {
+			said = true
 			log.Warn("the address is in use, waiting for it", "listen", address, "at_most", inUseMost)
 		}
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(inUsePause):
-		}
-	}
+		return inUse, err
+	})
+	return l, err
 }
 
 // drive is the one goroutine in which the core runs.
