--- a/cmd/lab/service.go
+++ b/cmd/lab/service.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -44,7 +45,7 @@
 
 // onlySteered says whether a trouble means nothing where there is no governor.
 func onlySteered(trouble string) bool {
-	return trouble != "none" && trouble != "silent" && trouble != "zone-cut" && trouble != "release" && trouble != "slow"
+	return slices.Contains([]string{"collector-lost", "collector-failover", "restart", "restart-state"}, trouble)
 }
 
 const serviceSpan, hurtAfter = 25 * time.Second, 8 * time.Second
--- a/internal/aggregate/aggregate.go
+++ b/internal/aggregate/aggregate.go
@@ -47,9 +47,6 @@
 // Began is when the last round began.
 func (a *Aggregator) Began() int64 { return a.began }
 
-// Len is of how many keys there are entries.
-func (a *Aggregator) Len() int { return len(a.entries) }
-
 // Expected is the share of failures that the receiver expects of a key by what it was told; 0: it was told nothing.
 func (a *Aggregator) Expected(key string) float64 {
 	e := a.entries[key]
--- a/internal/aggregate/aggregate_test.go
+++ b/internal/aggregate/aggregate_test.go
@@ -275,13 +275,13 @@
 	for k := range 50 {
 		a.Add(keyOf(k), healthy(1), 0, second)
 	}
-	if a.Len() != 10 {
-		t.Errorf("%d entries, want 10", a.Len())
+	if len(a.entries) != 10 {
+		t.Errorf("%d entries, want 10", len(a.entries))
 	}
 	round(a, 2*second)
 	round(a, 14*second)
-	if a.Len() != 0 {
-		t.Errorf("%d entries of keys that are gone", a.Len())
+	if len(a.entries) != 0 {
+		t.Errorf("%d entries of keys that are gone", len(a.entries))
 	}
 }
 
--- a/internal/configwatch/watcher_test.go
+++ b/internal/configwatch/watcher_test.go
@@ -50,6 +50,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	running(t, w)
+	return w, offers
+}
+
+// running runs a watcher until the end of the test.
+func running(t *testing.T, w *Watcher) {
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); w.Run(ctx) }()
@@ -61,7 +67,21 @@
 			t.Errorf("ended after %v", span)
 		}
 	})
-	return w, offers
+}
+
+// resuming runs a watcher that begins with version 1.4 until the end of the test; that one is the first offer.
+func resuming(t *testing.T, server *peers.Listener, inForce func(revision.Version, []byte)) (w *Watcher, kept revision.Version, offers chan revision.Version) {
+	t.Helper()
+	kept = revision.Version{Epoch: 1, Revision: 4}
+	offers = make(chan revision.Version, 10)
+	w, err := New(Options{Instance: instance, Service: "orders", Servers: []configclient.Server{{Address: server.At()}}, Seed: 1,
+		Offer: func(v revision.Version, _ []byte) { offers <- v }, InForce: inForce})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Resume(kept, []byte(`{"a":4}`))
+	running(t, w)
+	return w, kept, offers
 }
 
 func response(status, body string) string {
@@ -124,19 +144,7 @@
 	server := peers.Listen(t)
 	var verdicts []told
 	inForce := make(chan told, 10)
-	offers := make(chan revision.Version, 10)
-	w, err := New(Options{Instance: instance, Service: "orders", Servers: []configclient.Server{{Address: server.At()}}, Seed: 1,
-		Offer:   func(v revision.Version, _ []byte) { offers <- v },
-		InForce: func(v revision.Version, settings []byte) { inForce <- told{v, string(settings)} }})
-	if err != nil {
-		t.Fatal(err)
-	}
-	kept := revision.Version{Epoch: 1, Revision: 4}
-	w.Resume(kept, []byte(`{"a":4}`))
-	ctx, stop := context.WithCancel(t.Context())
-	ended := make(chan struct{})
-	go func() { defer close(ended); w.Run(ctx) }()
-	defer func() { stop(); <-ended }()
+	w, kept, offers := resuming(t, server, func(v revision.Version, settings []byte) { inForce <- told{v, string(settings)} })
 	if got := take(t, offers); got != kept {
 		t.Errorf("offered %s, want %s", got, kept)
 	}
@@ -164,19 +172,7 @@
 // What was in force before is refused now: the newest is asked for, and it is not offered again.
 func TestAFollowerWhoseFormerSettingsAreRefused(t *testing.T) {
 	server := peers.Listen(t)
-	offers := make(chan revision.Version, 10)
-	w, err := New(Options{Instance: instance, Service: "orders", Servers: []configclient.Server{{Address: server.At()}}, Seed: 1,
-		Offer:   func(v revision.Version, _ []byte) { offers <- v },
-		InForce: func(v revision.Version, _ []byte) { t.Errorf("%s is said to be in force", v) }})
-	if err != nil {
-		t.Fatal(err)
-	}
-	kept := revision.Version{Epoch: 1, Revision: 4}
-	w.Resume(kept, []byte(`{"a":4}`))
-	ctx, stop := context.WithCancel(t.Context())
-	ended := make(chan struct{})
-	go func() { defer close(ended); w.Run(ctx) }()
-	defer func() { stop(); <-ended }()
+	w, _, offers := resuming(t, server, func(v revision.Version, _ []byte) { t.Errorf("%s is said to be in force", v) })
 	w.Refused(take(t, offers), errors.New("setting a is 4"))
 	conn := server.Take()
 	if got := conn.Request(); !strings.Contains(got, "refused=1.4&") || strings.Contains(got, "since=") {
--- a/internal/steering/budget_test.go
+++ b/internal/steering/budget_test.go
@@ -16,8 +16,8 @@
 	attempts map[string]int // by replica
 }
 
-// hearOutcomes takes a message in, and returns its replica.
-func (r *reported) hearOutcomes(t *testing.T, text string) string {
+// hearOutcomes takes a message in.
+func (r *reported) hearOutcomes(t *testing.T, text string) {
 	t.Helper()
 	words := strings.Fields(text)
 	if len(words) < 7 || words[0] != "outcomes" || words[3] != "target" || words[5] != "count" {
@@ -29,7 +29,6 @@
 	}
 	r.bytes += len(peers.Message(text))
 	r.attempts[words[4]] += attempts
-	return words[4]
 }
 
 // The reports to a governor keep to their budget, though sidecars tell of many more replicas. Each attempt is told once in the end, and a
