Review case 2: a broken answer looks complete to an HTTP/1.0 client

Cause: for HTTP/1.0 the end of the connection ends a body of unknown length, and the sidecar ends a broken answer in the same regular way.

No product file changes.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -20,7 +20,8 @@
 
 func main() {
 	cases := map[string]func(*site) int{
-		"resets": runResets,
+		"resets":    runResets,
+		"shortened": runShortened,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review CASE RECORD-FILE")
