Review case 3: a payout that may have run is answered like a refusal

Cause: the sidecar answers 503 with Retry-After for all reasons, those of requests that were never forwarded and those that may have run.

Change: the case in review/3. No product file changes.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -22,6 +22,7 @@
 	cases := map[string]func(*site) int{
 		"resets":    runResets,
 		"shortened": runShortened,
+		"payouts":   runPayouts,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review CASE RECORD-FILE")
