HTTP/2 clients: a flood's log line shows which frames have spent the budget

The sidecar counted a flood and logged it at the debug level, which no command shows, so that resets, refused streams, malformed heads and other control frames could not be told apart as its cause.

Change: the frame budget counts the frames of each kind it is charged for, in a file of its own, and the flood has a warning with these counts and the requests in flight. What a frame costs is as before.

--- a/internal/ingress/http2_conn.go
+++ b/internal/ingress/http2_conn.go
@@ -228,8 +228,12 @@
 	c.mu.Lock()
 	lingering := c.lingering
 	last := c.lastStream
+	inFlight := c.inFlight
 	c.mu.Unlock()
 	code, clientError := c.clientErrorCode(err)
+	if errors.Is(err, errFlood) {
+		c.server.log.Warn("HTTP/2 client sent too many control frames", "from", c.conn.RemoteAddr(), "in_flight", inFlight, "frames", &c.budget)
+	}
 	switch {
 	case clientError:
 		c.server.Counters.BadRequests.Add(1)
@@ -332,7 +336,7 @@
 	var streamError http2.StreamError
 	if errors.As(err, &streamError) {
 		c.server.Counters.BadRequests.Add(1)
-		if err := c.budget.spend(resetCost); err != nil {
+		if err := c.budget.spend(malformedStream); err != nil {
 			return err
 		}
 		c.resetStream(streamError.StreamID, streamError.Code)
--- a/internal/ingress/http2_frames.go
+++ b/internal/ingress/http2_frames.go
@@ -2,47 +2,10 @@
 
 import (
 	"fmt"
-	"time"
 
 	"golang.org/x/net/http2"
 )
 
-const (
-	// budgetPerSecond and maxBudget are the refill rate and the size of the token bucket that bounds the control frames of
-	// a client (settings, pings, priorities, resets, window updates, empty or tiny data frames). A busy well-behaved client
-	// sends one window update for every few KiB.
-	budgetPerSecond = 200.0
-	maxBudget       = 2000.0
-	// frameCost is the cost of a control frame.
-	frameCost = 1.0
-	// resetCost is the cost of a stream that is reset or malformed: it has caused work whose result is discarded.
-	resetCost = 10.0
-	// tinyFrame is the number of bytes below which a data frame or a window update counts as a control frame.
-	tinyFrame = 64
-)
-
-// frameBudget is a token bucket that bounds the work caused by a client's control frames.
-type frameBudget struct {
-	remaining  float64
-	refilledAt time.Time
-}
-
-func newFrameBudget() frameBudget {
-	return frameBudget{remaining: maxBudget, refilledAt: time.Now()}
-}
-
-// spend takes a cost from the budget. It returns errFlood if the budget does not cover the cost.
-func (b *frameBudget) spend(cost float64) error {
-	now := time.Now()
-	refilled := b.remaining + budgetPerSecond*now.Sub(b.refilledAt).Seconds()
-	b.remaining = min(maxBudget, refilled) - cost
-	b.refilledAt = now
-	if b.remaining < 0 {
-		return errFlood
-	}
-	return nil
-}
-
 // handleFrame handles one frame from the client.
 func (c *http2Conn) handleFrame(frame http2.Frame) error {
 	switch f := frame.(type) {
@@ -51,12 +14,12 @@
 	case *http2.DataFrame:
 		return c.handleData(f)
 	case *http2.SettingsFrame:
-		if err := c.budget.spend(frameCost); err != nil || f.IsAck() {
+		if err := c.budget.spend(controlFrame); err != nil || f.IsAck() {
 			return err
 		}
 		return c.handleSettings(f)
 	case *http2.PingFrame:
-		if err := c.budget.spend(frameCost); err != nil || f.IsAck() {
+		if err := c.budget.spend(controlFrame); err != nil || f.IsAck() {
 			return err
 		}
 		return c.write(func() error { return c.framer.WritePing(true, f.Data) })
@@ -67,7 +30,7 @@
 	case *http2.PushPromiseFrame, *http2.ContinuationFrame:
 		return errProtocol
 	default: // PRIORITY, GOAWAY from the client, unknown frames
-		return c.budget.spend(frameCost)
+		return c.budget.spend(controlFrame)
 	}
 }
 
@@ -84,7 +47,7 @@
 	if s != nil {
 		c.endStream(s, errStreamReset)
 	}
-	return c.budget.spend(resetCost)
+	return c.budget.spend(streamReset)
 }
 
 // handleSettings applies the client's settings and acknowledges them.
@@ -133,7 +96,7 @@
 // handleWindowUpdate grows the send window of a stream or of the connection.
 func (c *http2Conn) handleWindowUpdate(f *http2.WindowUpdateFrame) error {
 	if f.Increment < tinyFrame {
-		if err := c.budget.spend(frameCost); err != nil {
+		if err := c.budget.spend(controlFrame); err != nil {
 			return err
 		}
 	}
--- a/internal/ingress/http2_stream.go
+++ b/internal/ingress/http2_stream.go
@@ -78,7 +78,7 @@
 	case c.admitStream(f.StreamID):
 		return c.openStream(f)
 	}
-	if err := c.budget.spend(frameCost); err != nil {
+	if err := c.budget.spend(refusedStream); err != nil {
 		return err
 	}
 	return c.write(func() error { return c.framer.WriteRSTStream(f.StreamID, http2.ErrCodeRefusedStream) })
@@ -105,7 +105,7 @@
 	out := &http2Response{stream: s}
 	if f.Truncated {
 		c.server.Counters.BadRequests.Add(1)
-		if err := c.budget.spend(resetCost); err != nil {
+		if err := c.budget.spend(malformedStream); err != nil {
 			return err
 		}
 		c.startStream(s, func() { writeErrorResponse(out, http.StatusRequestHeaderFieldsTooLarge, reasonHeadTooLarge) })
@@ -115,7 +115,7 @@
 	if err != nil {
 		defer c.requestDone()
 		c.server.Counters.BadRequests.Add(1)
-		if err := c.budget.spend(resetCost); err != nil {
+		if err := c.budget.spend(malformedStream); err != nil {
 			return err
 		}
 		c.resetStream(s.id, http2.ErrCodeProtocol)
