HTTP/2 clients: a flood of control frames loses no request in flight

Cause: a client that had spent its budget of control frames got a GOAWAY that named its newest stream as processed, and the connection was closed at once. The requests that had been read on it were cancelled, though they may have been executed, and the client can neither repeat them nor learn their outcome.

Change: a flood ends a connection as a drain does. GOAWAY ENHANCE_YOUR_CALM names the last stream served, further ones are refused, what is in flight is answered, and then the connection closes. What the budget does not cover gets no reply (acks, pings, refusals above the GOAWAY), so a flood is no more work than reading it, and `drain` bounds the time: then open streams are reset and counted as lost. A GOAWAY names the last stream served, no longer the last one seen, and no later GOAWAY raises it.

Evidence: TestFloodLosesNoRequestInFlight (five kinds of frames) and TestEndlessFloodIsClosed failed before and pass now.

Tests: errFlood no longer exists, as a flood is not the end of reading. Its row of TestClientErrorCode goes, and TestFloodLosesNoRequestInFlight checks code and last stream of the GOAWAY that the client gets, and the count; TestFrameBudget* compare a bool for the error, same bounds.

--- a/internal/ingress/http2_body.go
+++ b/internal/ingress/http2_body.go
@@ -13,9 +13,7 @@
 func (c *http2Conn) handleData(f *http2.DataFrame) error {
 	size := int64(f.Length) // including padding, which counts against the windows
 	if size < tinyFrame && !f.StreamEnded() {
-		if err := c.budget.spend(controlFrame); err != nil {
-			return err
-		}
+		c.charge(controlFrame)
 	}
 	c.mu.Lock()
 	s := c.streams[f.StreamID]
--- a/internal/ingress/http2_budget.go
+++ b/internal/ingress/http2_budget.go
@@ -52,17 +52,19 @@
 	return frameBudget{remaining: maxBudget, refilledAt: time.Now()}
 }
 
-// spend takes the cost of a frame from the budget. It returns errFlood if the budget does not cover the cost.
-func (b *frameBudget) spend(kind frameKind) error {
+// spend takes the cost of a frame from the budget. It returns false, and takes nothing, if the budget does not cover the
+// cost.
+func (b *frameBudget) spend(kind frameKind) bool {
 	now := time.Now()
 	refilled := b.remaining + budgetPerSecond*now.Sub(b.refilledAt).Seconds()
-	b.remaining = min(maxBudget, refilled) - frameCosts[kind]
+	b.remaining = min(maxBudget, refilled)
 	b.refilledAt = now
 	b.counts[kind]++
-	if b.remaining < 0 {
-		return errFlood
+	if b.remaining < frameCosts[kind] {
+		return false
 	}
-	return nil
+	b.remaining -= frameCosts[kind]
+	return true
 }
 
 // LogValue returns the number of frames of each kind that the budget was charged for.
--- a/internal/ingress/http2_budget_test.go
+++ b/internal/ingress/http2_budget_test.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"errors"
 	"testing"
 	"time"
 )
@@ -15,20 +14,20 @@
 		t.Run(c.name, func(t *testing.T) {
 			budget := newFrameBudget()
 			for k := range c.frames {
-				if err := budget.spend(c.kind); err != nil {
-					t.Fatalf("spending for frame %d of %d: %v", k+1, c.frames, err)
+				if !budget.spend(c.kind) {
+					t.Fatalf("the budget does not cover frame %d of %d", k+1, c.frames)
 				}
 			}
 			budget.remaining = 0
 			budget.refilledAt = time.Now()
-			if err := budget.spend(c.kind); !errors.Is(err, errFlood) {
-				t.Errorf("spending from an empty budget: %v, want %v", err, errFlood)
+			if budget.spend(c.kind) {
+				t.Error("an empty budget covers a frame")
 			}
 		})
 	}
 	budget := frameBudget{refilledAt: time.Now().Add(-time.Hour)}
-	if err := budget.spend(controlFrame); err != nil || budget.remaining != maxBudget-frameCost {
-		t.Errorf("spending after an hour of refill: %v, %v tokens remain, want %v", err, budget.remaining, maxBudget-frameCost)
+	if covered := budget.spend(controlFrame); !covered || budget.remaining != maxBudget-frameCost {
+		t.Errorf("spending after an hour of refill: covered %v, %v tokens remain, want %v", covered, budget.remaining, maxBudget-frameCost)
 	}
 }
 
--- a/internal/ingress/http2_conn.go
+++ b/internal/ingress/http2_conn.go
@@ -33,7 +33,6 @@
 )
 
 var (
-	errFlood        = errors.New("too many control frames")
 	errStreamReset  = errors.New("stream was reset")
 	errConnEnded    = errors.New("client connection has ended")
 	errClientStalls = errors.New("client neither sent nor accepted data within the stall timeout")
@@ -49,6 +48,7 @@
 	conn      net.Conn
 	framer    *http2.Framer
 	budget    frameBudget   // used by the reading goroutine alone
+	flooded   bool          // the client has exceeded its budget; used by the reading goroutine alone
 	serveDone chan struct{} // closed when serve returns
 	// The goroutines of the streams; the reading goroutine waits for them.
 	handlers sync.WaitGroup
@@ -64,14 +64,16 @@
 	streams           map[uint32]*stream
 	inFlight          int    // requests, including those of reset streams that are still being served
 	lastStream        uint32 // the largest stream ID that the client has used
+	lastServed        uint32 // the largest ID of a stream that was served; a GOAWAY names it
 	sendWindow        int64
 	initialSendWindow int64 // of a new stream
 	maxSendFrame      int
 	windowToReturn    int64         // bytes that were read, but not returned to the client by a window update yet
 	changed           chan struct{} // closed when a window, or the state of the connection, changes
-	refusing          bool          // new streams are refused
+	refusing          bool          // new streams are refused, and lastServed stays as it is
 	goAwaySent        bool          // the GOAWAY that names the last stream was sent
 	lingering         bool          // the last response was sent, and the sending side is closed
+	endBy             time.Time     // when the connection is closed though requests are in flight; zero: never
 	ended             bool
 }
 
@@ -114,7 +116,7 @@
 			return n, err
 		}
 		c.mu.Lock()
-		waiting := c.inFlight > 0 && !c.lingering
+		waiting := c.inFlight > 0 && !c.lingering && !c.isOverdue()
 		c.mu.Unlock()
 		if !waiting {
 			return 0, err
@@ -128,7 +130,11 @@
 	if c.lingering {
 		timeout = min(lingerTimeout, c.server.limits.StallTimeout)
 	}
-	c.conn.SetReadDeadline(time.Now().Add(timeout))
+	deadline := time.Now().Add(timeout)
+	if !c.endBy.IsZero() && c.endBy.Before(deadline) {
+		deadline = c.endBy
+	}
+	c.conn.SetReadDeadline(deadline)
 }
 
 // write calls a function that writes frames, and flushes them. If the flush fails, a part of a frame may have been sent and
@@ -152,6 +158,7 @@
 func (c *http2Conn) serve() {
 	defer close(c.serveDone)
 	err := c.readFrames()
+	c.cutOffIfOverdue()
 	c.writeGoAway(err)
 	c.cancelStreams()
 	c.conn.Close()
@@ -219,11 +226,7 @@
 	frame, err := c.framer.ReadFrame()
 	var streamError http2.StreamError
 	if errors.As(err, &streamError) {
-		c.server.Counters.BadRequests.Add(1)
-		if err := c.budget.spend(malformedStream); err != nil {
-			return err
-		}
-		c.resetStream(streamError.StreamID, streamError.Code)
+		c.rejectMalformed(streamError.StreamID, streamError.Code)
 		return nil
 	}
 	if err != nil {
--- a/internal/ingress/http2_frames.go
+++ b/internal/ingress/http2_frames.go
@@ -14,13 +14,10 @@
 	case *http2.DataFrame:
 		return c.handleData(f)
 	case *http2.SettingsFrame:
-		if err := c.budget.spend(controlFrame); err != nil || f.IsAck() {
-			return err
-		}
 		return c.handleSettings(f)
 	case *http2.PingFrame:
-		if err := c.budget.spend(controlFrame); err != nil || f.IsAck() {
-			return err
+		if !c.charge(controlFrame) || f.IsAck() {
+			return nil
 		}
 		return c.write(func() error { return c.framer.WritePing(true, f.Data) })
 	case *http2.WindowUpdateFrame:
@@ -30,10 +27,25 @@
 	case *http2.PushPromiseFrame, *http2.ContinuationFrame:
 		return errProtocol
 	default: // PRIORITY, GOAWAY from the client, unknown frames
-		return c.budget.spend(controlFrame)
+		c.charge(controlFrame)
+		return nil
 	}
 }
 
+// charge counts a frame of the client against its budget, and reports whether the budget covers it. From the first frame
+// that the budget does not cover, the connection serves no further requests, and it ends with the last response. A frame
+// that is not covered still takes effect on the requests in flight, but it gets no reply of its own.
+func (c *http2Conn) charge(kind frameKind) bool {
+	if c.budget.spend(kind) {
+		return true
+	}
+	if !c.flooded {
+		c.flooded = true
+		c.endAfterFlood()
+	}
+	return false
+}
+
 // handleReset ends a stream that the client has reset.
 func (c *http2Conn) handleReset(f *http2.RSTStreamFrame) error {
 	c.mu.Lock()
@@ -47,12 +59,17 @@
 	if s != nil {
 		c.endStream(s, errStreamReset)
 	}
-	return c.budget.spend(streamReset)
+	c.charge(streamReset)
+	return nil
 }
 
-// handleSettings applies the client's settings and acknowledges them.
+// handleSettings applies the client's settings, and acknowledges them if the budget covers it.
 func (c *http2Conn) handleSettings(f *http2.SettingsFrame) error {
-	if err := f.ForeachSetting(c.handleSetting); err != nil {
+	covered := c.charge(controlFrame)
+	if f.IsAck() {
+		return nil
+	}
+	if err := f.ForeachSetting(c.handleSetting); err != nil || !covered {
 		return err
 	}
 	return c.write(c.framer.WriteSettingsAck)
@@ -96,9 +113,7 @@
 // handleWindowUpdate grows the send window of a stream or of the connection.
 func (c *http2Conn) handleWindowUpdate(f *http2.WindowUpdateFrame) error {
 	if f.Increment < tinyFrame {
-		if err := c.budget.spend(controlFrame); err != nil {
-			return err
-		}
+		c.charge(controlFrame)
 	}
 	overflow, err := c.growWindow(f.StreamID, int64(f.Increment))
 	if overflow {
@@ -144,6 +159,20 @@
 	c.returnWindow(nil, 0)
 }
 
+// rejectMalformed resets a stream on which the client has sent a malformed head or trailer. If the budget does not cover
+// this, only a stream in flight is reset: the GOAWAY has told the client that no other one is served.
+func (c *http2Conn) rejectMalformed(id uint32, code http2.ErrCode) {
+	c.server.Counters.BadRequests.Add(1)
+	covered := c.charge(malformedStream)
+	c.mu.Lock()
+	inFlight := c.streams[id] != nil
+	c.lastStream = max(c.lastStream, id)
+	c.mu.Unlock()
+	if covered || inFlight {
+		c.resetStream(id, code)
+	}
+}
+
 // addWindowToReturn adds to the window that the connection returns to the client; returnWindow sends it. The connection is
 // locked.
 func (c *http2Conn) addWindowToReturn(n int64) { c.windowToReturn += n }
--- a/internal/ingress/http2_frames_test.go
+++ b/internal/ingress/http2_frames_test.go
@@ -62,12 +62,10 @@
 	}{
 		{errProtocol, http2.ErrCodeProtocol, true},
 		{errFlowControl, http2.ErrCodeFlowControl, true},
-		{errFlood, http2.ErrCodeEnhanceYourCalm, true},
 		{http2.ErrFrameTooLarge, http2.ErrCodeFrameSize, true},
 		{errConnEnded, http2.ErrCodeNo, false},
 	} {
-		conn := newHTTP2Conn(New(Config{}), nil)
-		if code, clientError := conn.clientErrorCode(c.err); code != c.code || clientError != c.clientError {
+		if code, clientError := clientErrorCode(c.err); code != c.code || clientError != c.clientError {
 			t.Errorf("%v: code %v, client error %v, want %v, %v", c.err, code, clientError, c.code, c.clientError)
 		}
 	}
--- a/internal/ingress/http2_shutdown.go
+++ b/internal/ingress/http2_shutdown.go
@@ -40,17 +40,38 @@
 // drain implements clientConn by two GOAWAY frames: the first announces the shutdown, and the second names the last stream
 // that is served. Streams that the client opens between the two are served.
 func (c *http2Conn) drain() {
-	c.write(func() error { return c.framer.WriteGoAway(maxStreamID, http2.ErrCodeNo, nil) })
+	c.write(func() error {
+		if c.isRefusing() { // a GOAWAY has named the last stream, which no later one may raise
+			return nil
+		}
+		return c.framer.WriteGoAway(maxStreamID, http2.ErrCodeNo, nil)
+	})
 	select {
 	case <-c.serveDone:
 		return
 	case <-time.After(drainPause):
 	}
+	c.finish(http2.ErrCodeNo)
+}
+
+func (c *http2Conn) isRefusing() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusing
+}
+
+// finish refuses further streams by a GOAWAY with the given reason, and lets the connection end with its last response. Only
+// the first call has an effect.
+func (c *http2Conn) finish(reason http2.ErrCode) {
+	c.mu.Lock()
+	finishing := c.refusing
 	c.refusing = true
-	last := c.lastStream
+	last := c.lastServed
 	c.mu.Unlock()
-	c.write(func() error { return c.framer.WriteGoAway(last, http2.ErrCodeNo, nil) })
+	if finishing {
+		return
+	}
+	c.write(func() error { return c.framer.WriteGoAway(last, reason, nil) })
 	c.mu.Lock()
 	c.goAwaySent = true
 	idle := c.inFlight == 0
@@ -72,27 +93,55 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lingering = true
+	if !c.endBy.IsZero() { // a client that floods the connection is not waited for until it is silent
+		c.endBy = time.Now().Add(lingerTimeout)
+	}
 	c.setReadDeadline()
 }
 
+// endAfterFlood ends the connection of a client that has sent too many control frames. The requests in flight still get
+// their responses, as they may have been executed and cannot be repeated: a client that did not mean to flood, such as one
+// whose frames were read late, then loses none. DrainTimeout bounds the time that this takes.
+func (c *http2Conn) endAfterFlood() {
+	c.server.Counters.BadRequests.Add(1)
+	c.server.Counters.ControlFloods.Add(1)
+	c.mu.Lock()
+	c.endBy = time.Now().Add(c.server.limits.DrainTimeout)
+	inFlight := c.inFlight
+	c.mu.Unlock()
+	c.server.log.Warn("HTTP/2 client sent too many control frames, ending its connection", "from", c.conn.RemoteAddr(), "in_flight", inFlight, "frames", &c.budget)
+	c.finish(http2.ErrCodeEnhanceYourCalm)
+}
+
+// isOverdue reports whether the connection has to be closed though requests are in flight. The caller holds c.mu.
+func (c *http2Conn) isOverdue() bool { return !c.endBy.IsZero() && !time.Now().Before(c.endBy) }
+
+// cutOffIfOverdue resets the streams of an overdue connection, and counts their requests as cut off.
+func (c *http2Conn) cutOffIfOverdue() {
+	c.mu.Lock()
+	overdue := c.isOverdue()
+	open := len(c.streams)
+	c.mu.Unlock()
+	if overdue && open > 0 {
+		c.server.Counters.CutOff.Add(int64(open))
+		c.abort()
+	}
+}
+
 // writeGoAway sends a GOAWAY with the reason if the connection ends because of a client error or because it was idle for
 // too long.
 func (c *http2Conn) writeGoAway(err error) {
 	c.mu.Lock()
-	lingering := c.lingering
-	last := c.lastStream
-	inFlight := c.inFlight
+	refusing := c.refusing
+	last := c.lastServed
 	c.mu.Unlock()
-	code, clientError := c.clientErrorCode(err)
-	if errors.Is(err, errFlood) {
-		c.server.log.Warn("HTTP/2 client sent too many control frames", "from", c.conn.RemoteAddr(), "in_flight", inFlight, "frames", &c.budget)
-	}
+	code, clientError := clientErrorCode(err)
 	switch {
 	case clientError:
 		c.server.Counters.BadRequests.Add(1)
 		c.server.log.Debug("closing HTTP/2 connection after a client error", "from", c.conn.RemoteAddr(), "error", err)
 		c.connWriter.setOverallTimeout(goAwayTimeout)
-	case errors.Is(err, os.ErrDeadlineExceeded) && !lingering: // idle for too long, which is not a client error
+	case errors.Is(err, os.ErrDeadlineExceeded) && !refusing: // idle for too long, which is not a client error
 		c.connWriter.setOverallTimeout(drainPause)
 	default:
 		return
@@ -101,15 +150,12 @@
 }
 
 // clientErrorCode returns the HTTP/2 error code for an error that the client has made; clientError is false if the
-// connection ended for another reason. It counts floods of control frames.
-func (c *http2Conn) clientErrorCode(err error) (code http2.ErrCode, clientError bool) {
+// connection ended for another reason.
+func clientErrorCode(err error) (code http2.ErrCode, clientError bool) {
 	var connError http2.ConnectionError
 	switch {
 	case errors.As(err, &connError):
 		return http2.ErrCode(connError), true
-	case errors.Is(err, errFlood):
-		c.server.Counters.ControlFloods.Add(1)
-		return http2.ErrCodeEnhanceYourCalm, true
 	case errors.Is(err, http2.ErrFrameTooLarge):
 		return http2.ErrCodeFrameSize, true
 	}
--- a/internal/ingress/http2_stream.go
+++ b/internal/ingress/http2_stream.go
@@ -78,14 +78,20 @@
 	case c.admitStream(f.StreamID):
 		return c.openStream(f)
 	}
-	if err := c.budget.spend(refusedStream); err != nil {
-		return err
+	return c.refuseStream(f.StreamID)
+}
+
+// refuseStream refuses a new stream, whose request the client may repeat. If the budget does not cover this, nothing is sent:
+// the GOAWAY has told the client that the stream is not served.
+func (c *http2Conn) refuseStream(id uint32) error {
+	if !c.charge(refusedStream) {
+		return nil
 	}
-	return c.write(func() error { return c.framer.WriteRSTStream(f.StreamID, http2.ErrCodeRefusedStream) })
+	return c.write(func() error { return c.framer.WriteRSTStream(id, http2.ErrCodeRefusedStream) })
 }
 
 // admitStream counts a new stream, unless there are too many streams or new ones are refused. The stream becomes the last
-// one and in flight at the same time, so that a drain waits for each stream that its GOAWAY covers. A client may repeat
+// one served and in flight at the same time, so that a drain waits for each stream that its GOAWAY covers. A client may repeat
 // a request that was refused.
 func (c *http2Conn) admitStream(id uint32) bool {
 	c.mu.Lock()
@@ -95,6 +101,7 @@
 	if c.refusing || len(c.streams) >= maxStreams || c.inFlight >= 2*maxStreams {
 		return false
 	}
+	c.lastServed = id
 	c.inFlight++
 	return true
 }
@@ -105,9 +112,7 @@
 	out := &http2Response{stream: s}
 	if f.Truncated {
 		c.server.Counters.BadRequests.Add(1)
-		if err := c.budget.spend(malformedStream); err != nil {
-			return err
-		}
+		c.charge(malformedStream)
 		c.startStream(s, func() { writeErrorResponse(out, http.StatusRequestHeaderFieldsTooLarge, reasonHeadTooLarge) })
 		return nil
 	}
@@ -115,9 +120,7 @@
 	if err != nil {
 		defer c.requestDone()
 		c.server.Counters.BadRequests.Add(1)
-		if err := c.budget.spend(malformedStream); err != nil {
-			return err
-		}
+		c.charge(malformedStream)
 		c.resetStream(s.id, http2.ErrCodeProtocol)
 		return nil
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -85,9 +85,9 @@
 	BadRequests   atomic.Int64
 	Unclassified  atomic.Int64 // requests that belong to no traffic class
 	Resets        atomic.Int64 // streams that clients have reset
-	ControlFloods atomic.Int64 // connections closed for too many control frames
+	ControlFloods atomic.Int64 // connections ended for too many control frames
 	Stalls        atomic.Int64 // streams whose client neither sent nor accepted data for too long
-	CutOff        atomic.Int64 // requests that were cut off by a shutdown
+	CutOff        atomic.Int64 // requests that were cut off by a shutdown, or by the end of a connection with a flood
 	Panics        atomic.Int64
 	Open          atomic.Int64 // connections, currently
 	InFlight      atomic.Int64 // requests, currently
--- /dev/null
+++ b/internal/sidecar/http2_flood_test.go
@@ -0,0 +1,132 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+
+	"lilacbend/experiment/replica"
+	"lilacbend/experiment/scriptedpeer"
+)
+
+// controlFloods are ways to send more control frames than any budget covers. Each sends the k-th frame; stream 1 has ended.
+var controlFloods = map[string]func(c *replica.HTTP2Client, k int) error{
+	"pings": func(c *replica.HTTP2Client, _ int) error {
+		return c.WriteFrames(func() error { return c.Framer.WritePing(false, [8]byte{}) })
+	},
+	"settings": func(c *replica.HTTP2Client, _ int) error {
+		return c.WriteFrames(func() error { return c.Framer.WriteSettings() })
+	},
+	"resets of ended streams": func(c *replica.HTTP2Client, _ int) error {
+		return c.ResetStream(1)
+	},
+	"tiny window updates": func(c *replica.HTTP2Client, _ int) error {
+		return c.WriteFrames(func() error { return c.Framer.WriteWindowUpdate(0, 1) })
+	},
+	"malformed requests": func(c *replica.HTTP2Client, k int) error {
+		return c.OpenStream(uint32(1001+2*k), "GET", "/stock", false, "connection", "x")
+	},
+}
+
+// sendFlood sends control frames until the sidecar has announced the end of the connection, and then as many again.
+func sendFlood(t *testing.T, client *replica.HTTP2Client, send func(c *replica.HTTP2Client, k int) error) {
+	t.Helper()
+	const maxFrames = 50_000
+	goingAway := func(c *replica.HTTP2Client) bool { return c.Closed || len(c.GoAways) > 0 }
+	for k := range maxFrames {
+		if send(client, k) != nil || client.WaitFor(0, goingAway) {
+			for again := range k {
+				if send(client, k+again) != nil {
+					return
+				}
+			}
+			return
+		}
+	}
+	t.Fatalf("no GOAWAY after %d frames", maxFrames)
+}
+
+// A client sends too many control frames while its requests are in flight. Each of these requests gets its response, a
+// non-idempotent one as well, and no request after the last stream of the GOAWAY is executed.
+func TestFloodLosesNoRequestInFlight(t *testing.T) {
+	const payouts = 20
+	for name, send := range controlFloods {
+		t.Run(name, func(t *testing.T) {
+			testReplica := startReplica(t, nil)
+			testReplica.ServiceTime.Store(int64(400 * time.Millisecond))
+			s := startSidecar(t, withLongTimeouts(), testReplica.Addr)
+			client := dialHTTP2(t, s, 1<<20)
+			client.OpenStream(1, "DELETE", "/stock", false) // answered by the sidecar itself
+			if !client.WaitFor(streamTimeout, streamsDone(1)) {
+				t.Fatal("stream 1 has not ended")
+			}
+			var inFlight []uint32
+			for k := range payouts {
+				id := uint32(3 + 2*k)
+				client.OpenStream(id, "POST", "/payouts", false, replica.KeyField(k)...)
+				inFlight = append(inFlight, id)
+			}
+			scriptedpeer.WaitFor(t, "not all requests reached the replica", func() bool { return testReplica.RequestCount.Load() == payouts })
+			sendFlood(t, client, send)
+			client.OpenStream(200_001, "POST", "/payouts", false, "key", "late")
+			client.WaitFor(streamTimeout, streamsDone(inFlight...))
+			for _, id := range inFlight {
+				if got := client.Stream(id); got.Status != "200" || got.Responses != 1 || got.Reset {
+					t.Errorf("stream %d: %+v, want one response with 200", id, got)
+				}
+			}
+			if !client.WaitFor(streamTimeout, func(c *replica.HTTP2Client) bool { return c.Closed }) {
+				t.Error("connection is still open after the last response")
+			}
+			if len(client.GoAways) != 1 || client.GoAways[0].ErrCode != http2.ErrCodeEnhanceYourCalm || client.GoAways[0].LastStreamID < inFlight[payouts-1] || client.GoAways[0].LastStreamID >= 200_001 {
+				t.Errorf("GOAWAY frames %+v, want one with ENHANCE_YOUR_CALM and a last stream from %d on", client.GoAways, inFlight[payouts-1])
+			}
+			if late := client.Stream(200_001); late.Status != "" || testReplica.RunsByKey()["late"] != 0 {
+				t.Errorf("request after the GOAWAY: %+v, executed %d times", late, testReplica.RunsByKey()["late"])
+			}
+			if n := s.Counters().Clients["floods"]; n != 1 {
+				t.Errorf("%d floods counted, want 1", n)
+			}
+		})
+	}
+}
+
+// A client goes on sending control frames after the GOAWAY. Its connection is closed all the same: soon after the last
+// response, or once the drain timeout has passed, when the requests that are still in flight are reset and counted as lost.
+func TestEndlessFloodIsClosed(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		inFlight int
+		within   time.Duration
+	}{
+		{"no request in flight", 0, 3 * time.Second},
+		{"requests without a response", 3, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			testReplica := startReplica(t, nil)
+			testReplica.Unresponsive.Store(true)
+			s := startSidecar(t, withLongTimeouts("latency_budget: 500ms, expiry: 2s", "latency_budget: 1m, expiry: 1m", "drain: 2s", "drain: 300ms"), testReplica.Addr)
+			client := dialHTTP2(t, s, 1<<20)
+			for k := range c.inFlight {
+				client.OpenStream(uint32(1+2*k), "GET", "/stock", false)
+			}
+			scriptedpeer.WaitFor(t, "not all requests reached the replica", func() bool { return testReplica.RequestCount.Load() == int64(c.inFlight) })
+			start := time.Now()
+			for time.Since(start) < 2*c.within && controlFloods["pings"](client, 0) == nil {
+			}
+			if duration := time.Since(start); duration > c.within {
+				t.Errorf("connection was closed after %v, want at most %v", duration, c.within)
+			}
+			if !client.WaitFor(streamTimeout, func(c *replica.HTTP2Client) bool { return c.Closed }) {
+				t.Fatal("connection is still open")
+			}
+			if n := s.Counters().Clients["lost"]; n != int64(c.inFlight) {
+				t.Errorf("%d requests counted as lost, want %d", n, c.inFlight)
+			}
+			if client.Pings > 5000 {
+				t.Errorf("%d pings were acknowledged, want at most those that the budget covers", client.Pings)
+			}
+		})
+	}
+}
