HTTP/2 clients: giving up on late requests is no flood of resets

Cause: a reset cost 10 of a budget of 2,000 that refills by 200 a second, so 20 resets a second, whatever the limit of streams. A client that gives up on requests after 0.8 s and has 100 streams makes up to 125 a second.

Change: resets have a bucket of their own that follows the limit of streams. A flood of resets is still found (TestFloodsCloseOnlyTheirConnection, unchanged).

--- a/internal/ingress/http2_conn.go
+++ b/internal/ingress/http2_conn.go
@@ -81,7 +81,7 @@
 	c := &http2Conn{
 		server:            s,
 		conn:              conn,
-		budget:            newFrameBudget(),
+		budget:            newFrameBudget(s.limits.MaxStreams),
 		serveDone:         make(chan struct{}),
 		streams:           map[uint32]*stream{},
 		sendWindow:        defaultWindow,
--- a/internal/sidecar/http2_flood_test.go
+++ b/internal/sidecar/http2_flood_test.go
@@ -130,3 +130,79 @@
 		})
 	}
 }
+
+// A client whose requests a slow replica answers too late gives up on all of them, again and again, within its limit of
+// streams. The connection stays, and requests that the client still waits for get their responses.
+func TestResetsOfLateRequestsEndNoConnection(t *testing.T) {
+	const (
+		rounds     = 8
+		abandoned  = 90 // in each round, of the 100 streams that the sidecar allows at once
+		waitedFor  = 2  // in each round
+		patience   = 250 * time.Millisecond
+		tenSeconds = "latency_budget: 10s, expiry: 10s"
+	)
+	testReplica := startReplica(t, nil)
+	testReplica.ServiceTime.Store(int64(2 * patience))
+	s := startSidecar(t, withLongTimeouts("latency_budget: 500ms, expiry: 2s", tenSeconds), testReplica.Addr)
+	client := dialHTTP2(t, s, 1<<20)
+	id := uint32(1)
+	var waiting []uint32
+	for range rounds {
+		for range waitedFor {
+			client.OpenStream(id, "POST", "/payouts", false)
+			waiting = append(waiting, id)
+			id += 2
+		}
+		first := id
+		for range abandoned {
+			client.OpenStream(id, "GET", "/stock", false)
+			id += 2
+		}
+		time.Sleep(patience)
+		for reset := first; reset < id; reset += 2 {
+			client.ResetStream(reset)
+		}
+	}
+	client.WaitFor(streamTimeout, streamsDone(waiting...))
+	for _, id := range waiting {
+		if got := client.Stream(id); got.Status != "200" || got.Responses != 1 {
+			t.Errorf("stream %d: %+v, want one response with 200", id, got)
+		}
+	}
+	if len(client.GoAways) != 0 || s.Counters().Clients["floods"] != 0 {
+		t.Errorf("GOAWAY frames %+v, %d floods counted, want none", client.GoAways, s.Counters().Clients["floods"])
+	}
+}
+
+// A sidecar reads nothing for a while, as when it or its machine stands still, and then finds at once all that a client has
+// sent meanwhile: requests, and the resets by which the client has given up on them in time for others. The connection
+// stays.
+func TestResetsCollectedWhileUnreadEndNoConnection(t *testing.T) {
+	const (
+		rounds  = 5 // 2 s and more with a client that waits 400 ms for each response
+		streams = 100
+	)
+	testReplica := startReplica(t, nil)
+	testReplica.ServiceTime.Store(int64(100 * time.Millisecond))
+	s := startSidecar(t, withLongTimeouts(), testReplica.Addr)
+	client := dialHTTP2(t, s, 1<<20)
+	id := uint32(1)
+	for range rounds {
+		first := id
+		for range streams {
+			client.OpenStream(id, "GET", "/stock", false)
+			id += 2
+		}
+		for reset := first; reset < id; reset += 2 {
+			client.ResetStream(reset)
+		}
+	}
+	waitUntilIdle(t, s)
+	client.OpenStream(id, "GET", "/stock", false)
+	if !client.WaitFor(streamTimeout, streamsDone(id)) || client.Stream(id).Status != "200" {
+		t.Errorf("request after the resets: %+v", client.Stream(id))
+	}
+	if len(client.GoAways) != 0 || s.Counters().Clients["floods"] != 0 {
+		t.Errorf("GOAWAY frames %+v, %d floods counted, want none", client.GoAways, s.Counters().Clients["floods"])
+	}
+}
