HTTP/2 clients: small frames that belong to requests are no flood

Seen (by the new test, not by a case): a client that sends its requests with small bodies and returns the window of each small answer at once is cut off with ENHANCE_YOUR_CALM after some 700 requests.

The budget of control frames grows with time alone. A body of unknown length is a data frame and an empty one that ends it, and an answer of under 64 bytes makes two small window updates: three tokens a request, so that 70 requests a second on one connection spend more than the 200 tokens that come.

Change: each well-formed request adds 8 tokens, up to the size of the bucket.

--- a/internal/ingress/http2_budget.go
+++ b/internal/ingress/http2_budget.go
@@ -25,6 +25,9 @@
 	// control frames of a client. A busy well-behaved client sends one window update for every few KiB.
 	controlTokensPerSecond = 200.0
 	maxControlTokens       = 2000.0
+	// controlTokensPerRequest are added to the bucket by each well-formed request, for frames that may belong to it: small
+	// parts of its body, a priority, a window update.
+	controlTokensPerRequest = 8.0
 	// controlFrameCost and refusedStreamCost are tokens.
 	controlFrameCost  = 1.0
 	refusedStreamCost = 1.0
@@ -55,10 +58,15 @@
 	return tokenBucket{tokens: size, size: size, perSecond: perSecond, refilledAt: time.Now()}
 }
 
+// add adds tokens to the bucket, up to its size.
+func (b *tokenBucket) add(tokens float64) {
+	b.tokens = min(b.size, b.tokens+tokens)
+}
+
 // take takes tokens from the bucket. It returns false, and takes none, if the bucket does not hold as many.
 func (b *tokenBucket) take(tokens float64) bool {
 	now := time.Now()
-	b.tokens = min(b.size, b.tokens+b.perSecond*now.Sub(b.refilledAt).Seconds())
+	b.add(b.perSecond * now.Sub(b.refilledAt).Seconds())
 	b.refilledAt = now
 	if b.tokens < tokens {
 		return false
@@ -87,6 +95,9 @@
 	}
 }
 
+// creditRequest adds the control frames that may belong to a request.
+func (b *frameBudget) creditRequest() { b.control.add(controlTokensPerRequest) }
+
 // spend takes the cost of a frame from the budget. It returns false, and takes nothing, if the budget does not cover the
 // cost.
 func (b *frameBudget) spend(kind frameKind) bool {
--- a/internal/ingress/http2_stream.go
+++ b/internal/ingress/http2_stream.go
@@ -129,6 +129,7 @@
 		c.resetStream(s.id, http2.ErrCodeProtocol)
 		return nil
 	}
+	c.budget.creditRequest()
 	out.isHead = request.Method == http.MethodHead
 	s.setBody(request, out)
 	c.startStream(s, func() { c.server.serveRequest(&s.cancel, "h2", request, out) })
--- a/internal/sidecar/http2_flood_test.go
+++ b/internal/sidecar/http2_flood_test.go
@@ -206,3 +206,32 @@
 		t.Errorf("GOAWAY frames %+v, %d floods counted, want none", client.GoAways, s.Counters().Clients["floods"])
 	}
 }
+
+// A client sends many requests with small bodies of unknown length, each as a data frame that does not end its stream and
+// an empty one that does. These frames are no flood.
+func TestSmallBodiesAreNoFlood(t *testing.T) {
+	const (
+		requests = 4000
+		batch    = 50
+	)
+	testReplica := startReplica(t, nil)
+	s := startSidecar(t, withLongTimeouts(), testReplica.Addr)
+	client := dialHTTP2(t, s, 1<<20)
+	for first := uint32(1); first < 2*requests; first += 2 * batch {
+		var ids []uint32
+		for id := first; id < first+2*batch; id += 2 {
+			client.OpenStream(id, "POST", "/payouts", true)
+			client.SendData(id, false, []byte("pa"))
+			client.SendData(id, true, nil)
+			ids = append(ids, id)
+		}
+		if !client.WaitFor(streamTimeout, streamsDone(ids...)) {
+			t.Fatalf("streams %d to %d have not ended, GOAWAY frames %+v", first, first+2*batch, client.GoAways)
+		}
+		for _, id := range ids {
+			if got := client.Stream(id); got.Status != "200" {
+				t.Fatalf("stream %d: %+v, GOAWAY frames %+v", id, got, client.GoAways)
+			}
+		}
+	}
+}
