HTTP/2 clients: the budget bounds all resets that the sidecar answers with

Seen (by two new rows of a test): a client gets one RST_STREAM for each head on a stream that has ended, and for each request that announces a body and ends without one, however many it sends; the budget of control frames was not charged.

Cause: both paths answered by themselves, beside the budget.

Change: the head on an ended stream costs a control frame and is answered while the budget covers it; the other request is malformed like any other (parseHTTP2Request), so it is counted and charged.

--- a/internal/ingress/http2_budget.go
+++ b/internal/ingress/http2_budget.go
@@ -9,7 +9,8 @@
 type frameKind int
 
 const (
-	// controlFrame is a SETTINGS, PING, PRIORITY or unknown frame, or a data frame or window update below tinyFrame.
+	// controlFrame is a SETTINGS, PING, PRIORITY or unknown frame, a data frame or window update below tinyFrame, or the head
+	// of a stream that has ended.
 	controlFrame frameKind = iota
 	// refusedStream is a request that is refused because the connection serves no further ones.
 	refusedStream
--- a/internal/ingress/http2_head.go
+++ b/internal/ingress/http2_head.go
@@ -41,6 +41,9 @@
 	if len(cookies) > 0 { // HTTP/2 allows several Cookie fields, HTTP/1.1 allows one
 		request.Header.Set("Cookie", strings.Join(cookies, "; "))
 	}
+	if f.StreamEnded() && request.Length > 0 {
+		return nil, badRequest("content-length %d without a body", request.Length)
+	}
 	if request.Host == "" || !httpguts.ValidHostHeader(request.Host) {
 		return nil, badRequest("missing or invalid host")
 	}
--- a/internal/ingress/http2_stream.go
+++ b/internal/ingress/http2_stream.go
@@ -73,10 +73,13 @@
 	case f.StreamID%2 == 0:
 		return errProtocol
 	case opened: // the trailer of a closed stream
-		c.resetStream(f.StreamID, http2.ErrCodeStreamClosed)
+		if c.charge(controlFrame) {
+			c.resetStream(f.StreamID, http2.ErrCodeStreamClosed)
+		}
 		return nil
 	case c.admitStream(f.StreamID):
-		return c.openStream(f)
+		c.openStream(f)
+		return nil
 	}
 	return c.refuseStream(f.StreamID)
 }
@@ -107,14 +110,14 @@
 }
 
 // openStream serves a new stream. It responds to a head that exceeds maxHead, and resets a stream whose head is malformed.
-func (c *http2Conn) openStream(f *http2.MetaHeadersFrame) error {
+func (c *http2Conn) openStream(f *http2.MetaHeadersFrame) {
 	s := &stream{id: f.StreamID, conn: c, length: -1, receivedMore: make(chan struct{}), bodyComplete: f.StreamEnded()}
 	out := &http2Response{stream: s}
 	if f.Truncated {
 		c.server.Counters.BadRequests.Add(1)
 		c.charge(malformedStream)
 		c.startStream(s, func() { writeErrorResponse(out, http.StatusRequestHeaderFieldsTooLarge, reasonHeadTooLarge) })
-		return nil
+		return
 	}
 	request, err := parseHTTP2Request(f)
 	if err != nil {
@@ -122,18 +125,12 @@
 		c.server.Counters.BadRequests.Add(1)
 		c.charge(malformedStream)
 		c.resetStream(s.id, http2.ErrCodeProtocol)
-		return nil
-	}
-	if s.bodyComplete && request.Length > 0 {
-		defer c.requestDone()
-		c.resetStream(s.id, http2.ErrCodeProtocol)
-		return nil
+		return
 	}
 	c.budget.creditRequest()
 	out.isHead = request.Method == http.MethodHead
 	s.setBody(request, out)
 	c.startStream(s, func() { c.server.serveRequest(&s.cancel, "h2", request, out) })
-	return nil
 }
 
 // setBody connects a request to the body of its stream.
--- a/internal/sidecar/http2_flood_test.go
+++ b/internal/sidecar/http2_flood_test.go
@@ -24,6 +24,12 @@
 	"tiny window updates": func(c *replica.HTTP2Client, _ int) error {
 		return c.WriteFrames(func() error { return c.Framer.WriteWindowUpdate(0, 1) })
 	},
+	"headers of ended streams": func(c *replica.HTTP2Client, _ int) error {
+		return c.OpenStream(1, "GET", "/stock", false)
+	},
+	"lengths without a body": func(c *replica.HTTP2Client, k int) error {
+		return c.OpenStream(uint32(1001+2*k), "POST", "/orders", false, "content-length", "5")
+	},
 	"malformed requests": func(c *replica.HTTP2Client, k int) error {
 		return c.OpenStream(uint32(1001+2*k), "GET", "/stock", false, "connection", "x")
 	},
