--- a/internal/sidecar/http2_flood_test.go
+++ b/internal/sidecar/http2_flood_test.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +12,13 @@
 	"lilacbend/experiment/scriptedpeer"
 )
 
+// shortRequests are the timeouts of each traffic class in the file of the tests; longRequests replace them where no request
+// may time out.
+const (
+	shortRequests = "latency_budget: 500ms, expiry: 2s"
+	longRequests  = "latency_budget: 1m, expiry: 1m"
+)
+
 // controlFloods are ways to send more control frames than any budget covers. Each sends the k-th frame; stream 1 has ended.
 var controlFloods = map[string]func(c *replica.HTTP2Client, k int) error{
 	"pings": func(c *replica.HTTP2Client, _ int) error {
@@ -61,7 +70,7 @@
 		t.Run(name, func(t *testing.T) {
 			testReplica := startReplica(t, nil)
 			testReplica.ServiceTime.Store(int64(400 * time.Millisecond))
-			s := startSidecar(t, withLongTimeouts(), testReplica.Addr)
+			s := startSidecar(t, withLongTimeouts(shortRequests, longRequests, "drain: 2s", "drain: 1m"), testReplica.Addr)
 			client := dialHTTP2(t, s, 1<<20)
 			client.OpenStream(1, "DELETE", "/stock", false) // answered by the sidecar itself
 			if !client.WaitFor(streamTimeout, streamsDone(1)) {
@@ -112,7 +121,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			testReplica := startReplica(t, nil)
 			testReplica.Unresponsive.Store(true)
-			s := startSidecar(t, withLongTimeouts("latency_budget: 500ms, expiry: 2s", "latency_budget: 1m, expiry: 1m", "drain: 2s", "drain: 300ms"), testReplica.Addr)
+			s := startSidecar(t, withLongTimeouts(shortRequests, longRequests, "drain: 2s", "drain: 300ms"), testReplica.Addr)
 			client := dialHTTP2(t, s, 1<<20)
 			for k := range c.inFlight {
 				client.OpenStream(uint32(1+2*k), "GET", "/stock", false)
@@ -137,19 +146,79 @@
 	}
 }
 
+// A drain begins after a flood on the same connection, or a flood during a drain. The request in flight gets its response,
+// and no GOAWAY names a later last stream than the one before.
+func TestFloodAndDrainOfOneConnection(t *testing.T) {
+	const inFlight = 3
+	goAways := func(n int) func(*replica.HTTP2Client) bool {
+		return func(c *replica.HTTP2Client) bool { return len(c.GoAways) >= n }
+	}
+	flood := func(client *replica.HTTP2Client) {
+		for range 10_000 {
+			controlFloods["pings"](client, 0)
+		}
+	}
+	for _, c := range []struct {
+		name string
+		end  func(client *replica.HTTP2Client, drain func())
+		want []http2.ErrCode // of the GOAWAY frames
+	}{
+		{"drain after a flood", func(client *replica.HTTP2Client, drain func()) {
+			flood(client)
+			client.WaitFor(streamTimeout, goAways(1))
+			drain()
+		}, []http2.ErrCode{http2.ErrCodeEnhanceYourCalm}},
+		{"flood after a drain", func(client *replica.HTTP2Client, drain func()) {
+			drain()
+			client.WaitFor(streamTimeout, goAways(2))
+			flood(client)
+		}, []http2.ErrCode{http2.ErrCodeNo, http2.ErrCodeNo}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			testReplica := startReplica(t, nil)
+			testReplica.ServiceTime.Store(int64(400 * time.Millisecond))
+			s := startSidecar(t, withLongTimeouts(shortRequests, longRequests, "drain: 2s", "drain: 1m"), testReplica.Addr)
+			client := dialHTTP2(t, s, 1<<20)
+			client.OpenStream(1, "DELETE", "/stock", false)
+			client.OpenStream(inFlight, "POST", "/payouts", false)
+			scriptedpeer.WaitFor(t, "the request did not reach the replica", func() bool { return testReplica.RequestCount.Load() == 1 })
+			var drained sync.WaitGroup
+			c.end(client, func() { drained.Go(s.stop) })
+			if !client.WaitFor(streamTimeout, streamsDone(inFlight)) || client.Stream(inFlight).Status != "200" {
+				t.Errorf("request in flight: %+v", client.Stream(inFlight))
+			}
+			drained.Wait()
+			if !client.WaitFor(streamTimeout, func(c *replica.HTTP2Client) bool { return c.Closed }) {
+				t.Fatal("connection is still open")
+			}
+			var got []http2.ErrCode
+			last := uint32(1<<31 - 1)
+			for _, frame := range client.GoAways {
+				got = append(got, frame.ErrCode)
+				if frame.LastStreamID > last {
+					t.Errorf("a GOAWAY names stream %d after one that names %d", frame.LastStreamID, last)
+				}
+				last = frame.LastStreamID
+			}
+			if !slices.Equal(got, c.want) || last != inFlight {
+				t.Errorf("GOAWAY frames with %v, last stream %d, want %v and %d", got, last, c.want, inFlight)
+			}
+		})
+	}
+}
+
 // A client whose requests a slow replica answers too late gives up on all of them, again and again, within its limit of
 // streams. The connection stays, and requests that the client still waits for get their responses.
 func TestResetsOfLateRequestsEndNoConnection(t *testing.T) {
 	const (
-		rounds     = 8
-		abandoned  = 90 // in each round, of the 100 streams that the sidecar allows at once
-		waitedFor  = 2  // in each round
-		patience   = 250 * time.Millisecond
-		tenSeconds = "latency_budget: 10s, expiry: 10s"
+		rounds    = 8
+		abandoned = 90 // in each round, of the 100 streams that the sidecar allows at once
+		waitedFor = 2  // in each round
+		patience  = 250 * time.Millisecond
 	)
 	testReplica := startReplica(t, nil)
 	testReplica.ServiceTime.Store(int64(2 * patience))
-	s := startSidecar(t, withLongTimeouts("latency_budget: 500ms, expiry: 2s", tenSeconds), testReplica.Addr)
+	s := startSidecar(t, withLongTimeouts(shortRequests, longRequests), testReplica.Addr)
 	client := dialHTTP2(t, s, 1<<20)
 	id := uint32(1)
 	var waiting []uint32
