Tests: streams above a GOAWAY are checked for executions; an unused replica goes

TestStreamsOpenedDuringGoAway checked that streams above the last one of a GOAWAY got no response, not that they were not executed, which is what a client relies on when it repeats them.

Change: each stream has a key, and none above the last may have run at the replica. The replica that TestClosedStreamWindowsDelayNoOtherConnection started for nothing goes; what it checks is as before.

--- a/internal/sidecar/http2_test.go
+++ b/internal/sidecar/http2_test.go
@@ -113,8 +113,6 @@
 	testReplica := startReplica(t, nil)
 	testReplica.BodySize.Store(4 << 20)
 	s := startSidecar(t, nil, testReplica.Addr)
-	idleReplica := startReplica(t, nil)
-	_ = idleReplica
 	client, otherClient := dialHTTP2(t, s, 0), dialHTTP2(t, s, 1<<20)
 	var before, after runtime.MemStats
 	runtime.GC()
--- a/internal/sidecar/races_test.go
+++ b/internal/sidecar/races_test.go
@@ -321,13 +321,14 @@
 }
 
 // A drain sends its GOAWAYs while clients keep opening streams: each stream up to the last stream id of the second GOAWAY
-// gets its response or REFUSED_STREAM, and no stream above it is executed, so that none of those gets a response.
+// gets its response or REFUSED_STREAM, and no stream above it is executed or gets a response.
 func TestStreamsOpenedDuringGoAway(t *testing.T) {
 	testReplica := startReplica(t, nil)
 	s := startSidecar(t, withLongTimeouts("streams: 100", "streams: 10000", "flows: 500", "flows: 10000", "waiting: 200", "waiting: 10000"), testReplica.Addr)
 	var clients sync.WaitGroup
 	started := make(chan struct{}, 8)
-	for range 8 {
+	key := func(client int, stream uint32) string { return fmt.Sprintf("%d/%d", client, stream) }
+	for k := range 8 {
 		client := dialHTTP2(t, s, 1<<20)
 		clients.Go(func() {
 			opened := uint32(0)
@@ -336,7 +337,7 @@
 				if id == 1 {
 					started <- struct{}{}
 				}
-				if client.WaitFor(0, goingAway) || client.OpenStream(id, "HEAD", "/stock", false) != nil {
+				if client.WaitFor(0, goingAway) || client.OpenStream(id, "HEAD", "/stock", false, "key", key(k, id)) != nil {
 					break
 				}
 				opened = id
@@ -350,10 +351,11 @@
 			}
 			client.Conn.Close()
 			last := client.GoAways[1].LastStreamID
+			executions := testReplica.RunsByKey()
 			for id := uint32(1); id <= opened; id += 2 {
 				got := client.Stream(id)
-				if id <= last && got.Status != "200" && !(got.Reset && got.ErrCode == http2.ErrCodeRefusedStream) || id > last && got.Status != "" {
-					t.Errorf("stream %d of %d, last stream of the GOAWAY is %d: %+v", id, opened, last, got)
+				if id <= last && got.Status != "200" && !(got.Reset && got.ErrCode == http2.ErrCodeRefusedStream) || id > last && (got.Status != "" || executions[key(k, id)] != 0) {
+					t.Errorf("stream %d of %d, last stream of the GOAWAY is %d: %+v, executed %d times", id, opened, last, got, executions[key(k, id)])
 					return
 				}
 			}
