--- a/internal/ingress/http2_conn.go
+++ b/internal/ingress/http2_conn.go
@@ -30,16 +30,9 @@
 	maxFrame = 16 << 10
 	// maxHeaderTable bounds the dynamic table of header compression (HPACK) in both directions, in bytes.
 	maxHeaderTable = 4 << 10
-	// lingerTimeout is how long a client may send nothing on a connection whose last response was sent. The client is
-	// expected to close the connection; if the sidecar closed it first, bytes that the client still sends would cause a TCP
-	// reset.
-	lingerTimeout = time.Second
-	// goAwayTimeout is the time for sending a GOAWAY to a client that has made an error.
-	goAwayTimeout = time.Second
 )
 
 var (
-	errFlood        = errors.New("too many control frames")
 	errStreamReset  = errors.New("stream was reset")
 	errConnEnded    = errors.New("client connection has ended")
 	errClientStalls = errors.New("client neither sent nor accepted data within the stall timeout")
@@ -55,6 +48,7 @@
 	conn      net.Conn
 	framer    *http2.Framer
 	budget    frameBudget   // used by the reading goroutine alone
+	flooded   bool          // the client has exceeded its budget; used by the reading goroutine alone
 	serveDone chan struct{} // closed when serve returns
 	// The goroutines of the streams; the reading goroutine waits for them.
 	handlers sync.WaitGroup
@@ -70,14 +64,16 @@
 	streams           map[uint32]*stream
 	inFlight          int    // requests, including those of reset streams that are still being served
 	lastStream        uint32 // the largest stream ID that the client has used
+	lastServed        uint32 // the largest ID of a stream that was served; a GOAWAY names it
 	sendWindow        int64
 	initialSendWindow int64 // of a new stream
 	maxSendFrame      int
 	windowToReturn    int64         // bytes that were read, but not returned to the client by a window update yet
 	changed           chan struct{} // closed when a window, or the state of the connection, changes
-	refusing          bool          // new streams are refused
+	refusing          bool          // new streams are refused, and lastServed stays as it is
 	goAwaySent        bool          // the GOAWAY that names the last stream was sent
 	lingering         bool          // the last response was sent, and the sending side is closed
+	endBy             time.Time     // when the connection is closed though requests are in flight; zero: never
 	ended             bool
 }
 
@@ -85,7 +81,7 @@
 	c := &http2Conn{
 		server:            s,
 		conn:              conn,
-		budget:            newFrameBudget(),
+		budget:            newFrameBudget(s.limits.MaxStreams),
 		serveDone:         make(chan struct{}),
 		streams:           map[uint32]*stream{},
 		sendWindow:        defaultWindow,
@@ -120,7 +116,7 @@
 			return n, err
 		}
 		c.mu.Lock()
-		waiting := c.inFlight > 0 && !c.lingering
+		waiting := c.inFlight > 0 && !c.lingering && !c.isOverdue()
 		c.mu.Unlock()
 		if !waiting {
 			return 0, err
@@ -134,7 +130,11 @@
 	if c.lingering {
 		timeout = min(lingerTimeout, c.server.limits.StallTimeout)
 	}
-	c.conn.SetReadDeadline(time.Now().Add(timeout))
+	deadline := time.Now().Add(timeout)
+	if !c.endBy.IsZero() && c.endBy.Before(deadline) {
+		deadline = c.endBy
+	}
+	c.conn.SetReadDeadline(deadline)
 }
 
 // write calls a function that writes frames, and flushes them. If the flush fails, a part of a frame may have been sent and
@@ -154,122 +154,17 @@
 	return err
 }
 
-// abort implements clientConn. It resets each open stream, so that the client learns that the request has ended.
-func (c *http2Conn) abort() {
-	c.mu.Lock()
-	open := make([]uint32, 0, len(c.streams))
-	for id := range c.streams {
-		open = append(open, id)
-	}
-	c.mu.Unlock()
-	c.connWriter.setOverallTimeout(drainPause)
-	c.write(func() error {
-		for _, id := range open {
-			if err := c.framer.WriteRSTStream(id, http2.ErrCodeCancel); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-	c.conn.Close() // the goroutine that reads then cancels all requests
-}
-
-// drain implements clientConn by two GOAWAY frames: the first announces the shutdown, and the second names the last stream
-// that is served. Streams that the client opens between the two are served.
-func (c *http2Conn) drain() {
-	c.write(func() error { return c.framer.WriteGoAway(maxStreamID, http2.ErrCodeNo, nil) })
-	select {
-	case <-c.serveDone:
-		return
-	case <-time.After(drainPause):
-	}
-	c.mu.Lock()
-	c.refusing = true
-	last := c.lastStream
-	c.mu.Unlock()
-	c.write(func() error { return c.framer.WriteGoAway(last, http2.ErrCodeNo, nil) })
-	c.mu.Lock()
-	c.goAwaySent = true
-	idle := c.inFlight == 0
-	c.mu.Unlock()
-	if idle {
-		c.closeWrite()
-	}
-}
-
-// closeWrite closes the sending side of a connection whose last response was sent. Frames that were written before still
-// reach the client.
-func (c *http2Conn) closeWrite() {
-	c.writeMu.Lock()
-	c.writeClosed = true
-	if halfCloser, ok := c.conn.(interface{ CloseWrite() error }); ok {
-		halfCloser.CloseWrite()
-	}
-	c.writeMu.Unlock()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lingering = true
-	c.setReadDeadline()
-}
-
 // serve implements clientConn.
 func (c *http2Conn) serve() {
 	defer close(c.serveDone)
 	err := c.readFrames()
+	c.cutOffIfOverdue()
 	c.writeGoAway(err)
 	c.cancelStreams()
 	c.conn.Close()
 	c.handlers.Wait()
 }
 
-// writeGoAway sends a GOAWAY with the reason if the connection ends because of a client error or because it was idle for
-// too long.
-func (c *http2Conn) writeGoAway(err error) {
-	c.mu.Lock()
-	lingering := c.lingering
-	last := c.lastStream
-	c.mu.Unlock()
-	code, clientError := c.clientErrorCode(err)
-	switch {
-	case clientError:
-		c.server.Counters.BadRequests.Add(1)
-		c.server.log.Debug("closing HTTP/2 connection after a client error", "from", c.conn.RemoteAddr(), "error", err)
-		c.connWriter.setOverallTimeout(goAwayTimeout)
-	case errors.Is(err, os.ErrDeadlineExceeded) && !lingering: // idle for too long, which is not a client error
-		c.connWriter.setOverallTimeout(drainPause)
-	default:
-		return
-	}
-	c.write(func() error { return c.framer.WriteGoAway(last, code, nil) })
-}
-
-// clientErrorCode returns the HTTP/2 error code for an error that the client has made; clientError is false if the
-// connection ended for another reason. It counts floods of control frames.
-func (c *http2Conn) clientErrorCode(err error) (code http2.ErrCode, clientError bool) {
-	var connError http2.ConnectionError
-	switch {
-	case errors.As(err, &connError):
-		return http2.ErrCode(connError), true
-	case errors.Is(err, errFlood):
-		c.server.Counters.ControlFloods.Add(1)
-		return http2.ErrCodeEnhanceYourCalm, true
-	case errors.Is(err, http2.ErrFrameTooLarge):
-		return http2.ErrCodeFrameSize, true
-	}
-	return http2.ErrCodeNo, false
-}
-
-// cancelStreams cancels all requests of a connection that has ended.
-func (c *http2Conn) cancelStreams() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ended = true
-	for _, s := range c.streams {
-		s.cancel.Cancel()
-	}
-	c.signalChange()
-}
-
 // signalChange wakes the streams that wait for a send window. The caller holds c.mu.
 func (c *http2Conn) signalChange() {
 	close(c.changed)
@@ -331,11 +226,7 @@
 	frame, err := c.framer.ReadFrame()
 	var streamError http2.StreamError
 	if errors.As(err, &streamError) {
-		c.server.Counters.BadRequests.Add(1)
-		if err := c.budget.spend(resetCost); err != nil {
-			return err
-		}
-		c.resetStream(streamError.StreamID, streamError.Code)
+		c.rejectMalformed(streamError.StreamID, streamError.Code)
 		return nil
 	}
 	if err != nil {
--- a/internal/ingress/http2_stream.go
+++ b/internal/ingress/http2_stream.go
@@ -73,19 +73,28 @@
 	case f.StreamID%2 == 0:
 		return errProtocol
 	case opened: // the trailer of a closed stream
-		c.resetStream(f.StreamID, http2.ErrCodeStreamClosed)
+		if c.charge(controlFrame) {
+			c.resetStream(f.StreamID, http2.ErrCodeStreamClosed)
+		}
 		return nil
 	case c.admitStream(f.StreamID):
-		return c.openStream(f)
+		c.openStream(f)
+		return nil
 	}
-	if err := c.budget.spend(frameCost); err != nil {
-		return err
+	return c.refuseStream(f.StreamID)
+}
+
+// refuseStream refuses a new stream, whose request the client may repeat. If the budget does not cover this, nothing is sent:
+// the GOAWAY has told the client that the stream is not served.
+func (c *http2Conn) refuseStream(id uint32) error {
+	if !c.charge(refusedStream) {
+		return nil
 	}
-	return c.write(func() error { return c.framer.WriteRSTStream(f.StreamID, http2.ErrCodeRefusedStream) })
+	return c.write(func() error { return c.framer.WriteRSTStream(id, http2.ErrCodeRefusedStream) })
 }
 
 // admitStream counts a new stream, unless there are too many streams or new ones are refused. The stream becomes the last
-// one and in flight at the same time, so that a drain waits for each stream that its GOAWAY covers. A client may repeat
+// one served and in flight at the same time, so that a drain waits for each stream that its GOAWAY covers. A client may repeat
 // a request that was refused.
 func (c *http2Conn) admitStream(id uint32) bool {
 	c.mu.Lock()
@@ -95,41 +104,33 @@
 	if c.refusing || len(c.streams) >= maxStreams || c.inFlight >= 2*maxStreams {
 		return false
 	}
+	c.lastServed = id
 	c.inFlight++
 	return true
 }
 
 // openStream serves a new stream. It responds to a head that exceeds maxHead, and resets a stream whose head is malformed.
-func (c *http2Conn) openStream(f *http2.MetaHeadersFrame) error {
+func (c *http2Conn) openStream(f *http2.MetaHeadersFrame) {
 	s := &stream{id: f.StreamID, conn: c, length: -1, receivedMore: make(chan struct{}), bodyComplete: f.StreamEnded()}
 	out := &http2Response{stream: s}
 	if f.Truncated {
 		c.server.Counters.BadRequests.Add(1)
-		if err := c.budget.spend(resetCost); err != nil {
-			return err
-		}
+		c.charge(malformedStream)
 		c.startStream(s, func() { writeErrorResponse(out, http.StatusRequestHeaderFieldsTooLarge, reasonHeadTooLarge) })
-		return nil
+		return
 	}
 	request, err := parseHTTP2Request(f)
 	if err != nil {
 		defer c.requestDone()
 		c.server.Counters.BadRequests.Add(1)
-		if err := c.budget.spend(resetCost); err != nil {
-			return err
-		}
+		c.charge(malformedStream)
 		c.resetStream(s.id, http2.ErrCodeProtocol)
-		return nil
-	}
-	if s.bodyComplete && request.Length > 0 {
-		defer c.requestDone()
-		c.resetStream(s.id, http2.ErrCodeProtocol)
-		return nil
+		return
 	}
+	c.budget.creditRequest()
 	out.isHead = request.Method == http.MethodHead
 	s.setBody(request, out)
 	c.startStream(s, func() { c.server.serveRequest(&s.cancel, "h2", request, out) })
-	return nil
 }
 
 // setBody connects a request to the body of its stream.
