--- a/cmd/lilacbend/sidecar_child_test.go
+++ b/cmd/lilacbend/sidecar_child_test.go
@@ -11,18 +11,18 @@
 	"lilacbend/experiment/scriptedpeer"
 )
 
-// writeManifest writes a sidecar's manifest with one replica.
-func writeManifest(t *testing.T, file, listen, replica string) {
+// writeManifest writes a sidecar's manifest with one replica. The protocol is that of the listener, http1 or http2.
+func writeManifest(t *testing.T, file, protocol, listen, replica string) {
 	t.Helper()
 	text := fmt.Sprintf(`
 name: shop
 proxy: 0
 zone: a
-listen: {http1: %q}
+listen: {%s: %q}
 replicas: [{id: r0, zone: a, address: %q}]
 groups: [{name: payout, effect: non-retriable, latency_budget: 10s, expiry: 1m}]
 rules: [{group: payout}]
-`, listen, replica)
+`, protocol, listen, replica)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -31,7 +31,7 @@
 // A manifest that is missing or incomplete at SIGHUP is read again until it is complete, without a second SIGHUP.
 func TestSidecarManifestIsReadAgain(t *testing.T) {
 	listen, file := scriptedpeer.FreeAddress(t), filepath.Join(t.TempDir(), "shop.yaml")
-	writeManifest(t, file, listen, "127.0.0.1:9")
+	writeManifest(t, file, "http1", listen, "127.0.0.1:9")
 	process := startProgram(t, nil, "sidecar", "--manifest", file)
 	scriptedpeer.DialWhenUp(t, listen)
 	for k, makeUnusable := range []func() error{func() error { return os.Remove(file) }, func() error { return os.WriteFile(file, []byte("name: sh"), 0o600) }} {
@@ -40,7 +40,7 @@
 		}
 		process.signal(syscall.SIGHUP)
 		scriptedpeer.WaitFor(t, "the failed reload is not logged once for the signal", func() bool { return process.log.count("manifest reload failed") == k+1 })
-		writeManifest(t, file, listen, "127.0.0.1:9")
+		writeManifest(t, file, "http1", listen, "127.0.0.1:9")
 		scriptedpeer.WaitFor(t, "the rules are not reloaded once", func() bool { return process.log.count("manifest rules reloaded") == k+1 })
 	}
 	if process.expectExit(syscall.SIGTERM); process.log.count("manifest reload failed") != 2 {
@@ -53,7 +53,7 @@
 func TestSidecarSIGTERMTwiceWithRequestInFlight(t *testing.T) {
 	replica, listen := scriptedpeer.Listen(t), scriptedpeer.FreeAddress(t)
 	file := filepath.Join(t.TempDir(), "shop.yaml")
-	writeManifest(t, file, listen, replica.Address())
+	writeManifest(t, file, "http1", listen, replica.Address())
 	process := startProgram(t, nil, "sidecar", "--manifest", file)
 	client := scriptedpeer.DialWhenUp(t, listen)
 	client.SendRaw("POST /payouts HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\npay")
