HTTP/2 clients: the graceful end of a connection has a name that says so

Need: finish stood beside finishStream and finishResponse and said nothing of the GOAWAY or of the requests in flight.

Change: finish is endGracefully, isRefusing has a comment, one comment is wrapped. No behaviour changes.

--- a/internal/ingress/http2_shutdown.go
+++ b/internal/ingress/http2_shutdown.go
@@ -51,24 +51,25 @@
 		return
 	case <-time.After(drainPause):
 	}
-	c.finish(http2.ErrCodeNo)
+	c.endGracefully(http2.ErrCodeNo)
 }
 
+// isRefusing reports whether the connection refuses further streams.
 func (c *http2Conn) isRefusing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.refusing
 }
 
-// finish refuses further streams by a GOAWAY with the given reason, and lets the connection end with its last response. Only
-// the first call has an effect.
-func (c *http2Conn) finish(reason http2.ErrCode) {
+// endGracefully refuses further streams by a GOAWAY with the given reason, and lets the connection end with its last
+// response. Only the first call has an effect.
+func (c *http2Conn) endGracefully(reason http2.ErrCode) {
 	c.mu.Lock()
-	finishing := c.refusing
+	ending := c.refusing
 	c.refusing = true
 	last := c.lastServed
 	c.mu.Unlock()
-	if finishing {
+	if ending {
 		return
 	}
 	c.write(func() error { return c.framer.WriteGoAway(last, reason, nil) })
@@ -110,7 +111,7 @@
 	inFlight := c.inFlight
 	c.mu.Unlock()
 	c.server.log.Warn("HTTP/2 client sent too many control frames, ending its connection", "from", c.conn.RemoteAddr(), "in_flight", inFlight, "frames", &c.budget)
-	c.finish(http2.ErrCodeEnhanceYourCalm)
+	c.endGracefully(http2.ErrCodeEnhanceYourCalm)
 }
 
 // isOverdue reports whether the connection has to be closed though requests are in flight. The caller holds c.mu.
--- a/internal/ingress/http2_stream.go
+++ b/internal/ingress/http2_stream.go
@@ -94,8 +94,8 @@
 }
 
 // admitStream counts a new stream, unless there are too many streams or new ones are refused. The stream becomes the last
-// one served and in flight at the same time, so that a drain waits for each stream that its GOAWAY covers. A client may repeat
-// a request that was refused.
+// one served and in flight at the same time, so that a drain waits for each stream that its GOAWAY covers. A client may
+// repeat a request that was refused.
 func (c *http2Conn) admitStream(id uint32) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
