Tests: a GOAWAY names the last stream that was served

Need: the graceful end of floods made a GOAWAY name the last stream served in place of the last one seen; no test held it where the two differ, after refused streams.

Change: TestGoAwayNamesTheLastServedStream drains a connection of which two streams were refused.

--- a/internal/sidecar/http2_test.go
+++ b/internal/sidecar/http2_test.go
@@ -404,3 +404,29 @@
 		t.Errorf("HTTP/1.1 request to the HTTP/2 listener: %q", got)
 	}
 }
+
+// A drain follows streams that were refused. Its GOAWAY names the last stream that was served, so that the client knows
+// that it may repeat the refused ones.
+func TestGoAwayNamesTheLastServedStream(t *testing.T) {
+	const lastServed, lastOpened = 5, 9
+	testReplica := startReplica(t, nil)
+	testReplica.ServiceTime.Store(int64(200 * time.Millisecond))
+	s := startSidecar(t, func(f string) string { return strings.Replace(f, "streams: 100", "streams: 3", 1) }, testReplica.Addr)
+	client := dialHTTP2(t, s, 1<<20)
+	for id := uint32(1); id <= lastOpened; id += 2 {
+		client.OpenStream(id, "GET", "/stock", false)
+	}
+	if !client.WaitFor(streamTimeout, streamsDone(lastOpened)) || client.Stream(lastOpened).ErrCode != http2.ErrCodeRefusedStream {
+		t.Fatalf("stream over the limit: %+v", client.Stream(lastOpened))
+	}
+	s.stop()
+	if !client.WaitFor(streamTimeout, func(c *replica.HTTP2Client) bool { return c.Closed }) {
+		t.Fatal("connection is still open after the drain")
+	}
+	if len(client.GoAways) != 2 || client.GoAways[1].LastStreamID != lastServed {
+		t.Errorf("GOAWAY frames %+v, want two, the second with last stream %d", client.GoAways, lastServed)
+	}
+	if got := client.Stream(lastServed); got.Status != "200" {
+		t.Errorf("last served stream: %+v, want 200", got)
+	}
+}
