--- a/review/_stand2/early.go
+++ b/review/_stand2/early.go
@@ -17,13 +17,13 @@
 // The case "early": clients send an order of some size and then a payout on the same connection, while one of six replicas
 // quickly fails a part of its requests.
 const (
-	earlyClients = 12
+	earlyClients = 24
 	earlyBegin   = 3 * time.Second // after the clients
 	earlyTime    = 20 * time.Second
 	earlyEnd     = earlyBegin + earlyTime + 3*time.Second
-	earlyPause   = 50 * time.Millisecond // of a client between two pairs of requests
-	orderSizeMin = 100 << 10
-	orderSizeMax = 300 << 10
+	earlyPause   = 20 * time.Millisecond // of a client between two pairs of requests
+	orderSizeMin = 80 << 10
+	orderSizeMax = 240 << 10
 )
 
 // earlyCase counts the requests of the clients.
