--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,7 @@
   echo 'build first: the build command of deploy/balancer.toml, then review/build-2.sh'
   exit 2
 fi
-exec bin/stand2 idle review/7
+timeout -k 3 115 bin/stand2 idle review/7
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/_stand2/idle.go
+++ b/review/_stand2/idle.go
@@ -17,14 +17,14 @@
 // The case "idle": clients that keep their connection open, and send their next payout before the sidecar's idle timeout,
 // while the sidecar stands still again and again.
 const (
-	idleTimeout  = 5 * time.Second
-	thinkMin     = 3 * time.Second // between an answer and the next request of a client
-	thinkMax     = 4700 * time.Millisecond
-	idleClients  = 50 // of each sidecar
+	idleLimits   = "idle: 8s"
+	thinkMin     = 5 * time.Second // between an answer and the next request of a client
+	thinkMax     = 7700 * time.Millisecond
+	idleClients  = 240 // of each sidecar
 	stallPeriod  = 38 * time.Second
 	stallTime    = 1900 * time.Millisecond
-	stallGapMin  = 1000 * time.Millisecond
-	stallGapMax  = 2000 * time.Millisecond
+	stallGapMin  = 2200 * time.Millisecond
+	stallGapMax  = 3900 * time.Millisecond
 	answerWithin = 10 * time.Second // a client waits for an answer longer than any rule asks for
 )
 
@@ -37,7 +37,7 @@
 }
 
 func runIdle(c *caseRun) error {
-	s, err := c.startSite(6, 2, "idle: 5s")
+	s, err := c.startSite(6, 2, idleLimits)
 	if err != nil {
 		return err
 	}
