Sidecar: a request that arrives before a timeout is served after a stall

Cause: the Go runtime checks a read's deadline before it asks the kernel. After a stop the timers run first, and a deadline that has passed hides the bytes in the receive buffer.

Change: package socket reads what has arrived without waiting and regardless of the deadline; reads whose deadline has passed ask it before they fail. The same cause on related paths: heads, bodies, HTTP/2 prefaces and idle connections, replicas' responses, collectors, configuration servers, the clients of governors, discovery and configuration servers; a governor's joins share the code. idle_closed in /figures counts connections closed as idle.

--- a/cmd/lilacbend/sidecar_stall_test.go
+++ b/cmd/lilacbend/sidecar_stall_test.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
 	"path/filepath"
 	"strconv"
 	"syscall"
@@ -108,3 +112,60 @@
 		t.Errorf("GOAWAY frames %+v, want none", client.GoAways)
 	}
 }
+
+// A sidecar stands still while its client sends the next request on an idle connection, and the idle timeout passes before it
+// goes on: the request arrived in time, so it is executed once and answered.
+func TestSidecarThatStandsStillServesIdleConnection(t *testing.T) {
+	const (
+		idle   = 300 * time.Millisecond
+		stalls = 3
+	)
+	replicaServer, err := replica.NewReplica("127.0.0.1:0", 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(replicaServer.Stop)
+	listen, file := scriptedpeer.FreeAddress(t), filepath.Join(t.TempDir(), "shop.yaml")
+	writeManifest(t, file, "http1", listen, replicaServer.Addr)
+	appendToFile(t, file, fmt.Sprintf("limits: {idle: %v}\n", idle))
+	// With one processor the runtime runs its timers first after a stop, before it asks what has arrived.
+	process := startProgram(t, []string{"GOMAXPROCS=1"}, "sidecar", "--manifest", file)
+	scriptedpeer.DialWhenUp(t, listen).Close()
+	client := scriptedpeer.Dial(t, listen)
+	pay := func(key string) {
+		client.SendRaw("POST /payouts HTTP/1.1\r\nHost: x\r\nKey: " + key + "\r\nContent-Length: 2\r\n\r\nhi")
+	}
+	expectAnswer := func(key string) {
+		t.Helper()
+		response, err := http.ReadResponse(client.Reader, nil)
+		if err != nil {
+			t.Fatalf("request %s got no answer: %v", key, err)
+		}
+		io.Copy(io.Discard, response.Body)
+		if n := replicaServer.RunsByKey()[key]; n != 1 || response.StatusCode != http.StatusOK {
+			t.Errorf("request %s was executed %d times and answered with %d, want once and 200", key, n, response.StatusCode)
+		}
+	}
+	pay("first")
+	expectAnswer("first")
+	for stall := range stalls {
+		key := strconv.Itoa(stall)
+		process.signal(syscall.SIGSTOP)
+		pay(key)
+		time.Sleep(2 * idle)
+		process.signal(syscall.SIGCONT)
+		expectAnswer(key)
+	}
+}
+
+// appendToFile appends text to a file.
+func appendToFile(t *testing.T, name, text string) {
+	t.Helper()
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(name, append(raw, text...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/configserver/listener.go
+++ b/internal/configserver/listener.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"lilacbend/internal/socket"
 )
 
 // acceptRetryInterval is the pause after a failed accept, for example because the process has no file descriptor left.
@@ -52,6 +54,9 @@
 	once     sync.Once
 }
 
+// Read reads what the follower sends, including a request that has arrived before a deadline that has passed by now.
+func (c *limitedConn) Read(p []byte) (int, error) { return socket.Read(c.Conn, p) }
+
 // Close closes the connection.
 func (c *limitedConn) Close() error {
 	c.once.Do(func() { c.listener.open.Add(-1) })
--- a/internal/configwatch/pacedconn.go
+++ b/internal/configwatch/pacedconn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lilacbend/internal/configclient"
+	"lilacbend/internal/socket"
 )
 
 // pacedConn is a connection whose read deadline is extended by each part of an answer that arrives, up to a final deadline.
@@ -28,7 +29,7 @@
 
 // Read reads from the connection, and extends the read deadline if data has arrived.
 func (c *pacedConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
+	n, err := socket.Read(c.Conn, buffer)
 	if n > 0 {
 		c.counts.bytesIn.Add(int64(n))
 		c.received = true
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -14,6 +14,7 @@
 	"lilacbend/internal/backoff"
 	"lilacbend/internal/dispatch"
 	"lilacbend/internal/resp"
+	"lilacbend/internal/socket"
 )
 
 const (
@@ -154,7 +155,7 @@
 
 // readUpdates applies the updates of a stream until it ends, and returns why it has ended.
 func (c *Client) readUpdates(w *messageWriter, address string) error {
-	reader := resp.NewReader(w.conn, c.pool)
+	reader := resp.NewReader(socket.Reader{Conn: w.conn}, c.pool)
 	for message := (updateMessage{}); ; {
 		words, err := readMessage(w.conn, reader)
 		if err != nil {
--- a/internal/controlclient/collector.go
+++ b/internal/controlclient/collector.go
@@ -12,6 +12,7 @@
 
 	"lilacbend/internal/backoff"
 	"lilacbend/internal/resp"
+	"lilacbend/internal/socket"
 )
 
 const (
@@ -89,7 +90,7 @@
 // be used are skipped.
 func (c *Collector) readSidecar(conn net.Conn) error {
 	writer := &messageWriter{conn: conn, pool: c.pool}
-	for reader := resp.NewReader(conn, c.pool); ; {
+	for reader := resp.NewReader(socket.Reader{Conn: conn}, c.pool); ; {
 		conn.SetReadDeadline(time.Now().Add(sidecarTimeout))
 		words, err := reader.Next()
 		if errors.Is(err, resp.ErrNotBulkStringArray) {
--- a/internal/controlclient/races_test.go
+++ b/internal/controlclient/races_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,6 +16,7 @@
 
 	"lilacbend/experiment/scriptedpeer"
 	"lilacbend/internal/dispatch"
+	"lilacbend/internal/resp"
 )
 
 // startClient runs a Client of the controllers at the listeners until the test ends.
@@ -278,3 +282,18 @@
 		t.Error("the reporter has not stopped after 1 s")
 	}
 }
+
+// A report arrives while the collector stands still, and the collector asks for it only after the timeout: it is received.
+func TestReportThatArrivesDuringStallIsReceived(t *testing.T) {
+	listener := scriptedpeer.Listen(t)
+	sidecar := scriptedpeer.Dial(t, listener.Address())
+	accepted := listener.AcceptConn().Conn.(*net.TCPConn)
+	sidecar.SendRaw(scriptedpeer.EncodeMessage("met target s-1 count 3 fail 1 mean 20.000") + scriptedpeer.EncodeMessage("probe"))
+	collector := &Collector{Log: slog.New(slog.DiscardHandler), pool: resp.NewPool(1 << 20)}
+	scriptedpeer.AwaitArrival(t, accepted)
+	err := collector.readSidecar(scriptedpeer.LateConn{TCPConn: accepted})
+	if received := collector.Received.Load(); received != 1 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%d reports received, connection ended with %v; want 1 report before the timeout", received, err)
+	}
+	sidecar.WaitForMessage("alive")
+}
--- a/internal/controlserver/join.go
+++ b/internal/controlserver/join.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"io"
 	"os"
-	"syscall"
 	"time"
 
 	"lilacbend/internal/resp"
+	"lilacbend/internal/socket"
 )
 
 const (
@@ -51,38 +51,18 @@
 		return n, err
 	}
 	r.lateBytes = maxLateBytes
-	r.conn.SetReadDeadline(time.Time{})
 	return r.readArrived(buffer)
 }
 
-// readArrived reads from the kernel's receive buffer without waiting. It returns errJoinTimeout if the buffer is empty or
-// lateBytes is used up.
+// readArrived reads data that has already arrived, without waiting. It returns errJoinTimeout if there is none or lateBytes
+// is used up.
 func (r joinReader) readArrived(buffer []byte) (int, error) {
-	socket, ok := r.conn.(syscall.Conn)
-	if !ok {
-		return 0, errJoinTimeout
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var n int
-	var readErr error
-	err = raw.Read(func(fd uintptr) bool {
-		n, readErr = syscall.Read(int(fd), buffer)
-		return true
-	})
-	if err != nil {
-		return 0, err
-	}
+	n, err := socket.ReadArrived(r.conn, buffer)
 	r.lateBytes -= n
-	if r.lateBytes <= 0 || n < 0 {
+	if errors.Is(err, os.ErrDeadlineExceeded) || r.lateBytes <= 0 {
 		return 0, errJoinTimeout
 	}
-	if n == 0 {
-		return 0, io.EOF
-	}
-	return n, readErr
+	return n, err
 }
 
 // join handles the first message of a peer, which has to state the peer's role.
--- a/internal/discovery/conn.go
+++ b/internal/discovery/conn.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"time"
+
+	"lilacbend/internal/socket"
 )
 
 // pacedConn is a connection whose read deadline is extended whenever a piece of an answer arrives, up to a final deadline.
@@ -27,7 +29,7 @@
 // Read reads from the connection, and extends the deadline if it has read something. It never shortens the deadline: a
 // service that sends the header of an answer at once may delay the body as long as it may delay the whole answer.
 func (c *pacedConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
+	n, err := socket.Read(c.Conn, buffer)
 	if n > 0 {
 		c.received = true
 		c.extendDeadline()
--- a/internal/ingress/deadline.go
+++ b/internal/ingress/deadline.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"lilacbend/internal/socket"
 )
 
 // expired is a deadline in the past: setting it ends pending reads at once.
@@ -23,7 +25,8 @@
 	hasFirstByte bool
 }
 
-// Read returns the first byte of the request if there is one, and else reads within the timeout or the deadline.
+// Read returns the first byte of the request if there is one, and else reads within the timeout or the deadline. It returns
+// bytes that have arrived even if the process learns of them only after that time.
 func (r *deadlineReader) Read(p []byte) (int, error) {
 	if r.hasFirstByte && len(p) > 0 {
 		p[0] = r.firstByte
@@ -40,9 +43,12 @@
 			r.conn.SetReadDeadline(expired)
 		}
 		n, err := r.conn.Read(p)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || r.stopped.Load() || !time.Now().Before(deadline) {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || r.stopped.Load() {
 			return n, err
 		}
+		if !time.Now().Before(deadline) {
+			return socket.ReadArrived(r.conn, p)
+		}
 		// The read ended early because a concurrent drain set the shorter deadline of an idle connection just as this
 		// request arrived: read again with the deadline of the request.
 	}
--- a/internal/ingress/http1_conn.go
+++ b/internal/ingress/http1_conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lilacbend/internal/proxy"
+	"lilacbend/internal/socket"
 	"lilacbend/internal/upstream"
 )
 
@@ -94,15 +95,19 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request, and returns it.
+// awaitRequest waits for the first byte of a request, and returns it. A byte that has arrived is read even if the idle timeout
+// has passed by now: the client sent it on an open connection, and could not learn whether the request was executed.
 func (c *http1Conn) awaitRequest() (byte, error) {
 	c.conn.SetReadDeadline(time.Now().Add(c.server.limits.IdleTimeout))
 	if c.server.Draining() {
 		c.conn.SetReadDeadline(time.Now().Add(drainPause))
 	}
-	n, err := c.conn.Read(c.firstByte[:])
-	if n == 0 && err == nil {
+	n, err := socket.Read(c.conn, c.firstByte[:])
+	switch {
+	case n == 0 && err == nil:
 		err = io.ErrNoProgress
+	case errors.Is(err, os.ErrDeadlineExceeded) && !c.server.Draining():
+		c.server.Counters.IdleTimeouts.Add(1)
 	}
 	return c.firstByte[0], err
 }
--- a/internal/ingress/http2_conn.go
+++ b/internal/ingress/http2_conn.go
@@ -13,6 +13,8 @@
 
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
+
+	"lilacbend/internal/socket"
 )
 
 const (
@@ -100,8 +102,9 @@
 	return c
 }
 
-// http2Reader reads a connection and fails when an idle one exceeds its timeout. While requests are in flight a timeout
-// does not end the connection, because the client may have nothing to send while it waits for the responses.
+// http2Reader reads a connection and fails when an idle one exceeds its timeout, unless bytes have arrived by then. While
+// requests are in flight a timeout does not end the connection, because the client may have nothing to send while it waits
+// for the responses.
 type http2Reader http2Conn
 
 // Read reads what the client sends.
@@ -116,10 +119,14 @@
 			return n, err
 		}
 		c.mu.Lock()
-		waiting := c.inFlight > 0 && !c.lingering && !c.isOverdue()
+		overdue := c.isOverdue()
+		waiting := c.inFlight > 0 && !c.lingering
 		c.mu.Unlock()
-		if !waiting {
+		switch {
+		case overdue:
 			return 0, err
+		case !waiting:
+			return socket.ReadArrived(c.conn, p)
 		}
 	}
 }
@@ -196,7 +203,7 @@
 func (c *http2Conn) readPreface() error {
 	preface := make([]byte, len(http2.ClientPreface))
 	c.conn.SetReadDeadline(time.Now().Add(c.server.limits.HeadTimeout))
-	if _, err := io.ReadFull(c.conn, preface); err != nil {
+	if _, err := io.ReadFull(socket.Reader{Conn: c.conn}, preface); err != nil {
 		return err
 	}
 	if string(preface) != http2.ClientPreface {
--- a/internal/ingress/http2_shutdown.go
+++ b/internal/ingress/http2_shutdown.go
@@ -143,6 +143,7 @@
 		c.server.log.Debug("closing HTTP/2 connection after a client error", "from", c.conn.RemoteAddr(), "error", err)
 		c.connWriter.setOverallTimeout(goAwayTimeout)
 	case errors.Is(err, os.ErrDeadlineExceeded) && !refusing: // idle for too long, which is not a client error
+		c.server.Counters.IdleTimeouts.Add(1)
 		c.connWriter.setOverallTimeout(drainPause)
 	default:
 		return
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -86,6 +86,7 @@
 	Unclassified  atomic.Int64 // requests that belong to no traffic class
 	Resets        atomic.Int64 // streams that clients have reset
 	ControlFloods atomic.Int64 // connections ended for too many control frames
+	IdleTimeouts  atomic.Int64 // connections closed because no request began in time
 	Stalls        atomic.Int64 // streams whose client neither sent nor accepted data for too long
 	CutOff        atomic.Int64 // requests that were cut off by a shutdown, or by the end of a connection with a flood
 	Panics        atomic.Int64
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -1,8 +1,6 @@
 package ingress
 
 import (
-	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -10,8 +8,6 @@
 	"time"
 
 	"lilacbend/experiment/scriptedpeer"
-	"lilacbend/internal/proxy"
-	"lilacbend/internal/upstream"
 )
 
 // deadlineDelayingListener is a listener whose connections delay the read deadline that a drain sets on an idle connection,
@@ -82,18 +78,7 @@
 		idleReads:  make(chan struct{}, 100),
 		drainReads: make(chan struct{}, 100),
 	}
-	server := New(Config{
-		Limits: Limits{MaxConnections: 1, IdleTimeout: time.Minute, HeadTimeout: time.Minute, StallTimeout: time.Minute, MaxStreams: 1, DrainTimeout: time.Minute},
-		Handler: func(_ *upstream.Cancellation, _ *proxy.Request, out proxy.ResponseWriter) proxy.Result {
-			out.WriteHeader(http.StatusOK, http.Header{}, 2)
-			io.WriteString(out, "ok")
-			out.Finish(nil)
-			return proxy.Result{}
-		},
-		Classify:     func(string, string, string, http.Header) int { return 0 },
-		Log:          slog.New(slog.DiscardHandler),
-		OnRequestEnd: func(Record) {},
-	})
+	server := newTestServer(Limits{}, serveBody)
 	served := make(chan struct{})
 	go func() { server.ServeHTTP1(listener); close(served) }()
 	client := scriptedpeer.Dial(t, listener.Addr().String())
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -49,6 +49,7 @@
 		"resets":       c.Resets.Load(),
 		"floods":       c.ControlFloods.Load(),
 		"stalls":       c.Stalls.Load(),
+		"idle_closed":  c.IdleTimeouts.Load(),
 		"lost":         c.CutOff.Load(),
 		"panics":       c.Panics.Load(),
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"lilacbend/internal/socket"
 )
 
 const (
@@ -32,8 +34,9 @@
 	pool      *Pool
 	address   string
 	reader    *bufio.Reader
-	readLimit int64 // bytes that may still be read; bodies are unlimited
-	written   int   // bytes of the current request that were sent
+	readLimit int64         // bytes that may still be read; bodies are unlimited
+	written   int           // bytes of the current request that were sent
+	cancel    *Cancellation // of the current request
 	idleSince time.Time
 	reused    bool // an earlier request used it
 	stopBody  func()
@@ -84,12 +87,16 @@
 	return c.rawConn.Read(c.peek) == nil && c.peekIdle
 }
 
-// Read reads from the connection. It fails with errHeadTooLarge once readLimit bytes were read.
+// Read reads from the connection. It fails with errHeadTooLarge once readLimit bytes were read. Bytes that have arrived are
+// read even if the deadline has passed by now, unless the request was canceled.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.readLimit <= 0 {
 		return 0, errHeadTooLarge
 	}
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.cancel.Canceled() {
+		n, err = socket.ReadArrived(c.Conn, p)
+	}
 	c.readLimit -= int64(n)
 	return n, err
 }
@@ -105,6 +112,7 @@
 // closed.
 func (c *conn) roundTrip(cancel *Cancellation, deadline time.Time, r *Request) (*Response, error) {
 	cancel.attach(c.Conn, deadline)
+	c.cancel = cancel
 	c.written = 0
 	c.stopBody = r.StopBody
 	bodySent, err := c.send(cancel, r)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -122,3 +123,36 @@
 		t.Errorf("counters %+v, want all open connections idle", counters)
 	}
 }
+
+// A response arrives in time while the process stands still, and the process asks for it only after the deadline: the attempt
+// succeeds, as the replica has executed the request.
+func TestResponseThatArrivesDuringStallIsRead(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	listener := scriptedpeer.Listen(t)
+	stall := scriptedpeer.NewStall(1)
+	pool := NewPool(Config{MaxConnections: 1, MaxIdle: 1, IdleTimeout: time.Minute, StallTimeout: time.Minute})
+	defer pool.Close()
+	dial := pool.dial
+	pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return stall.Conn(conn), nil
+	}
+	go func() {
+		replica := listener.AcceptConn()
+		replica.ReadRequestHead()
+		replica.SendRaw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		time.Sleep(2 * timeout)
+		stall.Resume()
+	}()
+	response, err := pool.Do(&Cancellation{}, time.Now().Add(timeout), listener.Address(), &Request{Method: "GET", Target: "/", Host: "x"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	if body, err := io.ReadAll(response); err != nil || string(body) != "ok" {
+		t.Errorf("body %q, error %v, want ok", body, err)
+	}
+}
