Governors, collectors: the words of long messages are bounded with their buffers

What callers saw: hundreds of peers that stop half way through a message of very many short words took most of a governor's memory (165 MB of 192, its soft limit, without any other work).

Cause: the pool for long messages counted buffers alone. The words of a message take several times as much as its bytes, a list was allocated at its announced length, and buffers were held until the end of the message. Evidence: 900 connections that had not joined, which may send 4 KB, took 34 MB.

Change: a reader returns buffers whose words were copied, and reserves the memory of words beyond 4 KB a message in the pool. A message that the pool has no memory for ends its connection as before.

--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -10,9 +10,15 @@
 const (
 	// maxLengthDigits is larger than the number of digits of any length that fits MaxMessageSize.
 	maxLengthDigits = 8
-	// minElementBytes and minWordBytes are the smallest sizes of an element and of a word, line ends included.
+	// minElementBytes is the smallest size of an element, line end included.
 	minElementBytes = len("+\r\n")
-	minWordBytes    = len("$0\r\n\r\n")
+	// usualWords is the number of words that a usual message has at most. Longer lists of words grow as words arrive, since
+	// the length that a message announces may never be sent.
+	usualWords = 16
+	// wordOverhead is the memory that a word takes besides its bytes, in bytes: its place in a list that grows by doubling.
+	wordOverhead = 32
+	// freeWordBytes is the memory that the words of one message may take without a reservation in the pool, in bytes.
+	freeWordBytes = BufferSize
 )
 
 // Types of elements. The first byte of an element is its type.
@@ -44,15 +50,17 @@
 // ErrNotBulkStringArray reports that a complete message is not an array of bulk strings. The next message can be read.
 var ErrNotBulkStringArray = errors.New("not an array of bulk strings")
 
-// Reader reads messages from one connection. It holds one or two buffers, more of them for long messages, and none after
-// Close.
+// Reader reads messages from one connection. It holds one or two buffers, more of them for long words, and none after Close.
+// Buffers are returned to the pool as soon as their content was read, and the words of a long message are reserved there.
 type Reader struct {
 	source         io.Reader
 	pool           *Pool
 	buffers        []*buffer
 	position       int // position of the next byte to parse, from the start of the first buffer
 	end            int // position after the last received byte
-	messageStart   int // position of the current message's first byte
+	messageStart   int // position of the current message's first byte; negative once its first buffer was returned
+	wordBytes      int // memory of the current message's words
+	reservedUnits  int // units of that memory that are reserved in the pool
 	maxMessageSize int // bytes
 	messages       int // messages read so far
 }
@@ -71,6 +79,7 @@
 		r.pool.put(b)
 	}
 	r.buffers = nil
+	r.releaseWords()
 	r.position, r.end, r.messageStart = 0, 0, 0
 }
 
@@ -78,6 +87,7 @@
 // whose Bytes is 0.
 func (r *Reader) Next() ([]string, error) {
 	r.releaseRead()
+	r.releaseWords()
 	words, err := r.readMessage()
 	if err != nil && !errors.Is(err, ErrNotBulkStringArray) {
 		if errors.Is(err, io.EOF) && r.end > r.messageStart {
@@ -89,19 +99,46 @@
 	return words, err
 }
 
-// releaseRead returns buffers whose content was read to the pool. If no unread bytes are left, the last buffer is filled
-// from its start again.
+// releaseRead begins a message: it returns buffers whose content was read to the pool. If no unread bytes are left, the last
+// buffer is filled from its start again.
 func (r *Reader) releaseRead() {
+	r.releaseBuffers()
+	if r.position == r.end {
+		r.position, r.end = 0, 0
+	}
+	r.messageStart = r.position
+}
+
+// releaseBuffers returns buffers whose content was read to the pool, but for the last one.
+func (r *Reader) releaseBuffers() {
 	for len(r.buffers) > 1 && r.position >= BufferSize {
 		r.pool.put(r.buffers[0])
 		r.buffers = r.buffers[1:]
 		r.position -= BufferSize
 		r.end -= BufferSize
+		r.messageStart -= BufferSize
 	}
-	if r.position == r.end {
-		r.position, r.end = 0, 0
+}
+
+// releaseWords releases the memory that is reserved for the words of the last message.
+func (r *Reader) releaseWords() {
+	if r.reservedUnits > 0 {
+		r.pool.releaseWords(r.reservedUnits)
 	}
-	r.messageStart = r.position
+	r.reservedUnits = 0
+	r.wordBytes = 0
+}
+
+// reserveWord reserves memory for a part of a word, as far as it exceeds the free allowance of the message.
+func (r *Reader) reserveWord(bytes int) error {
+	r.wordBytes += bytes
+	for r.wordBytes > freeWordBytes+r.reservedUnits*BufferSize {
+		if err := r.pool.reserveWords(); err != nil {
+			return err
+		}
+		r.reservedUnits++
+	}
+	return nil
 }
 
 // readMessage reads one message of any type to its end, including nested arrays, so that the next message can be read. It
@@ -162,7 +199,7 @@
 		m.notWords = true
 	}
 	if !m.notWords {
-		m.words = make([]string, 0, min(length, BufferSize/minWordBytes))
+		m.words = make([]string, 0, min(length, usualWords))
 	}
 	return nil
 }
@@ -238,11 +275,15 @@
 	if r.position-r.messageStart+size > r.maxMessageSize {
 		return "", fmt.Errorf("%w: over %d bytes", ErrUnreadable, r.maxMessageSize)
 	}
+	r.releaseBuffers()
 	for r.end-r.position < size {
 		if err := r.fill(); err != nil {
 			return "", err
 		}
 	}
+	if err := r.reserveWord(wordOverhead); err != nil {
+		return "", err
+	}
 	word := make([]byte, 0, size)
 	for size > 0 {
 		from := r.position % BufferSize
@@ -250,6 +291,10 @@
 		word = append(word, part...)
 		r.position += len(part)
 		size -= len(part)
+		r.releaseBuffers() // before the word is reserved, so that a long word is not counted twice
+		if err := r.reserveWord(len(part)); err != nil {
+			return "", err
+		}
 	}
 	if err := r.expectByte('\r'); err != nil {
 		return "", err
@@ -274,6 +319,7 @@
 
 // fill reads more bytes from the source, into another buffer if the last one is full.
 func (r *Reader) fill() error {
+	r.releaseBuffers()
 	if r.end == len(r.buffers)*BufferSize {
 		b, err := r.pool.get(len(r.buffers) < 2) // a short message may span two buffers
 		if err != nil {
