Sidecars, collectors: ended connections return their buffers

What callers would see: after some 500 reconnects a sidecar reads no table of more than 8 KB, and a collector no long message, until it is started again.

Cause: only governors closed the reader of a connection, which returns its buffers to the pool, so each connection of the others counted one or two as in use for good.

Change: the other four places close their reader, and the example does.

--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -157,6 +157,7 @@
 		}
 	}()
 	reader := resp.NewReader(p.conn, p.pool)
+	defer reader.Close()
 	for {
 		words, err := reader.Next()
 		if err != nil {
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -156,6 +156,7 @@
 // readUpdates applies the updates of a stream until it ends, and returns why it has ended.
 func (c *Client) readUpdates(w *messageWriter, address string) error {
 	reader := resp.NewReader(socket.Reader{Conn: w.conn}, c.pool)
+	defer reader.Close()
 	for message := (updateMessage{}); ; {
 		words, err := readMessage(w.conn, reader)
 		if err != nil {
--- a/internal/controlclient/collector.go
+++ b/internal/controlclient/collector.go
@@ -90,7 +90,9 @@
 // be used are skipped.
 func (c *Collector) readSidecar(conn net.Conn) error {
 	writer := &messageWriter{conn: conn, pool: c.pool}
-	for reader := resp.NewReader(socket.Reader{Conn: conn}, c.pool); ; {
+	reader := resp.NewReader(socket.Reader{Conn: conn}, c.pool)
+	defer reader.Close()
+	for {
 		conn.SetReadDeadline(time.Now().Add(sidecarTimeout))
 		words, err := reader.Next()
 		if errors.Is(err, resp.ErrNotBulkStringArray) {
@@ -187,7 +189,9 @@
 // waitForClose reads until the controller closes the connection or refuses the collector. The only other messages of
 // controllers to collectors are answers to probes.
 func (c *Collector) waitForClose(conn net.Conn) {
-	for reader := resp.NewReader(conn, c.pool); ; {
+	reader := resp.NewReader(conn, c.pool)
+	defer reader.Close()
+	for {
 		words, err := reader.Next()
 		if err != nil || len(words) > 0 && words[0] == wordError {
 			return
--- a/internal/controlclient/collector_conn.go
+++ b/internal/controlclient/collector_conn.go
@@ -43,6 +43,7 @@
 // readAnswers records the answers to probes until the connection ends. It is the only reader; close waits for it.
 func (c *collectorConn) readAnswers(reader *resp.Reader) {
 	defer close(c.done)
+	defer reader.Close()
 	for {
 		words, err := reader.Next()
 		if err != nil && !errors.Is(err, resp.ErrNotBulkStringArray) {
