Sidecar's local port, configuration servers: headers and connections are bounded

What callers saw: a process passed its memory limit when hundreds of clients sent heads of very many short fields, or stopped within a large head.

Cause: the local listener ran net/http with its default of 1 MiB a header and no limit of connections. Configuration servers limited bytes and connections, but a field of 5 bytes takes over 100 once it is parsed, and is held while its query waits.

Change: package httplimit has the configuration server's limits and its listener, and 256 lines before a response; the local listener uses it too, with 128 connections.

TestLocalListenerRefusesLargeHeaders fails without the change, as 100 KB of a header are taken in.

--- a/internal/configserver/server.go
+++ b/internal/configserver/server.go
@@ -7,8 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log"
 	"log/slog"
 	"net"
 	"net/http"
@@ -19,6 +17,7 @@
 	"lilacbend/internal/configclient"
 	"lilacbend/internal/configstore"
 	"lilacbend/internal/configwatch"
+	"lilacbend/internal/httplimit"
 	"lilacbend/settings"
 )
 
@@ -31,8 +30,7 @@
 )
 
 const (
-	// maxHeaderSize (bytes) and headerTimeout limit the size of a request's header and the time to receive it.
-	maxHeaderSize = 8 << 10
+	// headerTimeout limits the time to receive a request's header.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is how long a connection without a request stays open. It exceeds the longest pause of a follower between
 	// two polls.
@@ -74,7 +72,7 @@
 type Server struct {
 	options  Options
 	start    time.Time
-	listener *limitListener
+	listener *httplimit.Listener
 	http     *http.Server
 	closing  chan struct{} // closed at shutdown
 	rescans  chan struct{} // requests by Rescan
@@ -131,14 +129,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("cannot listen: %w", err)
 	}
-	s.listener = &limitListener{Listener: listener, limit: int64(options.MaxConnections)}
-	s.http = &http.Server{
-		Handler:           s.handler(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderSize,
-		ErrorLog:          log.New(io.Discard, "", 0),
-	}
+	s.listener = httplimit.NewListener(listener, options.MaxConnections)
+	s.http = httplimit.NewServer(s.handler(), httplimit.Timeouts{Header: headerTimeout, Idle: idleTimeout})
 	return s, nil
 }
 
--- a/internal/configserver/status.go
+++ b/internal/configserver/status.go
@@ -59,9 +59,9 @@
 		Copies:      s.counts.copies.Load(),
 		Changes:     s.counts.changes.Load(),
 		Throttled:   s.counts.throttled.Load(),
-		Refused:     s.listener.refused.Load(),
+		Refused:     s.listener.Refused.Load(),
 		BytesOut:    s.counts.bytesOut.Load(),
 		WriteErrors: s.counts.writeErrors.Load(),
-		Connections: s.listener.open.Load(),
+		Connections: s.listener.Open.Load(),
 	}
 }
--- a/internal/configserver/listener_test.go
+++ b/internal/httplimit/stall_test.go
@@ -1,4 +1,4 @@
-package configserver
+package httplimit
 
 import (
 	"io"
@@ -15,12 +15,9 @@
 	const timeout = 100 * time.Millisecond
 	listener := scriptedpeer.Listen(t)
 	stall := scriptedpeer.NewStall(3) // after the read of the first query, and that by which net/http notices a lost client
-	server := &http.Server{
-		Handler:     http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }),
-		IdleTimeout: timeout,
-	}
+	server := NewServer(respondOK, Timeouts{Header: time.Minute, Idle: timeout})
 	defer server.Close()
-	go server.Serve(&limitListener{Listener: stall.Listener(listener.Listener), limit: 1})
+	go server.Serve(NewListener(stall.Listener(listener.Listener), 1))
 	follower := scriptedpeer.Dial(t, listener.Address())
 	query := func() (status int, err error) {
 		response, err := http.ReadResponse(follower.Reader, nil)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"lilacbend/internal/discovery"
 	"lilacbend/internal/dispatch"
 	"lilacbend/internal/eventloop"
+	"lilacbend/internal/httplimit"
 	"lilacbend/internal/ingress"
 	"lilacbend/internal/proxy"
 	"lilacbend/internal/upstream"
@@ -33,6 +34,12 @@
 	// headroom beside the live heap.
 	heapFraction = 0.8
 	bytesPerMB   = 1 << 20
+	// maxLocalConnections, and the timeouts for a header, for a response and of an idle connection, bound what the clients of
+	// the local listener occupy.
+	maxLocalConnections = 128
+	localHeaderTimeout  = time.Second
+	localWriteTimeout   = 5 * time.Second
+	localIdleTimeout    = 10 * time.Second
 	// noRevision is the revision of the endpoint list before the first one is received.
 	noRevision = -1
 )
@@ -169,7 +176,8 @@
 	controlCtx, stopControl := context.WithCancel(context.Background())
 	defer stopControl()
 	var running sync.WaitGroup
-	local := &http.Server{Handler: s.localHandler(), ReadHeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
+	local := httplimit.NewServer(s.localHandler(), httplimit.Timeouts{Header: localHeaderTimeout, Idle: localIdleTimeout})
+	local.WriteTimeout = localWriteTimeout
 	defer local.Close()
 	s.startServers(&running, local)
 	s.limitMemory()
@@ -195,7 +203,7 @@
 		case keyHTTP2:
 			running.Go(func() { s.server.ServeHTTP2(l) })
 		case keyLocal:
-			running.Go(func() { local.Serve(l) })
+			running.Go(func() { local.Serve(httplimit.NewListener(l, maxLocalConnections)) })
 		}
 	}
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -504,3 +504,15 @@
 		t.Error("listener still accepts connections")
 	}
 }
+
+// The local listener refuses a header that is too large instead of holding it.
+func TestLocalListenerRefusesLargeHeaders(t *testing.T) {
+	s := startSidecar(t, func(text string) string {
+		return strings.Replace(text, "listen: {", `listen: {local: "127.0.0.1:000", `, 1)
+	}, "127.0.0.1:9")
+	client := scriptedpeer.Dial(t, s.Address("local"))
+	client.SendRaw("GET /figures HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("x", 100_000))
+	if got := readResponse(client); !strings.HasPrefix(got, "431") { // the end of its body may be lost by a reset
+		t.Errorf("response %q, want 431", got)
+	}
+}
