Sidecar: requests that are not complete are bounded together

What callers saw: with hundreds of HTTP/2 clients that stopped half way through requests, or sent heads of very many short fields, a sidecar passed its memory limit.

Cause: each request was bounded in bytes and each connection in streams, and nothing bounded them together: flows counts a request once its head and a short body were read. A parsed field takes over 100 bytes, a buffer that doubles twice its content.

The memory of HTTP/2 requests and of what was received of their bodies is counted: 64 KiB for each connection, and (flows + waiting) times 64 KiB or a quarter of memory_mb for all. A stream beyond it is refused unexecuted, one that has begun is reset. Bodies are kept in chunks of 4 KiB. memory_full in /figures counts.

--- a/internal/ingress/http1_conn.go
+++ b/internal/ingress/http1_conn.go
@@ -225,7 +225,7 @@
 		closeConn: head.Close || c.server.Draining(),
 	}
 	if head.Body != http.NoBody {
-		c.request.Body = &http1Body{Reader: head.Body, conn: c, buffer: r}
+		c.request.Body = &http1Body{Reader: head.Body, conn: c, head: head, buffer: r}
 		c.request.Trailer = func() http.Header { return head.Trailer }
 		c.request.StopBody = c.connReader.stop
 		c.request.ExpectContinue = expectsContinue(head.Header)
@@ -281,7 +281,7 @@
 	status := http.StatusBadRequest
 	reason := reasonBadRequest
 	switch {
-	case errors.Is(err, errHeadTooLarge):
+	case errors.Is(err, errHeadTooLarge), errors.Is(err, errTooManyFields):
 		status = http.StatusRequestHeaderFieldsTooLarge
 		reason = reasonHeadTooLarge
 	case errors.Is(err, errBadRequest):
--- a/internal/ingress/http1_head.go
+++ b/internal/ingress/http1_head.go
@@ -15,6 +15,9 @@
 // errBadRequest is returned for a malformed request.
 var errBadRequest = errors.New("bad request")
 
+// errTooManyFields is returned for a request with more than maxFields header fields.
+var errTooManyFields = errors.New("request has too many header fields")
+
 // badRequest returns an error that wraps errBadRequest.
 func badRequest(format string, args ...any) error {
 	return fmt.Errorf("%w: %s", errBadRequest, fmt.Sprintf(format, args...))
@@ -46,7 +49,10 @@
 		return err
 	}
 	var framing framingFields
-	for fields != "" {
+	for count := 1; fields != ""; count++ {
+		if count > maxFields {
+			return errTooManyFields
+		}
 		var line string
 		line, fields, _ = strings.Cut(fields, "\r\n")
 		if err := framing.checkField(line); err != nil {
--- a/internal/ingress/http1_watch.go
+++ b/internal/ingress/http1_watch.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net/http"
 	"os"
 )
 
@@ -11,6 +12,7 @@
 type http1Body struct {
 	io.Reader
 	conn   *http1Conn
+	head   *http.Request // its trailer is set at the end of the body
 	buffer *bufio.Reader // the buffered reader of the connection
 }
 
@@ -18,6 +20,10 @@
 func (b *http1Body) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	if errors.Is(err, io.EOF) {
+		if len(b.head.Trailer) > maxFields {
+			b.head.Trailer = nil
+			return n, errTooManyFields
+		}
 		b.conn.onRequestRead(b.buffer)
 	}
 	return n, err
--- a/internal/ingress/http2_body.go
+++ b/internal/ingress/http2_body.go
@@ -58,11 +58,26 @@
 		s.reset = true
 		return http2.ErrCodeProtocol
 	}
-	s.received.Write(data)
+	if !s.buffer(data) {
+		s.conn.server.Counters.MemoryRefused.Add(1)
+		s.err = errRequestMemory // set before the stream is reset, as above
+		s.reset = true
+		return http2.ErrCodeEnhanceYourCalm
+	}
 	s.bodyComplete = f.StreamEnded()
 	return http2.ErrCodeNo
 }
 
+// buffer keeps a part of the body until it is read. It returns false if there is no memory for it. The caller holds
+// s.conn.mu.
+func (s *stream) buffer(data []byte) bool {
+	if !s.conn.memory.take(s.received.growth(len(data))) {
+		return false
+	}
+	s.received.write(data)
+	return true
+}
+
 // hasWrongLength reports whether the body received so far contradicts the content-length: it is longer, or it is
 // complete and shorter.
 func (s *stream) hasWrongLength(complete bool) bool {
@@ -107,7 +122,9 @@
 	case s.bodyStopped:
 		return 0, upstream.ErrBodyStopped
 	case s.received.Len() > 0:
-		n, _ := s.received.Read(p)
+		before := s.received.memory()
+		n := s.received.read(p)
+		s.conn.memory.release(before - s.received.memory())
 		s.conn.addWindowToReturn(int64(n))
 		return n, nil
 	case s.bodyComplete:
--- a/internal/ingress/http2_conn.go
+++ b/internal/ingress/http2_conn.go
@@ -35,12 +35,13 @@
 )
 
 var (
-	errStreamReset  = errors.New("stream was reset")
-	errConnEnded    = errors.New("client connection has ended")
-	errClientStalls = errors.New("client neither sent nor accepted data within the stall timeout")
-	errBodyLength   = errors.New("request body differs from its content-length")
-	errProtocol     = http2.ConnectionError(http2.ErrCodeProtocol)
-	errFlowControl  = http2.ConnectionError(http2.ErrCodeFlowControl)
+	errStreamReset   = errors.New("stream was reset")
+	errConnEnded     = errors.New("client connection has ended")
+	errClientStalls  = errors.New("client neither sent nor accepted data within the stall timeout")
+	errRequestMemory = errors.New("requests of all clients take too much memory")
+	errBodyLength    = errors.New("request body differs from its content-length")
+	errProtocol      = http2.ConnectionError(http2.ErrCodeProtocol)
+	errFlowControl   = http2.ConnectionError(http2.ErrCodeFlowControl)
 )
 
 // http2Conn is an HTTP/2 connection of a client. One goroutine reads it, and one for each stream serves the request. Frames
@@ -64,7 +65,8 @@
 
 	mu                sync.Mutex
 	streams           map[uint32]*stream
-	inFlight          int    // requests, including those of reset streams that are still being served
+	inFlight          int // requests, including those of reset streams that are still being served
+	memory            connMemory
 	lastStream        uint32 // the largest stream ID that the client has used
 	lastServed        uint32 // the largest ID of a stream that was served; a GOAWAY names it
 	sendWindow        int64
@@ -84,6 +86,7 @@
 		server:            s,
 		conn:              conn,
 		budget:            newFrameBudget(s.limits.MaxStreams),
+		memory:            connMemory{shared: &s.requestMemory},
 		serveDone:         make(chan struct{}),
 		streams:           map[uint32]*stream{},
 		sendWindow:        defaultWindow,
--- a/internal/ingress/http2_stream.go
+++ b/internal/ingress/http2_stream.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"net/http"
 	"strings"
 
@@ -18,6 +17,7 @@
 	conn   *http2Conn
 	cancel upstream.Cancellation
 
+	memory       int64 // bytes that are taken for the request
 	sendWindow   int64
 	reset        bool  // the client or the sidecar has reset it
 	responseDone bool  // the response was written completely
@@ -25,7 +25,7 @@
 
 	length         int64         // of the request body; negative: unknown
 	receivedLength int64         // bytes of the body received so far
-	received       bytes.Buffer  // bytes that were received and not read yet
+	received       chunkBuffer   // bytes that were received and not read yet
 	receivedMore   chan struct{} // closed when more was received, or the body was completed or stopped
 	bodyComplete   bool          // all of the body was received
 	bodyStopped    bool          // the body is no longer read
@@ -49,7 +49,8 @@
 // removeStream removes a stream and frees its buffer. The caller holds c.mu.
 func (c *http2Conn) removeStream(s *stream) {
 	c.addWindowToReturn(int64(s.received.Len()))
-	s.received = bytes.Buffer{}
+	c.memory.release(s.received.memory())
+	s.received.clear()
 	delete(c.streams, s.id)
 }
 
@@ -77,8 +78,10 @@
 			c.resetStream(f.StreamID, http2.ErrCodeStreamClosed)
 		}
 		return nil
-	case c.admitStream(f.StreamID):
-		c.openStream(f)
+	}
+	memory := requestMemory + headMemory(f)
+	if c.admitStream(f.StreamID, memory) {
+		c.openStream(f, memory)
 		return nil
 	}
 	return c.refuseStream(f.StreamID)
@@ -93,10 +96,10 @@
 	return c.write(func() error { return c.framer.WriteRSTStream(id, http2.ErrCodeRefusedStream) })
 }
 
-// admitStream counts a new stream, unless there are too many streams or new ones are refused. The stream becomes the last
-// one served and in flight at the same time, so that a drain waits for each stream that its GOAWAY covers. A client may
-// repeat a request that was refused.
-func (c *http2Conn) admitStream(id uint32) bool {
+// admitStream counts a new stream and takes its memory, unless there are too many streams, there is no memory, or new streams
+// are refused. The stream becomes the last one served and in flight at the same time, so that a drain waits for each stream
+// that its GOAWAY covers. A client may repeat a request that was refused.
+func (c *http2Conn) admitStream(id uint32, memory int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastStream = id
@@ -104,16 +107,21 @@
 	if c.refusing || len(c.streams) >= maxStreams || c.inFlight >= 2*maxStreams {
 		return false
 	}
+	if !c.memory.take(memory) {
+		c.server.Counters.MemoryRefused.Add(1)
+		return false
+	}
 	c.lastServed = id
 	c.inFlight++
 	return true
 }
 
-// openStream serves a new stream. It responds to a head that exceeds maxHead, and resets a stream whose head is malformed.
-func (c *http2Conn) openStream(f *http2.MetaHeadersFrame) {
-	s := &stream{id: f.StreamID, conn: c, length: -1, receivedMore: make(chan struct{}), bodyComplete: f.StreamEnded()}
+// openStream serves a new stream for which memory was taken. It responds to a head that exceeds maxHead or maxFields, and
+// resets a stream whose head is malformed.
+func (c *http2Conn) openStream(f *http2.MetaHeadersFrame, memory int64) {
+	s := &stream{id: f.StreamID, conn: c, memory: memory, length: -1, receivedMore: make(chan struct{}), bodyComplete: f.StreamEnded()}
 	out := &http2Response{stream: s}
-	if f.Truncated {
+	if f.Truncated || len(f.Fields) > maxFields {
 		c.server.Counters.BadRequests.Add(1)
 		c.charge(malformedStream)
 		c.startStream(s, func() { writeErrorResponse(out, http.StatusRequestHeaderFieldsTooLarge, reasonHeadTooLarge) })
@@ -121,7 +129,7 @@
 	}
 	request, err := parseHTTP2Request(f)
 	if err != nil {
-		defer c.requestDone()
+		defer c.requestDone(memory)
 		c.server.Counters.BadRequests.Add(1)
 		c.charge(malformedStream)
 		c.resetStream(s.id, http2.ErrCodeProtocol)
@@ -174,14 +182,15 @@
 		c.write(func() error { return c.framer.WriteRSTStream(s.id, http2.ErrCodeNo) })
 	}
 	c.returnWindow(nil, 0)
-	c.requestDone()
+	c.requestDone(s.memory)
 }
 
-// requestDone records the end of a request after its last frame was written. A draining connection ends with its last
-// request.
-func (c *http2Conn) requestDone() {
+// requestDone records the end of a request after its last frame was written, and releases its memory. A draining connection
+// ends with its last request.
+func (c *http2Conn) requestDone(memory int64) {
 	c.mu.Lock()
 	c.inFlight--
+	c.memory.release(memory)
 	last := c.goAwaySent && c.inFlight == 0
 	c.mu.Unlock()
 	if last {
@@ -205,10 +214,13 @@
 	}
 }
 
+// maxTrailerMemory bounds the memory of a trailer, in bytes. It belongs to the memory of its request.
+const maxTrailerMemory = 4 << 10
+
 // parseTrailer returns the fields of a trailer, and whether the trailer is valid.
 func parseTrailer(f *http2.MetaHeadersFrame) (trailer http.Header, valid bool) {
 	trailer = http.Header{}
-	valid = f.StreamEnded() && !f.Truncated
+	valid = f.StreamEnded() && !f.Truncated && headMemory(f) <= maxTrailerMemory
 	for _, field := range f.Fields {
 		if strings.HasPrefix(field.Name, ":") || !httpguts.ValidTrailerHeader(http.CanonicalHeaderKey(field.Name)) {
 			valid = false
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -49,6 +49,9 @@
 	StallTimeout   time.Duration // for the client to send the next byte of a body, or to accept the next byte of a response
 	MaxStreams     int           // concurrent streams on one HTTP/2 connection
 	DrainTimeout   time.Duration // for requests in flight at shutdown
+	// RequestMemory is the memory for HTTP/2 requests that are received or served, in bytes, beyond a reserve of each
+	// connection. A stream that exceeds it is refused, or reset if it has begun.
+	RequestMemory int64
 }
 
 // Handler serves a request and writes its response.
@@ -88,6 +91,7 @@
 	ControlFloods atomic.Int64 // connections ended for too many control frames
 	IdleTimeouts  atomic.Int64 // connections closed because no request began in time
 	Stalls        atomic.Int64 // streams whose client neither sent nor accepted data for too long
+	MemoryRefused atomic.Int64 // streams refused or reset because the requests of all clients take too much memory
 	CutOff        atomic.Int64 // requests that were cut off by a shutdown, or by the end of a connection with a flood
 	Panics        atomic.Int64
 	Open          atomic.Int64 // connections, currently
@@ -104,6 +108,8 @@
 	log          *slog.Logger
 	onRequestEnd func(Record)
 
+	requestMemory memoryLimit // of all HTTP/2 connections
+
 	mu             sync.Mutex
 	conns          map[clientConn]struct{}
 	draining       chan struct{} // closed by Shutdown
@@ -130,6 +136,7 @@
 		conns:        map[clientConn]struct{}{},
 		draining:     make(chan struct{}),
 	}
+	s.requestMemory.limit = config.Limits.RequestMemory
 	s.SetClassifier(config.Classify)
 	return s
 }
--- a/internal/ingress/stall_test.go
+++ b/internal/ingress/stall_test.go
@@ -75,22 +75,12 @@
 	}
 }
 
-// http2Headers returns a HEADERS frame that opens stream 1 with a request without a body.
-func http2Headers() string {
-	var text, block writeBuffer
-	encoder := hpack.NewEncoder(&block)
-	for _, field := range [][2]string{{":method", "GET"}, {":scheme", "http"}, {":path", "/"}, {":authority", "x"}} {
-		encoder.WriteField(hpack.HeaderField{Name: field[0], Value: field[1]})
-	}
-	http2.NewFramer(&text, nil).WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: block, EndStream: true, EndHeaders: true})
-	return string(text)
-}
-
-type writeBuffer []byte
-
-func (b *writeBuffer) Write(p []byte) (int, error) {
-	*b = append(*b, p...)
-	return len(p), nil
+// http2Request returns a HEADERS frame that opens stream 1 with a request without a body.
+func http2Request() string {
+	client := newRawClient()
+	opening := client.Len()
+	client.open(1, true, requestHead())
+	return client.String()[opening:]
 }
 
 // A process stands still while it waits for its client. The client sends in time, but the process asks for what has arrived
@@ -111,8 +101,8 @@
 		{"HTTP/1.1 request before the idle timeout", Limits{IdleTimeout: timeout}, false, "", 1, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"},
 		{"rest of an HTTP/1.1 head", Limits{HeadTimeout: timeout}, false, "G", 2, "ET / HTTP/1.1\r\nHost: x\r\n\r\n"},
 		{"HTTP/1.1 body", Limits{StallTimeout: timeout}, false, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\n", 3, "pay"},
-		{"HTTP/2 preface", Limits{HeadTimeout: timeout}, true, "", 1, settings + http2Headers()},
-		{"HTTP/2 request before the idle timeout", Limits{IdleTimeout: timeout}, true, settings, 3, http2Headers()},
+		{"HTTP/2 preface", Limits{HeadTimeout: timeout}, true, "", 1, settings + http2Request()},
+		{"HTTP/2 request before the idle timeout", Limits{IdleTimeout: timeout}, true, settings, 3, http2Request()},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -115,6 +115,23 @@
 	return c, nil
 }
 
+const (
+	// memoryPerRequest is the memory for each request that may be in flight or waiting, in bytes: twice what a usual one
+	// takes, as requests are received before they count.
+	memoryPerRequest = 64 << 10
+	// requestMemoryDivisor is the part of the configured memory, one in so many, that requests may take.
+	requestMemoryDivisor = 4
+)
+
+// requestMemory returns the memory for the requests of all clients, in bytes.
+func (c Config) requestMemory() int64 {
+	memory := int64(c.Dispatch.MaxRequests+c.Dispatch.MaxQueuedRequests) * memoryPerRequest
+	if c.MemoryMB == 0 {
+		return memory
+	}
+	return min(memory, int64(c.MemoryMB)*bytesPerMB/requestMemoryDivisor)
+}
+
 // parseClasses parses the traffic classes.
 func (c *Config) parseClasses(top *strictyaml.Section) {
 	for _, s := range top.Sections("groups") {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -90,8 +90,10 @@
 		DispatcherTime:      s.now,
 		OnPanic:             s.logPanic,
 	})
+	limits := config.Ingress
+	limits.RequestMemory = config.requestMemory()
 	s.server = ingress.New(ingress.Config{
-		Limits:       config.Ingress,
+		Limits:       limits,
 		Handler:      s.proxy.Serve,
 		Classify:     config.Classifier(),
 		Log:          log,
