Collectors, configuration servers: one connection cannot fill what is held of all

What callers saw: while one client sent small requests at full speed under ever new names, other clients got their answers late, and memory grew.

Cause: the tables of followers (65,536) and of reported replicas (16,384) are bounded for all connections together, so one could fill them; and a connection was read as fast as it sent. Evidence: the same flood under one name (status requests) left memory at 18 MB and delayed others.

Change: package ratelimit holds back a connection over its rate between two reads, and bounds the names that it may use: 16 followers a connection, 12,288 replicas in 10 s a sidecar.

Without the change TestNamesOfOneConnectionDoNotFill- TheRecord, TestNamesOfOneSidecarLeaveRoomForOthers and TestFastClientIsHeldBack fail.

--- a/cmd/lilacbend/collector.go
+++ b/cmd/lilacbend/collector.go
@@ -67,6 +67,6 @@
 	collector.Log = slog.New(slog.NewTextHandler(logs, nil)).With("collector", collector.Zone)
 	collector.Log.Info("collector serving", "listen", listen, "governors", collector.Controllers)
 	collector.Serve(ctx, listener)
-	collector.Log.Info("collector stopped", "heard", collector.Received.Load(), "told", collector.Reported.Load(), "skipped", collector.Skipped.Load())
+	collector.Log.Info("collector stopped", "heard", collector.Received.Load(), "told", collector.Reported.Load(), "skipped", collector.Skipped.Load(), "held_back", collector.HeldBack.Load())
 	return nil
 }
--- a/internal/configserver/handler.go
+++ b/internal/configserver/handler.go
@@ -2,14 +2,17 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"lilacbend/internal/configapi"
 	"lilacbend/internal/configstore"
+	"lilacbend/internal/ratelimit"
 )
 
 const (
@@ -21,6 +24,27 @@
 	answerOverhead = 256
 )
 
+// maxFollowersPerConnection is the number of followers that are recorded of one connection. A follower has a connection of its
+// own; one that sends ever new names must not fill the record of all.
+const maxFollowersPerConnection = 16
+
+// followerNamesKey is the key of the names that were used on a connection in the context of its requests.
+type followerNamesKey struct{}
+
+// withFollowerNames adds the names that are used on a new connection to the context of its requests.
+func withFollowerNames(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, followerNamesKey{}, &ratelimit.Names{Max: maxFollowersPerConnection})
+}
+
+// followerNames returns the names that were used on the connection of a request. A connection serves one request at a time.
+func followerNames(r *http.Request) *ratelimit.Names {
+	names, ok := r.Context().Value(followerNamesKey{}).(*ratelimit.Names)
+	if !ok {
+		return &ratelimit.Names{Max: maxFollowersPerConnection}
+	}
+	return names
+}
+
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configapi.WatchPath, s.handleWatch)
@@ -102,7 +126,9 @@
 	defer timeout.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watchers.Record(query, s.now())
+	if followerNames(r).Admit(query.Service+"/"+query.Instance, time.Now()) {
+		s.watchers.Record(query, s.now())
+	}
 	s.observe(query.Since)
 	for waitEnded := false; ; {
 		if s.isWriter() {
--- a/internal/configserver/server.go
+++ b/internal/configserver/server.go
@@ -131,6 +131,7 @@
 	}
 	s.listener = httplimit.NewListener(listener, options.MaxConnections)
 	s.http = httplimit.NewServer(s.handler(), httplimit.Timeouts{Header: headerTimeout, Idle: idleTimeout})
+	s.http.ConnContext = withFollowerNames
 	return s, nil
 }
 
--- a/internal/configserver/server_test.go
+++ b/internal/configserver/server_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -363,3 +365,31 @@
 		t.Errorf("shutdown took %v", elapsed)
 	}
 }
+
+// A connection polls under ever new names. Only a few of them are recorded, so that the record has room for all followers.
+func TestNamesOfOneConnectionDoNotFillTheRecord(t *testing.T) {
+	folder := t.TempDir()
+	writeFile(t, folder, "orders.json", exampleSettings(t, "lookup"))
+	server := startServer(t, Options{Name: "w", Folder: folder})
+	poll := func(client *http.Client, instance string) {
+		response, err := client.Get("http://" + server.listener.Addr().String() + "/configuration?service=orders&instance=" + instance)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+	}
+	oneConnection := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	defer oneConnection.CloseIdleConnections()
+	for k := range 5 * maxFollowersPerConnection {
+		poll(oneConnection, fmt.Sprintf("invented-%d", k))
+	}
+	follower := &http.Client{Transport: &http.Transport{}}
+	defer follower.CloseIdleConnections()
+	poll(follower, "orders-1")
+	watchers := server.Status().Watchers
+	recorded := slices.ContainsFunc(watchers, func(w configapi.Watcher) bool { return w.Instance == "orders-1" })
+	if !recorded || len(watchers) != maxFollowersPerConnection+1 {
+		t.Errorf("%d followers are recorded, orders-1 among them: %v; want %d", len(watchers), recorded, maxFollowersPerConnection+1)
+	}
+}
--- a/internal/controlclient/capacity_bench_test.go
+++ b/internal/controlclient/capacity_bench_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lilacbend/internal/dispatch"
+	"lilacbend/internal/ratelimit"
 	"lilacbend/internal/resp"
 )
 
@@ -30,9 +31,10 @@
 			for k := range 33 {
 				reports = append(reports, strings.Fields(fmt.Sprintf("met target stock-7c9d4f5b8-%05d count 12 fail 0 mean 47.318", k)))
 			}
+			names := ratelimit.Names{Max: maxSidecarReplicas}
 			k := 0
 			for b.Loop() {
-				if err := c.receive(reports[k%len(reports)]); err != nil {
+				if err := c.receive(reports[k%len(reports)], &names); err != nil {
 					b.Fatal(err)
 				}
 				k++
--- a/internal/controlclient/collector.go
+++ b/internal/controlclient/collector.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lilacbend/internal/backoff"
+	"lilacbend/internal/ratelimit"
 	"lilacbend/internal/resp"
 	"lilacbend/internal/socket"
 )
@@ -22,11 +23,22 @@
 	acceptRetry = 20 * time.Millisecond
 	// collectorPoolSize bounds the buffers for long messages of a collector, in bytes.
 	collectorPoolSize = 4 << 20
+	// maxSidecarReplicas is the number of replicas that one sidecar may report within sidecarNamePeriod. It leaves a quarter of
+	// maxReplicas to the other sidecars of the zone.
+	maxSidecarReplicas = maxReplicas / 4 * 3
+	sidecarNamePeriod  = maxReportAge
 )
 
+// sidecarRate is the rate of messages of one sidecar: reports of maxReplicas replicas in each second, and what arrives at once
+// after a stall.
+var sidecarRate = ratelimit.Rate{PerSecond: maxReplicas, Burst: 4 * maxReplicas}
+
 // errControllerClosed is returned for a connection that the controller has closed, or on which it has refused the collector.
 var errControllerClosed = errors.New("controller closed the connection or refused the collector")
 
+// errTooManyReplicas is returned for a report of a sidecar that reports more replicas than maxSidecarReplicas.
+var errTooManyReplicas = errors.New("sidecar reports too many replicas")
+
 // Collector sums the outcomes that the sidecars of a zone report, and reports the sums to controllers.
 type Collector struct {
 	Zone           string
@@ -37,6 +49,7 @@
 	MaxSidecars    int
 	Received       atomic.Int64 // reports received from sidecars
 	Skipped        atomic.Int64 // messages of sidecars that could not be used
+	HeldBack       atomic.Int64 // pauses in reading sidecars that send too many messages
 	Reported       atomic.Int64 // messages sent to controllers
 
 	pool        *resp.Pool
@@ -92,7 +105,14 @@
 	writer := &messageWriter{conn: conn, pool: c.pool}
 	reader := resp.NewReader(socket.Reader{Conn: conn}, c.pool)
 	defer reader.Close()
+	var limiter ratelimit.Limiter
+	names := ratelimit.Names{Max: maxSidecarReplicas, Period: sidecarNamePeriod}
 	for {
+		now := time.Now()
+		if wait := limiter.Take(now, sidecarRate); wait > 0 {
+			c.HeldBack.Add(1)
+			time.Sleep(wait)
+		}
 		conn.SetReadDeadline(time.Now().Add(sidecarTimeout))
 		words, err := reader.Next()
 		if errors.Is(err, resp.ErrNotBulkStringArray) {
@@ -108,19 +128,22 @@
 			}
 			continue
 		}
-		if err := c.receive(words); err != nil {
+		if err := c.receive(words, &names); err != nil {
 			c.Skipped.Add(1)
 			c.Log.Debug("sidecar message skipped", "from", conn.RemoteAddr(), "error", err)
 		}
 	}
 }
 
-// receive adds a report to the pending outcomes of each controller.
-func (c *Collector) receive(words []string) error {
+// receive adds a report to the pending outcomes of each controller. names are the replicas that the sidecar reports.
+func (c *Collector) receive(words []string, names *ratelimit.Names) error {
 	report, err := parseOutcomeReport(words)
 	if err != nil {
 		return err
 	}
+	if !names.Admit(report.replica, time.Now()) {
+		return errTooManyReplicas
+	}
 	c.Received.Add(1)
 	for _, pending := range c.pending {
 		pending.add(report)
--- /dev/null
+++ b/internal/controlclient/names_test.go
@@ -0,0 +1,44 @@
+package controlclient
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"lilacbend/internal/ratelimit"
+)
+
+// One sidecar reports ever new names of replicas. The reports of the other sidecars are still taken, although the number of
+// replicas is limited.
+func TestNamesOfOneSidecarLeaveRoomForOthers(t *testing.T) {
+	pending := newPendingOutcomes(time.Second, 0)
+	collector := &Collector{pending: []*pendingOutcomes{pending}}
+	report := func(replica string, names *ratelimit.Names) error {
+		return collector.receive([]string{"met", "target", replica, "count", "3", "fail", "0", "mean", "20"}, names)
+	}
+	flooding := ratelimit.Names{Max: maxSidecarReplicas, Period: sidecarNamePeriod}
+	refused := 0
+	for k := range 2 * maxReplicas {
+		if errors.Is(report(fmt.Sprintf("invented-%d", k), &flooding), errTooManyReplicas) {
+			refused++
+		}
+	}
+	if want := 2*maxReplicas - maxSidecarReplicas; refused != want {
+		t.Errorf("%d reports refused, want %d", refused, want)
+	}
+	other := ratelimit.Names{Max: maxSidecarReplicas, Period: sidecarNamePeriod}
+	if err := report("s-1", &other); err != nil {
+		t.Fatal(err)
+	}
+	pending.beginRound()
+	for {
+		next, ok := pending.next()
+		if !ok {
+			t.Fatal("the report of the other sidecar was dropped")
+		}
+		if next.Key == "s-1" {
+			return
+		}
+	}
+}
--- a/internal/controlclient/races_test.go
+++ b/internal/controlclient/races_test.go
@@ -16,6 +16,7 @@
 
 	"lilacbend/experiment/scriptedpeer"
 	"lilacbend/internal/dispatch"
+	"lilacbend/internal/ratelimit"
 	"lilacbend/internal/resp"
 )
 
@@ -203,12 +204,13 @@
 	stopReports, reportsStopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(reportsStopped)
+		names := ratelimit.Names{Max: maxReplicas}
 		for k := 0; ; k++ {
 			select {
 			case <-stopReports:
 				return
 			default:
-				c.receive([]string{"met", "target", long + strconv.Itoa(k%maxReplicas), "count", "1", "fail", "0", "mean", "1"})
+				c.receive([]string{"met", "target", long + strconv.Itoa(k%maxReplicas), "count", "1", "fail", "0", "mean", "1"}, &names)
 			}
 		}
 	}()
--- a/internal/httplimit/httplimit.go
+++ b/internal/httplimit/httplimit.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"lilacbend/internal/ratelimit"
 	"lilacbend/internal/socket"
 )
 
@@ -26,6 +27,9 @@
 	acceptRetryInterval = 50 * time.Millisecond
 )
 
+// requestRate is the rate of requests on one connection. A client that sends more is read more slowly.
+var requestRate = ratelimit.Rate{PerSecond: 500, Burst: 1000}
+
 // errTooManyLines is returned by reads from a client that has sent more than maxLines lines.
 var errTooManyLines = errors.New("client has sent too many lines")
 
@@ -47,11 +51,15 @@
 	}
 }
 
-// trackRequests lets a client send maxLines more lines once it has got its response.
+// trackRequests lets a client send maxLines more lines once it has got its response, and waits before its next request is read
+// if it sends too many.
 func trackRequests(netConn net.Conn, state http.ConnState) {
-	if c, ok := netConn.(*conn); ok && state == http.StateIdle {
-		c.lines.Store(0)
+	c, ok := netConn.(*conn)
+	if !ok || state != http.StateIdle {
+		return
 	}
+	c.lines.Store(0)
+	time.Sleep(c.requests.Take(time.Now(), requestRate))
 }
 
 // Listener closes each connection beyond a limit as soon as it is accepted, so that its client tries another server.
@@ -99,6 +107,7 @@
 	listener *Listener
 	once     sync.Once
 	lines    atomic.Int64 // sent by the client since its last response
+	requests ratelimit.Limiter
 }
 
 // Read reads what the client sends, including a request that has arrived before a deadline that has passed by now. It fails
--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -75,3 +75,22 @@
 	})
 	scriptedpeer.Dial(t, address).WaitForClose()
 }
+
+// A client that sends requests as fast as it can is read more slowly after a burst.
+func TestFastClientIsHeldBack(t *testing.T) {
+	const excess = 100
+	client := scriptedpeer.Dial(t, serve(t, 10))
+	start := time.Now()
+	for k := range int(requestRate.Burst) + excess {
+		client.SendRaw(request(0))
+		response, err := http.ReadResponse(client.Reader, nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: response %+v, error %v, want 200", k, response, err)
+		}
+		io.Copy(io.Discard, response.Body)
+	}
+	// The last wait follows the last response.
+	if took, least := time.Since(start), time.Duration((excess-1)/requestRate.PerSecond*float64(time.Second)); took < least {
+		t.Errorf("%d requests beyond the burst took %v, want at least %v", excess, took, least)
+	}
+}
