Governors, sidecars: a connection that sends at full speed is held back

What callers saw: while one client sent small or unsound messages at full speed, other clients got their answers late, and a governor passed its memory limit.

Cause: messages were read as soon as they came. Reports of demand are held for 8 s one by one, so memory followed the rate of one sender; with one processor a goroutine that reads without a pause runs 10 ms before another. Evidence: acks and unusable messages at the same speed delay others and take no memory; replicas of invented names are refused and take none.

Change: each connection of a governor has a token bucket whose rate follows from the settings, and waits before its next message is read. In a sidecar the same holds for HTTP/2 frames and for HTTP/1 requests that are answered without an attempt.

Without the change TestPeerThatFloodsIsHeldBack (five rows) and TestClientThatFloodsIsHeldBack (two) fail.

--- a/cmd/lilacbend/counters.go
+++ b/cmd/lilacbend/counters.go
@@ -21,7 +21,7 @@
 		slog.Group("answered", "alive", counters.HealthChecks.Load(), "discovery", counters.DiscoveryAnswers.Load()),
 		slog.Group("lost", "notes", counters.InputsDropped.Load(), "emptied", counters.SendQueueOverflows.Load(), "stale", core.StaleInputs, "silent", core.ProxiesUnresponsive,
 			"replaced", core.StreamsReplaced, "refused", counters.ConnectionsRefused.Load(), "strangers", counters.InvalidJoins.Load(), "late", counters.JoinTimeouts.Load(),
-			"evicted", counters.ConnectionsEvicted.Load()),
+			"evicted", counters.ConnectionsEvicted.Load(), "held_back", counters.PeersHeldBack.Load()),
 		slog.Group("errors", "unreadable", counters.MalformedMessages.Load(), "skipped", counters.MessagesSkipped.Load(), "strange", core.InvalidInputs,
 			"writes", counters.WriteErrors.Load(), "discovery", counters.DiscoveryErrors.Load(), "odd", counters.InvalidLists.Load(),
 			"timeouts", counters.DiscoveryTimeouts.Load(), "misread", counters.ReloadsFailed.Load(), "panics", counters.Panics.Load(), "renewed", core.ModuleRestarts,
--- a/internal/controller/topology.go
+++ b/internal/controller/topology.go
@@ -45,6 +45,7 @@
 	hardwareClasses int   // number of classes in the settings, plus one for all classes that they do not name
 	maxResponseTime int64 // upper limit of a reported mean response time
 	maxPeriod       int64 // upper limit of the period of a report
+	reportInterval  int64 // time between two reports of a peer, in nanoseconds
 	drainGrace      int64
 	silenceTimeout  int64 // time within which a proxy that owes an ack sends something, unless it has failed
 	bounds          sendbudget.Bounds
@@ -60,6 +61,7 @@
 		proxies:         s.Proxies,
 		hardwareClasses: s.HardwareClasses,
 		maxPeriod:       max(maxReportPeriod, maxReportIntervals*s.ReportInterval),
+		reportInterval:  s.ReportInterval,
 		drainGrace:      s.DrainGrace,
 		silenceTimeout:  silenceTimeout(s),
 		bounds: sendbudget.Bounds{
--- a/internal/controlserver/peer.go
+++ b/internal/controlserver/peer.go
@@ -34,6 +34,7 @@
 	id        int // id of a proxy
 	sendQueue *eventloop.SendQueue
 	lateBytes int           // how many bytes may still be read after the join deadline; 0: the deadline has not passed
+	limits    messageLimits // how fast messages are read
 	done      chan struct{} // closed when reading has ended
 }
 
@@ -51,6 +52,7 @@
 			p.handleReadError(err)
 			return
 		}
+		p.holdBack()
 	}
 }
 
--- a/internal/controlserver/read.go
+++ b/internal/controlserver/read.go
@@ -17,6 +17,7 @@
 	if err != nil {
 		return err
 	}
+	p.limits.lastKind = kindOf(words)
 	err = p.handle(words)
 	if p.role != unidentified {
 		reader.SetMaxMessageSize(resp.MaxMessageSize)
--- a/internal/eventloop/counters.go
+++ b/internal/eventloop/counters.go
@@ -15,6 +15,7 @@
 	// Messages received from peers.
 	MessagesSkipped   atomic.Int64 // complete messages that cannot be used
 	MalformedMessages atomic.Int64 // connections closed, as the start of the next message is unknown
+	PeersHeldBack     atomic.Int64 // connections that were read more slowly, as they sent too many messages
 	Panics            atomic.Int64 // recovered in the goroutine of a connection
 
 	// Messages sent to peers.
--- a/internal/ingress/http1_conn.go
+++ b/internal/ingress/http1_conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lilacbend/internal/proxy"
+	"lilacbend/internal/ratelimit"
 	"lilacbend/internal/socket"
 	"lilacbend/internal/upstream"
 )
@@ -38,6 +39,8 @@
 	unreadInput bool        // the last response was sent, but bytes from the client were not read
 	firstByte   [1]byte     // of a request, read before the connection has a buffer
 
+	unattempted ratelimit.Limiter // of requests that are answered without an attempt
+
 	// Values that are reset and reused for each request.
 	connReader deadlineReader
 	connWriter deadlineWriter
@@ -169,8 +172,12 @@
 	if c.request.Body == nil {
 		c.onRequestRead(r)
 	}
-	c.server.serveRequest(&c.cancel, "h1", &c.request, &c.response)
-	return c.finishRequest(head, r, w)
+	result := c.server.serveRequest(&c.cancel, "h1", &c.request, &c.response)
+	keep := c.finishRequest(head, r, w)
+	if keep && result.Attempts == 0 {
+		c.server.holdBack(&c.unattempted, unattemptedRate)
+	}
+	return keep
 }
 
 // readHead reads, checks and parses the head of a request.
--- a/internal/ingress/http2_conn.go
+++ b/internal/ingress/http2_conn.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"lilacbend/internal/ratelimit"
 	"lilacbend/internal/socket"
 )
 
@@ -50,9 +51,10 @@
 	server    *Server
 	conn      net.Conn
 	framer    *http2.Framer
-	budget    frameBudget   // used by the reading goroutine alone
-	flooded   bool          // the client has exceeded its budget; used by the reading goroutine alone
-	serveDone chan struct{} // closed when serve returns
+	budget    frameBudget       // used by the reading goroutine alone
+	frames    ratelimit.Limiter // used by the reading goroutine alone
+	flooded   bool              // the client has exceeded its budget; used by the reading goroutine alone
+	serveDone chan struct{}     // closed when serve returns
 	// The goroutines of the streams; the reading goroutine waits for them.
 	handlers sync.WaitGroup
 
@@ -199,6 +201,7 @@
 		if err := c.readFrame(first); err != nil {
 			return err
 		}
+		c.server.holdBack(&c.frames, frameRate)
 	}
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -91,6 +91,7 @@
 	ControlFloods atomic.Int64 // connections ended for too many control frames
 	IdleTimeouts  atomic.Int64 // connections closed because no request began in time
 	Stalls        atomic.Int64 // streams whose client neither sent nor accepted data for too long
+	HeldBack      atomic.Int64 // pauses in reading clients that send too many frames or requests
 	MemoryRefused atomic.Int64 // streams refused or reset because the requests of all clients take too much memory
 	CutOff        atomic.Int64 // requests that were cut off by a shutdown, or by the end of a connection with a flood
 	Panics        atomic.Int64
@@ -252,8 +253,8 @@
 }
 
 // serveRequest classifies a request and passes it to the handler. It responds itself if the request belongs to no traffic
-// class.
-func (s *Server) serveRequest(cancel *upstream.Cancellation, protocol string, r *proxy.Request, out proxy.ResponseWriter) {
+// class. It returns how the request ended.
+func (s *Server) serveRequest(cancel *upstream.Cancellation, protocol string, r *proxy.Request, out proxy.ResponseWriter) proxy.Result {
 	path, _, _ := strings.Cut(r.Target, "?")
 	r.Class = (*s.classifier.Load())(r.Method, r.Host, path, r.Header)
 	s.Counters.Requests.Add(1)
@@ -268,6 +269,7 @@
 		result = s.handler(cancel, r, out)
 	}
 	s.onRequestEnd(Record{Protocol: protocol, Method: r.Method, Host: r.Host, Path: path, Class: r.Class, Result: result})
+	return result
 }
 
 // writeErrorResponse writes a response that the ingress itself generates.
--- a/internal/sidecar/local.go
+++ b/internal/sidecar/local.go
@@ -50,6 +50,7 @@
 		"floods":       c.ControlFloods.Load(),
 		"stalls":       c.Stalls.Load(),
 		"idle_closed":  c.IdleTimeouts.Load(),
+		"held_back":    c.HeldBack.Load(),
 		"memory_full":  c.MemoryRefused.Load(),
 		"lost":         c.CutOff.Load(),
 		"panics":       c.Panics.Load(),
