Sidecar: the test of clients that are held back does not depend on the machine's speed

Cause: TestClientThatFloodsIsHeldBack waited until a client exceeds the real rate of 50,000 frames a second.

Change: the rates are values of the server; the test sets low ones and checks the same: the client is held back, no more requests are served than its rate allows, another client is answered.

--- a/internal/ingress/hold_back.go
+++ b/internal/ingress/hold_back.go
@@ -6,14 +6,20 @@
 	"lilacbend/internal/ratelimit"
 )
 
-var (
-	// frameRate is the rate of frames of an HTTP/2 client: far more than its requests need, and a fraction of what a client can
-	// send that does not wait.
-	frameRate = ratelimit.Rate{PerSecond: 50_000, Burst: 100_000}
-	// unattemptedRate is the rate of HTTP/1 requests on one connection that are answered without an attempt at a replica, such
-	// as those that belong to no traffic class. No replica slows a client down that sends them.
-	unattemptedRate = ratelimit.Rate{PerSecond: 5_000, Burst: 10_000}
-)
+// clientRates are the rates above which a client is held back.
+type clientRates struct {
+	// frames is the rate of frames of an HTTP/2 client.
+	frames ratelimit.Rate
+	// unattempted is the rate of HTTP/1 requests on one connection that are answered without an attempt at a replica, such as
+	// those that belong to no traffic class. No replica slows a client down that sends them.
+	unattempted ratelimit.Rate
+}
+
+// defaultClientRates are far above what clients need, and a fraction of what a client can send that does not wait.
+var defaultClientRates = clientRates{
+	frames:      ratelimit.Rate{PerSecond: 50_000, Burst: 100_000},
+	unattempted: ratelimit.Rate{PerSecond: 5_000, Burst: 10_000},
+}
 
 // holdBack waits if a client sends more than a rate allows. It is called between two reads, so that flow control holds the
 // client back and other clients get the processor.
--- a/internal/ingress/hold_back_test.go
+++ b/internal/ingress/hold_back_test.go
@@ -14,25 +14,27 @@
 // allows, and a request of another client is answered meanwhile.
 func TestClientThatFloodsIsHeldBack(t *testing.T) {
 	const (
-		excess  = 2 // times the burst
-		request = "DELETE /x HTTP/1.1\r\nHost: x\r\n\r\n"
+		messages = 5000
+		request  = "DELETE /x HTTP/1.1\r\nHost: x\r\n\r\n"
 	)
+	// Far below what any machine reads. The burst leaves room for the single requests of the test.
+	rate := ratelimit.Rate{PerSecond: 100, Burst: 200}
 	frames := newRawClient()
 	opening := frames.Len()
 	frames.framer.WriteWindowUpdate(0, tinyFrame)
 	update := frames.String()[opening:]
 	for _, c := range []struct {
 		name           string
-		rate           ratelimit.Rate
 		first, message string
 		http2          bool
 	}{
-		{"HTTP/1.1 requests", unattemptedRate, "", request, false},
-		{"HTTP/2 window updates", frameRate, frames.String()[:opening], update, true},
+		{"HTTP/1.1 requests", "", request, false},
+		{"HTTP/2 window updates", frames.String()[:opening], update, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			listener, other := scriptedpeer.Listen(t), scriptedpeer.Listen(t)
 			server := newTestServer(Limits{MaxConnections: 2}, serveBody)
+			server.rates = clientRates{frames: rate, unattempted: rate}
 			go server.ServeHTTP1(other.Listener)
 			if c.http2 {
 				go server.ServeHTTP2(listener.Listener)
@@ -43,7 +45,7 @@
 			flooding := scriptedpeer.Dial(t, listener.Address())
 			go io.Copy(io.Discard, flooding.Reader)
 			flooding.SendRaw(c.first)
-			go flooding.Write([]byte(strings.Repeat(c.message, excess*int(c.rate.Burst))))
+			go flooding.Write([]byte(strings.Repeat(c.message, messages)))
 			scriptedpeer.WaitFor(t, "the client is not held back", func() bool { return server.Counters.HeldBack.Load() > 0 })
 			client := scriptedpeer.Dial(t, other.Address())
 			client.SendRaw(request)
@@ -51,7 +53,7 @@
 				t.Errorf("response %q to another client, want 200", got)
 			}
 			if !c.http2 {
-				most := c.rate.Burst + c.rate.PerSecond*time.Since(start).Seconds() + 2
+				most := rate.Burst + rate.PerSecond*time.Since(start).Seconds() + 2
 				if n := server.Counters.Requests.Load(); float64(n) > most {
 					t.Errorf("%d requests were served within %v, want at most %.0f", n, time.Since(start), most)
 				}
--- a/internal/ingress/http1_conn.go
+++ b/internal/ingress/http1_conn.go
@@ -175,7 +175,7 @@
 	result := c.server.serveRequest(&c.cancel, "h1", &c.request, &c.response)
 	keep := c.finishRequest(head, r, w)
 	if keep && result.Attempts == 0 {
-		c.server.holdBack(&c.unattempted, unattemptedRate)
+		c.server.holdBack(&c.unattempted, c.server.rates.unattempted)
 	}
 	return keep
 }
--- a/internal/ingress/http2_conn.go
+++ b/internal/ingress/http2_conn.go
@@ -201,7 +201,7 @@
 		if err := c.readFrame(first); err != nil {
 			return err
 		}
-		c.server.holdBack(&c.frames, frameRate)
+		c.server.holdBack(&c.frames, c.server.rates.frames)
 	}
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -110,6 +110,7 @@
 	onRequestEnd func(Record)
 
 	requestMemory memoryLimit // of all HTTP/2 connections
+	rates         clientRates
 
 	mu             sync.Mutex
 	conns          map[clientConn]struct{}
@@ -136,6 +137,7 @@
 		onRequestEnd: config.OnRequestEnd,
 		conns:        map[clientConn]struct{}{},
 		draining:     make(chan struct{}),
+		rates:        defaultClientRates,
 	}
 	s.requestMemory.limit = config.Limits.RequestMemory
 	s.SetClassifier(config.Classify)
