Sidecar: requests of a client that has left are not sent on

What callers saw: a client closed its connection with requests unread, and they were sent on afterwards; an id ran twice when it came again.

Cause: the end of a connection was noticed by reading it alone. On HTTP/1.1 nothing is read while a request is served, so unread requests hid the end behind them; after a stall both are found at once. Evidence: a request alone on its connection is canceled (TestClientDisconnectReleasesCapacity), with another one unread behind it the same request ran on; the second runs had one attempt each, so they were no retries.

Change: package socket asks the kernel whether the peer has closed its side, whatever is unread. No attempt begins and no part of a body is read for a client that has left, and the watch of a request in flight waits for the end instead of reading a byte.

Result: without the change TestRequestsOfClientThatLeftAreNotExecuted fails in its HTTP/1.1 rows (two payouts of five and one with a long body ran twice) and TestClientLeavesWithUnreadRequest fails. The HTTP/2 rows passed without it in that run.

--- a/internal/ingress/deadline.go
+++ b/internal/ingress/deadline.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// awaitPeerClose waits until the client has closed the connection, without a timeout. It returns os.ErrDeadlineExceeded after
+// stop, and possibly before.
+func (r *deadlineReader) awaitPeerClose() error {
+	r.conn.SetReadDeadline(time.Time{})
+	if r.stopped.Load() { // stop may have set its deadline before SetReadDeadline replaced it
+		r.conn.SetReadDeadline(expired)
+	}
+	return socket.AwaitPeerClose(r.conn)
+}
+
 // stop makes all reads fail at once, including one that is waiting.
 func (r *deadlineReader) stop() {
 	r.stopped.Store(true)
--- a/internal/ingress/http1_conn.go
+++ b/internal/ingress/http1_conn.go
@@ -38,6 +38,7 @@
 	ended       atomic.Bool // abort was called
 	unreadInput bool        // the last response was sent, but bytes from the client were not read
 	firstByte   [1]byte     // of a request, read before the connection has a buffer
+	clientLeft  func() bool // reports whether the client has closed the connection
 
 	unattempted ratelimit.Limiter // of requests that are answered without an attempt
 
@@ -54,11 +55,16 @@
 }
 
 func newHTTP1Conn(s *Server, conn net.Conn) *http1Conn {
-	return &http1Conn{server: s, conn: conn, watchResult: make(chan bool, 1)}
+	return &http1Conn{
+		server:      s,
+		conn:        conn,
+		clientLeft:  func() bool { return socket.PeerClosed(conn) },
+		watchResult: make(chan bool, 1),
+	}
 }
 
 // abort implements clientConn. It cancels the request explicitly, because the connection may not be watched: it is not
-// while the request body is being read, nor after bytes of a pipelined request were buffered.
+// while the request body is being read.
 func (c *http1Conn) abort() {
 	c.ended.Store(true)
 	c.conn.Close()
@@ -93,7 +99,7 @@
 		}
 		c.busy.Store(false)
 	}
-	if c.unreadInput && !c.ended.Load() {
+	if !c.ended.Load() && (c.unreadInput || socket.Unread(c.conn)) {
 		c.linger()
 	}
 }
@@ -162,7 +168,7 @@
 		c.rejectRequest(w, err)
 		return false
 	}
-	c.prepare(head, r, w)
+	c.prepare(head, w)
 	c.cancel.Reset()
 	if c.ended.Load() {
 		return false
@@ -170,7 +176,7 @@
 	c.requestRead = false
 	c.watching = false
 	if c.request.Body == nil {
-		c.onRequestRead(r)
+		c.onRequestRead()
 	}
 	result := c.server.serveRequest(&c.cancel, "h1", &c.request, &c.response)
 	keep := c.finishRequest(head, r, w)
@@ -216,13 +222,15 @@
 }
 
 // prepare sets up the request and its response from a parsed head.
-func (c *http1Conn) prepare(head *http.Request, r *bufio.Reader, w *bufio.Writer) {
+func (c *http1Conn) prepare(head *http.Request, w *bufio.Writer) {
 	c.request = proxy.Request{
 		Method: head.Method,
 		Target: head.RequestURI,
 		Host:   head.Host,
 		Header: head.Header,
 		Length: head.ContentLength,
+
+		ClientLeft: c.clientLeft,
 	}
 	c.response = http1Response{
 		writer:    w,
@@ -232,7 +240,7 @@
 		closeConn: head.Close || c.server.Draining(),
 	}
 	if head.Body != http.NoBody {
-		c.request.Body = &http1Body{Reader: head.Body, conn: c, head: head, buffer: r}
+		c.request.Body = &http1Body{Reader: head.Body, conn: c, head: head}
 		c.request.Trailer = func() http.Header { return head.Trailer }
 		c.request.StopBody = c.connReader.stop
 		c.request.ExpectContinue = expectsContinue(head.Header)
--- a/internal/ingress/http1_watch.go
+++ b/internal/ingress/http1_watch.go
@@ -1,60 +1,61 @@
 package ingress
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net/http"
 	"os"
+
+	"lilacbend/internal/socket"
 )
 
 // http1Body reads the body of an HTTP/1 request.
 type http1Body struct {
 	io.Reader
-	conn   *http1Conn
-	head   *http.Request // its trailer is set at the end of the body
-	buffer *bufio.Reader // the buffered reader of the connection
+	conn *http1Conn
+	head *http.Request // its trailer is set at the end of the body
 }
 
-// Read reads the next part of the body. At the end of the body the request has been read completely.
+// Read reads the next part of the body. At the end of the body the request has been read completely. It fails once the client
+// has closed the connection, even if all of the body has arrived: nobody waits for the response.
 func (b *http1Body) Read(p []byte) (int, error) {
+	if b.conn.clientLeft() {
+		return 0, errConnEnded
+	}
 	n, err := b.Reader.Read(p)
 	if errors.Is(err, io.EOF) {
 		if len(b.head.Trailer) > maxFields {
 			b.head.Trailer = nil
 			return n, errTooManyFields
 		}
-		b.conn.onRequestRead(b.buffer)
+		b.conn.onRequestRead()
 	}
 	return n, err
 }
 
-// onRequestRead records that a request was read completely, and starts to watch for the end of the connection. All
-// further bytes from the client belong to the next request; if some are already buffered, the connection is not watched.
-// No body is being read from this point on.
-func (c *http1Conn) onRequestRead(r *bufio.Reader) {
+// onRequestRead records that a request was read completely, and starts to watch for the end of the connection. All further
+// bytes from the client belong to the next request, and stay unread until then.
+func (c *http1Conn) onRequestRead() {
 	c.requestRead = true
-	if !c.watching && r.Buffered() == 0 {
+	if !c.watching && socket.HasDescriptor(c.conn) {
 		c.watching = true
-		go c.watch(r)
+		go c.watch()
 	}
 }
 
-// watch cancels the request if the client closes the connection before the response is complete. Read timeouts are
-// ignored, because a client sends nothing while it waits for the response. watch runs until the client sends a byte, the
-// connection ends or stopWatching stops it.
-func (c *http1Conn) watch(r *bufio.Reader) {
+// watch cancels the request if the client closes the connection, or its sending side, before the response is complete, also
+// if the client has sent further requests before. watch runs until the connection ends or stopWatching stops it.
+func (c *http1Conn) watch() {
 	for {
-		_, err := r.Peek(1)
+		err := c.connReader.awaitPeerClose()
 		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
-		if timedOut && !c.connReader.stopped.Load() {
+		if timedOut && !c.connReader.stopped.Load() { // a concurrent drain has set the deadline of an idle connection
 			continue
 		}
-		present := err == nil || timedOut
-		if !present {
+		if !timedOut {
 			c.cancel.Cancel()
 		}
-		c.watchResult <- present
+		c.watchResult <- timedOut
 		return
 	}
 }
--- a/internal/ingress/http2_body.go
+++ b/internal/ingress/http2_body.go
@@ -90,10 +90,13 @@
 // http2Body reads the body of a stream.
 type http2Body stream
 
-// Read reads bytes that were received, or waits until there are some.
+// Read reads bytes that were received, or waits until there are some. It fails once the client has closed the connection.
 func (b *http2Body) Read(p []byte) (int, error) {
 	s := (*stream)(b)
 	c := s.conn
+	if c.clientLeft() {
+		return 0, errConnEnded
+	}
 	timer := time.NewTimer(c.server.limits.StallTimeout)
 	defer timer.Stop()
 	for {
--- a/internal/ingress/http2_stream.go
+++ b/internal/ingress/http2_stream.go
@@ -141,8 +141,9 @@
 	c.startStream(s, func() { c.server.serveRequest(&s.cancel, "h2", request, out) })
 }
 
-// setBody connects a request to the body of its stream.
+// setBody connects a request to its connection and to the body of its stream.
 func (s *stream) setBody(request *proxy.Request, out *http2Response) {
+	request.ClientLeft = s.conn.clientLeft
 	s.length = request.Length
 	if s.bodyComplete {
 		request.Length = 0
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -14,8 +14,13 @@
 // attempt, so that it does not count against the replica; the dispatcher is notified when the request is released.
 var canceledStep = dispatch.Step{Ended: true, Reason: dispatch.ErrClientGone}
 
-// attempt makes one attempt and returns the next step. The step is not used once a response to the client has started.
+// attempt makes one attempt and returns the next step. The step is not used once a response to the client has started. There
+// is no attempt for a client that has left: it may send the request again, and the effect would occur twice.
 func (t *transaction) attempt(step dispatch.Step) dispatch.Step {
+	if t.ClientLeft() {
+		t.cancel.Cancel()
+		return canceledStep
+	}
 	t.result.Replica = step.Replica
 	t.result.Attempts++
 	response, err := t.send(step)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -26,6 +26,8 @@
 	Trailer func() http.Header
 	// StopBody immediately unblocks a read of Body that is waiting for data from the client. It is nil only if Body is nil.
 	StopBody func()
+	// ClientLeft reports whether the client has closed its connection. No attempt begins after that.
+	ClientLeft func() bool
 	// ExpectContinue reports that the client waits for a 100 Continue before it sends the body.
 	ExpectContinue bool
 	// Continue sends a 100 Continue. It returns upstream.ErrBodyStopped if the response has started.
