--- a/cmd/lilacbend/child_test.go
+++ b/cmd/lilacbend/child_test.go
@@ -33,14 +33,14 @@
 type childProcess struct {
 	*exec.Cmd
 	t      testing.TB
-	log    *logBuffer // standard error of the process
-	exited chan error // receives the result of Wait
+	log    *scriptedpeer.LogBuffer // standard error of the process
+	exited chan error              // receives the result of Wait
 }
 
 // startProgram starts the program with additional environment variables and arguments.
 func startProgram(t testing.TB, env []string, args ...string) *childProcess {
 	t.Helper()
-	c := &childProcess{exec.Command(os.Args[0], args...), t, &logBuffer{}, make(chan error, 1)}
+	c := &childProcess{exec.Command(os.Args[0], args...), t, &scriptedpeer.LogBuffer{}, make(chan error, 1)}
 	// By default the race detector delays the exit of a program by 1 s, which the time limit of expectExit does not allow
 	// for.
 	c.Env = append(append(os.Environ(), runAsProgramEnv+"=1", "GORACE=atexit_sleep_ms=0"), env...)
@@ -64,7 +64,7 @@
 	return startProgram(t, []string{"PROXY_CONFIG=" + file})
 }
 
-func (c *childProcess) logged(text string) bool { return c.log.contains(text) }
+func (c *childProcess) logged(text string) bool { return c.log.Contains(text) }
 
 // waitForLog waits until the log contains a text.
 func (c *childProcess) waitForLog(text string) *childProcess {
--- a/cmd/lilacbend/reload_test.go
+++ b/cmd/lilacbend/reload_test.go
@@ -43,13 +43,6 @@
 	}
 }
 
-// count returns the number of times that a text is in the log.
-func (l *logBuffer) count(text string) int {
-	l.Lock()
-	defer l.Unlock()
-	return strings.Count(l.String(), text)
-}
-
 // startControllerOn starts a controller that listens on an address.
 func startControllerOn(t *testing.T, file, listen string) *childProcess {
 	return startProgram(t, []string{"PROXY_CONFIG=" + file, "PROXY_LISTEN=" + listen})
@@ -79,7 +72,7 @@
 			}
 			process.expectExit(syscall.SIGTERM)
 			for text, want := range map[string]int{"configuration reload failed": 1, "configuration reloaded": 1, "in.reloads=1 ": 1, "errors.misread=1 ": 1} {
-				if got := process.log.count(text); got != want {
+				if got := process.log.Count(text); got != want {
 					t.Errorf("%q is in the log %d times, want %d", text, got, want)
 				}
 			}
@@ -103,8 +96,8 @@
 
 // startReloader runs a reloader until the end of the test. The returned channel for signals is unbuffered: a send returns
 // when the reloader has received the signal.
-func startReloader(t *testing.T, file, address string) (chan<- os.Signal, *eventloop.Queues, *logBuffer) {
-	c, queues, out := exampleConfiguration(t, "127.0.0.1:1"), eventloop.New(), &logBuffer{}
+func startReloader(t *testing.T, file, address string) (chan<- os.Signal, *eventloop.Queues, *scriptedpeer.LogBuffer) {
+	c, queues, out := exampleConfiguration(t, "127.0.0.1:1"), eventloop.New(), &scriptedpeer.LogBuffer{}
 	hangups, log := make(chan os.Signal), slog.New(slog.NewTextHandler(out, nil))
 	ctx, stop := context.WithCancel(context.Background())
 	client := discovery.New(address, 0, queues, log, func() int64 { return 1 }, 1)
@@ -190,8 +183,8 @@
 	if got := newAgent.AcceptConn().ReadRequestHead(); got != completeListRequest {
 		t.Errorf("request is %q, want %q", got, completeListRequest)
 	}
-	if failed := queues.Counters.ReloadsFailed.Load(); failed != 2 || out.count("configuration reload failed") != 2 {
-		t.Errorf("%d reloads failed, want 2; logged %d times, want 2", failed, out.count("configuration reload failed"))
+	if failed := queues.Counters.ReloadsFailed.Load(); failed != 2 || out.Count("configuration reload failed") != 2 {
+		t.Errorf("%d reloads failed, want 2; logged %d times, want 2", failed, out.Count("configuration reload failed"))
 	}
 }
 
--- a/cmd/lilacbend/serve_test.go
+++ b/cmd/lilacbend/serve_test.go
@@ -1,14 +1,12 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -19,24 +17,6 @@
 	"lilacbend/internal/resp"
 )
 
-// logBuffer collects log output. Its own methods lock; those of the buffer do not.
-type logBuffer struct {
-	sync.Mutex
-	bytes.Buffer
-}
-
-func (l *logBuffer) Write(b []byte) (int, error) {
-	l.Lock()
-	defer l.Unlock()
-	return l.Buffer.Write(b)
-}
-
-func (l *logBuffer) contains(text string) bool {
-	l.Lock()
-	defer l.Unlock()
-	return strings.Contains(l.String(), text)
-}
-
 // exampleConfiguration returns the example's configuration with an address to listen on and a service discovery that refuses
 // connections.
 func exampleConfiguration(t *testing.T, listen string) configuration {
@@ -54,7 +34,7 @@
 // A controller serves proxies from the list of replicas in its configuration while discovery refuses connections, and shuts
 // down in time.
 func TestServeFromKnownList(t *testing.T) {
-	listen, log := scriptedpeer.FreeAddress(t), &logBuffer{}
+	listen, log := scriptedpeer.FreeAddress(t), &scriptedpeer.LogBuffer{}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error)
 	go func() {
@@ -86,12 +66,12 @@
 	}
 	syscall.Kill(os.Getpid(), syscall.SIGUSR1)
 	for range 200 {
-		if log.contains("msg=counters") {
+		if log.Contains("msg=counters") {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	if !log.contains("msg=counters") {
+	if !log.Contains("msg=counters") {
 		t.Error("no counters in the log after SIGUSR1")
 	}
 	start := time.Now()
@@ -100,7 +80,7 @@
 		t.Errorf("serve returned after %v, want at most %v; error %v", time.Since(start), 2*shutdownTimeout, err)
 	}
 	for _, want := range []string{`msg="controller serving"`, "discovery call failed", "in.joins=1", "answered.alive=1", "sent.whole=1"} {
-		if !log.contains(want) {
+		if !log.Contains(want) {
 			t.Errorf("the log does not contain %q", want)
 		}
 	}
--- a/cmd/lilacbend/sidecar_child_test.go
+++ b/cmd/lilacbend/sidecar_child_test.go
@@ -39,11 +39,11 @@
 			t.Fatal(err)
 		}
 		process.signal(syscall.SIGHUP)
-		scriptedpeer.WaitFor(t, "the failed reload is not logged once for the signal", func() bool { return process.log.count("manifest reload failed") == k+1 })
+		scriptedpeer.WaitFor(t, "the failed reload is not logged once for the signal", func() bool { return process.log.Count("manifest reload failed") == k+1 })
 		writeManifest(t, file, "http1", listen, "127.0.0.1:9")
-		scriptedpeer.WaitFor(t, "the rules are not reloaded once", func() bool { return process.log.count("manifest rules reloaded") == k+1 })
+		scriptedpeer.WaitFor(t, "the rules are not reloaded once", func() bool { return process.log.Count("manifest rules reloaded") == k+1 })
 	}
-	if process.expectExit(syscall.SIGTERM); process.log.count("manifest reload failed") != 2 {
+	if process.expectExit(syscall.SIGTERM); process.log.Count("manifest reload failed") != 2 {
 		t.Errorf("the log does not have two failed reloads: %s", process.log)
 	}
 }
--- a/cmd/lilacbend/state_test.go
+++ b/cmd/lilacbend/state_test.go
@@ -29,13 +29,13 @@
 }
 
 // startServe runs serve until stop is called. stop returns when serve has returned.
-func startServe(t *testing.T, c configuration) (log *logBuffer, stop func()) {
+func startServe(t *testing.T, c configuration) (log *scriptedpeer.LogBuffer, stop func()) {
 	return startServeWithReload(t, c, reloader{})
 }
 
 // startServeWithReload is startServe with a reloader.
-func startServeWithReload(t *testing.T, c configuration, reload reloader) (log *logBuffer, stop func()) {
-	log = &logBuffer{}
+func startServeWithReload(t *testing.T, c configuration, reload reloader) (log *scriptedpeer.LogBuffer, stop func()) {
+	log = &scriptedpeer.LogBuffer{}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error)
 	go func() { ended <- serve(ctx, c, reload, slog.New(slog.NewTextHandler(log, nil))) }()
@@ -58,7 +58,7 @@
 
 // reportFailuresUntilEjected reports outcomes as a collector, in which all requests to one replica fail, until that replica
 // is ejected.
-func reportFailuresUntilEjected(t *testing.T, address, failing string, log *logBuffer) {
+func reportFailuresUntilEjected(t *testing.T, address, failing string, log *scriptedpeer.LogBuffer) {
 	pool := resp.NewPool(1 << 20)
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -77,7 +77,7 @@
 			resp.Write(conn, pool, strings.Fields(fmt.Sprintf("outcomes site a target box-%d count 10 fail %d mean 100 over 500", k, failed))...)
 		}
 		time.Sleep(50 * time.Millisecond)
-		if log.contains("replica " + failing + " ejected") {
+		if log.Contains("replica " + failing + " ejected") {
 			return
 		}
 	}
@@ -89,7 +89,7 @@
 	log, stop := startServe(t, c)
 	reportFailuresUntilEjected(t, c.listen, "box-2", log)
 	stop()
-	if !log.contains("no learned state found") || !log.contains("state.failed=0") {
+	if !log.Contains("no learned state found") || !log.Contains("state.failed=0") {
 		t.Errorf("log of the first controller: %s", log)
 	}
 	c.listen = scriptedpeer.FreeAddress(t)
@@ -114,10 +114,10 @@
 		configuration.listen = scriptedpeer.FreeAddress(t)
 		return configuration
 	}())
-	if stopSecond(); !secondLog.contains("learned state disabled, its folder cannot be acquired") || !secondLog.contains(fmt.Sprintf("directory is locked by n0, process %d", os.Getpid())) {
+	if stopSecond(); !secondLog.Contains("learned state disabled, its folder cannot be acquired") || !secondLog.Contains(fmt.Sprintf("directory is locked by n0, process %d", os.Getpid())) {
 		t.Errorf("log of a second controller on the same folder: %s", secondLog)
 	}
-	if stop(); !log.contains("learned state restored") || !log.contains("replica box-2 probation from learned state") {
+	if stop(); !log.Contains("learned state restored") || !log.Contains("replica box-2 probation from learned state") {
 		t.Errorf("log of the restarted controller: %s", log)
 	}
 }
@@ -138,7 +138,7 @@
 		os.WriteFile(file, []byte(c.raw), 0o600)
 		log, stop := startServe(t, configuration)
 		stop()
-		if !log.contains(c.logText) || c.raw != "x" && !log.contains(name) {
+		if !log.Contains(c.logText) || c.raw != "x" && !log.Contains(name) {
 			t.Errorf("folder with %s: the log does not contain %q: %s", name, c.logText, log)
 		}
 		if remaining, _ := os.ReadFile(file); name == "unrelated" && string(remaining) != "x" {
@@ -161,7 +161,7 @@
 			hangups <- syscall.SIGHUP
 			time.Sleep(25 * time.Millisecond)
 		}
-		if stop(); !log.contains("configuration reloaded") || !log.contains("msg=counters") {
+		if stop(); !log.Contains("configuration reloaded") || !log.Contains("msg=counters") {
 			t.Errorf("no reload or no counters in the log: %s", log)
 		}
 		complete, refused, err := snapshot.ReadAll(filewriter.Directory(c.operator.State.Folder))
--- a/internal/configserver/failures_test.go
+++ b/internal/configserver/failures_test.go
@@ -60,7 +60,7 @@
 	scriptedpeer.WaitFor(t, "the writer did not publish the change", func() bool { return writer.Version().Revision == 21 })
 	lateController := followService(t, "service-4", asServer(disconnected)) // starts while the region is disconnected
 	lateController.waitForClass("first")
-	scriptedpeer.WaitFor(t, "the disconnection was not logged exactly once", func() bool { return disconnected.log.count("configuration server poll failed") == 1 })
+	scriptedpeer.WaitFor(t, "the disconnection was not logged exactly once", func() bool { return disconnected.log.Count("configuration server poll failed") == 1 })
 	if disconnected.Version().Revision != 20 || controller.Active().Revision == 21 {
 		t.Errorf("while disconnected: server has version %s, controller has %s active", disconnected.Version(), controller.Active())
 	}
--- a/internal/configserver/helpers_test.go
+++ b/internal/configserver/helpers_test.go
@@ -20,37 +20,18 @@
 	"lilacbend/internal/revision"
 )
 
-// logBuffer holds log output. It may be read while it is written.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *logBuffer) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(b)
-}
-
-// count returns how many times the log contains a string.
-func (l *logBuffer) count(text string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Count(l.text.String(), text)
-}
-
 // runningServer is a server that runs until stop is called or the test ends.
 type runningServer struct {
 	*Server
 	t    testing.TB
-	log  *logBuffer
+	log  *scriptedpeer.LogBuffer
 	stop func()
 }
 
 // startServer starts a server. If options has no address or no poll interval, defaults for tests are used.
 func startServer(t testing.TB, options Options) *runningServer {
 	t.Helper()
-	server := &runningServer{t: t, log: &logBuffer{}}
+	server := &runningServer{t: t, log: &scriptedpeer.LogBuffer{}}
 	options.Log = slog.New(slog.NewTextHandler(server.log, nil))
 	if options.Listen == "" {
 		options.Listen = "127.0.0.1:0"
--- a/internal/configserver/server_test.go
+++ b/internal/configserver/server_test.go
@@ -41,8 +41,8 @@
 	}
 	writeFile(t, folder, "payouts.json", exampleSettings(t, "another"))
 	scriptedpeer.WaitFor(t, "the other service did not change", func() bool { return follower.Version() == writer.Version() && writer.Version().Revision == 4 })
-	if got := len(controller.offered); got != 2 || writer.log.count("settings file or folder rejected") != 1 {
-		t.Errorf("%d versions offered, want 2; the log: %s", got, writer.log.text.String())
+	if got := len(controller.offered); got != 2 || writer.log.Count("settings file or folder rejected") != 1 {
+		t.Errorf("%d versions offered, want 2; the log: %s", got, writer.log.String())
 	}
 
 	writeFile(t, folder, "orders.json", exampleSettings(t, "refused")) // rejected by the controller only
@@ -52,7 +52,7 @@
 	})
 	writeFile(t, folder, "orders.json", exampleSettings(t, "fourth"))
 	controller.waitForClass("fourth")
-	if counts := controller.Counts(); counts.Rejected != 1 || counts.Offered != 4 || len(writer.Status().Faults) != 0 || writer.log.count("settings file or folder is valid again") != 1 {
+	if counts := controller.Counts(); counts.Rejected != 1 || counts.Offered != 4 || len(writer.Status().Faults) != 0 || writer.log.Count("settings file or folder is valid again") != 1 {
 		t.Errorf("after a rejected and an accepted version the controller has counts %+v", counts)
 	}
 }
@@ -226,8 +226,8 @@
 	for range 2 {
 		get(t, writer, "/configuration?service=orders&since="+revision.Version{Epoch: own.Epoch + 1, Revision: 1}.String())
 	}
-	if writer.Version() != own || writer.log.count("there is another writer, which") != 1 {
-		t.Errorf("version %s after a later epoch at a follower, want %s and one log line about it; the log: %s", writer.Version(), own, writer.log.text.String())
+	if writer.Version() != own || writer.log.Count("there is another writer, which") != 1 {
+		t.Errorf("version %s after a later epoch at a follower, want %s and one log line about it; the log: %s", writer.Version(), own, writer.log.String())
 	}
 	get(t, writer, "/configuration?service=orders&since="+revision.Version{Epoch: revision.Max, Revision: 1}.String())
 	if writer.Version() != own {
@@ -260,7 +260,7 @@
 			t.Fatal(err)
 		}
 		writer = startServer(t, Options{Name: "s0", Folder: folder, StateFile: statePath})
-		scriptedpeer.WaitFor(t, "the log does not report "+wantLog, func() bool { return writer.log.count("state file rejected") == 1 && writer.log.count(wantLog) > 0 })
+		scriptedpeer.WaitFor(t, "the log does not report "+wantLog, func() bool { return writer.log.Count("state file rejected") == 1 && writer.log.Count(wantLog) > 0 })
 		writer.stop()
 	}
 	for _, options := range []Options{{}, {Folder: folder, Upstreams: []configclient.Server{{Address: "127.0.0.1:1"}}}} {
--- a/internal/discovery/helpers_test.go
+++ b/internal/discovery/helpers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -42,27 +41,9 @@
 	return strings.Replace(answer, "\r\n", "\r\nConnection: close\r\n", 1)
 }
 
-// logBuffer is a log that can be read while other goroutines write to it.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *logBuffer) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(b)
-}
-
-func (l *logBuffer) count(text string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Count(l.text.String(), text)
-}
-
 // startClient runs a client that starts from a list of the given revision, until the end of the test.
-func startClient(t *testing.T, address string, revision int64) (*Client, *eventloop.Queues, *logBuffer) {
-	queues, log := eventloop.New(), &logBuffer{}
+func startClient(t *testing.T, address string, revision int64) (*Client, *eventloop.Queues, *scriptedpeer.LogBuffer) {
+	queues, log := eventloop.New(), &scriptedpeer.LogBuffer{}
 	client := New(address, revision, queues, slog.New(slog.NewTextHandler(log, nil)), func() int64 { return 7 }, 1)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -115,8 +96,8 @@
 
 // startClientWithDialer runs a client in a synctest bubble until its test ends.
 func startClientWithDialer(t *testing.T, seed uint64, dial dialFunc) (
-	*Client, *eventloop.Queues, *logBuffer) {
-	queues, log := eventloop.New(), &logBuffer{}
+	*Client, *eventloop.Queues, *scriptedpeer.LogBuffer) {
+	queues, log := eventloop.New(), &scriptedpeer.LogBuffer{}
 	client := New("agent:1", 40, queues, slog.New(slog.NewTextHandler(log, nil)), func() int64 { return 7 }, seed)
 	client.dial = dial
 	ended := make(chan struct{})
--- a/internal/discovery/race_test.go
+++ b/internal/discovery/race_test.go
@@ -41,12 +41,12 @@
 				conn = agent.AcceptConn()
 				expectRequest(t, conn, fmt.Sprintf(watchLine, revision))
 			}
-			if errs := queues.Counters.DiscoveryErrors.Load(); errs != 0 || log.count("discovery") != 0 {
-				t.Errorf("%d errors counted; log: %s", errs, log.text.String())
+			if errs := queues.Counters.DiscoveryErrors.Load(); errs != 0 || log.Count("discovery") != 0 {
+				t.Errorf("%d errors counted; log: %s", errs, log.String())
 			}
 			agent.Close()
 			conn.Reset() // the agent is gone
-			scriptedpeer.WaitFor(t, "no failure is logged after the agent has gone", func() bool { return log.count("discovery call failed") == 1 })
+			scriptedpeer.WaitFor(t, "no failure is logged after the agent has gone", func() bool { return log.Count("discovery call failed") == 1 })
 		})
 	}
 }
@@ -80,11 +80,11 @@
 			if published := nextList(t, queues); published.Revision != 45 || !published.Complete {
 				t.Errorf("published %+v", published)
 			}
-			if log.count("discovery call failed") != 1 || log.count("discovery recovered") != 0 {
-				t.Errorf("log: %s", log.text.String())
+			if log.Count("discovery call failed") != 1 || log.Count("discovery recovered") != 0 {
+				t.Errorf("log: %s", log.String())
 			}
 			conn.SendRaw(unchangedAnswer(45))
-			scriptedpeer.WaitFor(t, "no recovery is logged after a watch was answered", func() bool { return log.count("discovery recovered") == 1 })
+			scriptedpeer.WaitFor(t, "no recovery is logged after a watch was answered", func() bool { return log.Count("discovery recovered") == 1 })
 		})
 	}
 }
--- a/internal/discovery/timing_test.go
+++ b/internal/discovery/timing_test.go
@@ -157,8 +157,8 @@
 				if calls := time.Duration(queues.Counters.DiscoveryCalls.Load()); calls > c.maxCalls {
 					t.Errorf("%d calls in %v, want at most %d", calls, span, c.maxCalls)
 				}
-				if failures := log.count("discovery call failed"); failures > 1 || (failures == 1) != c.wantFailure || log.count("discovery recovered") > 0 {
-					t.Errorf("log: %.400s", log.text.String())
+				if failures := log.Count("discovery call failed"); failures > 1 || (failures == 1) != c.wantFailure || log.Count("discovery recovered") > 0 {
+					t.Errorf("log: %.400s", log.String())
 				}
 				if (queues.Counters.DiscoveryErrors.Load() > 0) != c.wantFailure {
 					t.Errorf("%d discovery errors counted", queues.Counters.DiscoveryErrors.Load())
--- a/internal/ingress/request_memory_test.go
+++ b/internal/ingress/request_memory_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -149,7 +148,7 @@
 	}
 	raw.framer.WritePing(false, [8]byte{})
 	flood := raw.Bytes()
-	before := liveHeap()
+	before := scriptedpeer.LiveHeap()
 	var floods sync.WaitGroup
 	for range clients {
 		client := scriptedpeer.Dial(t, listener.Address())
@@ -159,7 +158,7 @@
 	floods.Wait()
 	// Besides its requests a connection holds its buffers and its tables of header compression.
 	const connection = 64 << 10
-	if held, most := liveHeap()-before, int64(limit+clients*(reservedMemory+connection)); held > most {
+	if held, most := scriptedpeer.LiveHeap()-before, int64(limit+clients*(reservedMemory+connection)); held > most {
 		t.Errorf("%d requests hold %d bytes, want at most %d", server.Counters.InFlight.Load(), held, most)
 	}
 	if n := server.Counters.MemoryRefused.Load(); n == 0 {
@@ -194,12 +193,3 @@
 		}
 	}
 }
-
-// liveHeap returns the bytes of objects on the heap that are still in use.
-func liveHeap() int64 {
-	runtime.GC()
-	runtime.GC() // the first one moves the content of sync.Pool aside only
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc)
-}
