Sidecar: an early response to a long request announces the close of its connection

Cause: whether the rest of a body can be discarded was decided after the response was sent.

Change: the head of the response announces the close if the unread rest may be 64 KiB or longer, has no known length, or will not be sent as the client was not asked for it.

--- a/internal/ingress/http1_response.go
+++ b/internal/ingress/http1_response.go
@@ -84,7 +84,7 @@
 		return err
 	}
 	r.noBody = r.method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
-	r.closeConn = r.closeConn || r.conn.server.Draining()
+	r.closeConn = r.closeConn || r.conn.server.Draining() || !r.canReadNextRequest()
 	if status != http.StatusNoContent {
 		r.writeFraming(length)
 	}
@@ -98,6 +98,20 @@
 	return err
 }
 
+// canReadNextRequest reports whether the next request on the connection can be read, although the body of this one may not
+// have been read completely. If not, the response has to announce the close of the connection: otherwise the client would send
+// its next request, which would be discarded with the rest of the body.
+func (r *http1Response) canReadNextRequest() bool {
+	body, ok := r.conn.request.Body.(*http1Body)
+	if !ok {
+		return true
+	}
+	if r.conn.request.ExpectContinue && !r.continued { // the client does not send the body
+		return false
+	}
+	return body.hasShortRest()
+}
+
 // writeFraming writes the header field that determines where the body ends.
 func (r *http1Response) writeFraming(length int64) {
 	switch {
--- a/internal/ingress/http1_watch.go
+++ b/internal/ingress/http1_watch.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 
 	"lilacbend/internal/socket"
 )
@@ -12,8 +13,10 @@
 // http1Body reads the body of an HTTP/1 request.
 type http1Body struct {
 	io.Reader
-	conn *http1Conn
-	head *http.Request // its trailer is set at the end of the body
+	conn  *http1Conn
+	head  *http.Request // its trailer is set at the end of the body
+	read  atomic.Int64  // bytes of the body
+	ended atomic.Bool   // the body was read to its end
 }
 
 // Read reads the next part of the body. At the end of the body the request has been read completely. It fails once the client
@@ -23,7 +26,9 @@
 		return 0, errConnEnded
 	}
 	n, err := b.Reader.Read(p)
+	b.read.Add(int64(n))
 	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
 		if len(b.head.Trailer) > maxFields {
 			b.head.Trailer = nil
 			return n, errTooManyFields
@@ -33,6 +38,16 @@
 	return n, err
 }
 
+// hasShortRest reports whether the unread rest of the body is certain to be short enough to be discarded, so that the next
+// request on the connection can be read. It may be called concurrently with Read.
+func (b *http1Body) hasShortRest() bool {
+	if b.ended.Load() {
+		return true
+	}
+	length := b.head.ContentLength
+	return length >= 0 && length-b.read.Load() < maxDiscard
+}
+
 // onRequestRead records that a request was read completely, and starts to watch for the end of the connection. All further
 // bytes from the client belong to the next request, and stay unread until then.
 func (c *http1Conn) onRequestRead() {
