Governors: peers that report each second are not held back where the interval is longer

Cause: the rates of messages followed the settings' interval alone. Sidecars and collectors of ours report each second by default; with an interval of 10 s and 64 classes a proxy would have been held back for good.

Change: the rates allow one report a second at least; a collector takes twice as many reports of one sidecar as before.

--- a/internal/controlclient/collector.go
+++ b/internal/controlclient/collector.go
@@ -29,9 +29,9 @@
 	sidecarNamePeriod  = maxReportAge
 )
 
-// sidecarRate is the rate of messages of one sidecar: reports of maxReplicas replicas in each second, and what arrives at once
+// sidecarRate is the rate of messages of one sidecar: two reports of maxReplicas replicas in each second, and what arrives at once
 // after a stall.
-var sidecarRate = ratelimit.Rate{PerSecond: maxReplicas, Burst: 4 * maxReplicas}
+var sidecarRate = ratelimit.Rate{PerSecond: 2 * maxReplicas, Burst: 4 * maxReplicas}
 
 // errControllerClosed is returned for a connection that the controller has closed, or on which it has refused the collector.
 var errControllerClosed = errors.New("controller closed the connection or refused the collector")
--- a/internal/controller/messagerates.go
+++ b/internal/controller/messagerates.go
@@ -17,8 +17,10 @@
 	otherMessagesPerSecond = 50.0
 	// reportedReplicas is the number of replicas that a collector may report in each interval. No installation reaches it.
 	reportedReplicas = 1 << 14
-	// minReportInterval is the shortest report interval for which the rates allow.
+	// minReportInterval is the shortest report interval for which the rates allow. Sidecars and collectors may report once in
+	// maxReportInterval even where the settings have a longer interval.
 	minReportInterval = 100 * time.Millisecond
+	maxReportInterval = time.Second
 )
 
 // UnidentifiedRate is the rate of messages of a peer that has not joined.
@@ -38,7 +40,7 @@
 
 // reportRate returns the rate for a number of reports in each interval.
 func (t Topology) reportRate(reports int) ratelimit.Rate {
-	interval := max(time.Duration(t.reportInterval), minReportInterval)
+	interval := min(max(time.Duration(t.reportInterval), minReportInterval), maxReportInterval)
 	perSecond := rateMargin*float64(reports)/interval.Seconds() + otherMessagesPerSecond
 	return ratelimit.Rate{PerSecond: perSecond, Burst: max(minBurst, perSecond*burstTime.Seconds())}
 }
