Sidecar: frames that carry requests do not count against the rate of frames

Cause: the rate of 50,000 frames a second, made for clients that flood, counted heads and bodies too.

--- a/internal/ingress/hold_back_test.go
+++ b/internal/ingress/hold_back_test.go
@@ -61,3 +61,26 @@
 		})
 	}
 }
+
+// An HTTP/2 client sends many requests on one connection. Their frames do not count against the rate of frames.
+func TestFramesOfRequestsAreNotHeldBack(t *testing.T) {
+	const requests = 400
+	listener := scriptedpeer.Listen(t)
+	server := newTestServer(Limits{MaxStreams: requests, RequestMemory: 1 << 30}, serveBody)
+	server.rates.frames = ratelimit.Rate{PerSecond: 1, Burst: 100}
+	go server.ServeHTTP2(listener.Listener)
+	raw := newRawClient()
+	for k := range requests {
+		id := uint32(2*k + 1)
+		raw.open(id, false, requestHead())
+		raw.framer.WriteData(id, true, []byte("pay"))
+	}
+	raw.framer.WritePing(false, [8]byte{})
+	client := scriptedpeer.Dial(t, listener.Address())
+	go client.Write(raw.Bytes())
+	awaitPingAck(t, client)
+	scriptedpeer.WaitFor(t, "not all requests were served", func() bool { return server.Counters.Requests.Load() == requests })
+	if n := server.Counters.HeldBack.Load(); n != 0 {
+		t.Errorf("the client was held back %d times, want never", n)
+	}
+}
--- a/internal/ingress/http2_conn.go
+++ b/internal/ingress/http2_conn.go
@@ -203,7 +203,6 @@
 		if err := c.readFrame(first); err != nil {
 			return err
 		}
-		c.server.holdBack(&c.frames, c.server.rates.frames)
 	}
 }
 
@@ -250,5 +249,11 @@
 	if _, settings := frame.(*http2.SettingsFrame); first && !settings {
 		return errProtocol
 	}
-	return c.handleFrame(frame)
+	if err := c.handleFrame(frame); err != nil {
+		return err
+	}
+	if !carriesRequest(frame) {
+		c.server.holdBack(&c.frames, c.server.rates.frames)
+	}
+	return nil
 }
