--- a/experiment/scriptedpeer/stall.go
+++ b/experiment/scriptedpeer/stall.go
@@ -96,11 +96,3 @@
 func (c LateConn) SetReadDeadline(time.Time) error {
 	return c.TCPConn.SetReadDeadline(time.Now().Add(-time.Second))
 }
-
-// SetDeadline sets a read deadline that has passed, and the write deadline.
-func (c LateConn) SetDeadline(t time.Time) error {
-	if err := c.SetReadDeadline(t); err != nil {
-		return err
-	}
-	return c.SetWriteDeadline(t)
-}
--- a/internal/ingress/http1_request.go
+++ b/internal/ingress/http1_request.go
@@ -120,12 +120,9 @@
 }
 
 // discardBody reads the unread rest of a request body, which precedes the next request on the connection. It returns
-// false if the rest has maxDiscard bytes or more, cannot be read, or will not be sent because the client was not asked
-// for it.
+// false if the rest has maxDiscard bytes or more, or cannot be read. The head of the response has announced the close of the
+// connection if that was to be expected (canReadNextRequest).
 func (c *http1Conn) discardBody(body io.Reader) bool {
-	if c.request.ExpectContinue && !c.response.continued {
-		return false
-	}
 	n, err := io.CopyN(io.Discard, body, maxDiscard)
 	if n == maxDiscard || !errors.Is(err, io.EOF) {
 		return false
