Sidecar, HTTP/2: streams wait for the requests of reset ones instead of being refused

What callers saw: after a stall, a client that had given up on requests in time and sent others got REFUSED_STREAM for them, though it held to its limit of streams.

Cause: the request of a reset stream counts until its goroutine has stopped, and at twice the limit of streams a new one is refused. The reader takes resets and new streams from one buffer faster than the goroutines get the processor.

At the refusal there were 0 streams and 200 requests (print on a scratch copy).

Change: a new stream waits up to a second for requests of ended streams to stop, if these take the slots or the memory. The bounds stay. Admission has a file of its own.

TestStreamAfterResetsIsServed fails without the change (RST_STREAM on both rows); TestRequestsThatDoNotStopDelayFramesOnce bounds the wait.

--- a/internal/ingress/http2_conn.go
+++ b/internal/ingress/http2_conn.go
@@ -48,14 +48,19 @@
 // http2Conn is an HTTP/2 connection of a client. One goroutine reads it, and one for each stream serves the request. Frames
 // are written while holding writeMu, which is never acquired while mu is held.
 type http2Conn struct {
-	server     *Server
-	conn       net.Conn
-	framer     *http2.Framer
-	budget     frameBudget       // used by the reading goroutine alone
-	frames     ratelimit.Limiter // used by the reading goroutine alone
-	flooded    bool              // the client has exceeded its budget; used by the reading goroutine alone
-	serveDone  chan struct{}     // closed when serve returns
-	clientLeft func() bool       // reports whether the client has closed the connection
+	server  *Server
+	conn    net.Conn
+	framer  *http2.Framer
+	budget  frameBudget       // used by the reading goroutine alone
+	frames  ratelimit.Limiter // used by the reading goroutine alone
+	flooded bool              // the client has exceeded its budget; used by the reading goroutine alone
+	// unwindTimedOut means that a new stream has waited in vain, and no request has ended since. It is used by the reading
+	// goroutine alone.
+	unwindTimedOut bool
+	serveDone      chan struct{} // closed when serve returns
+	clientLeft     func() bool   // reports whether the client has closed the connection
+	// requestEnded holds a value if a request has ended since it was last received from.
+	requestEnded chan struct{}
 	// The goroutines of the streams; the reading goroutine waits for them.
 	handlers sync.WaitGroup
 
@@ -91,6 +96,7 @@
 		budget:            newFrameBudget(s.limits.MaxStreams),
 		memory:            connMemory{shared: &s.requestMemory},
 		serveDone:         make(chan struct{}),
+		requestEnded:      make(chan struct{}, 1),
 		clientLeft:        func() bool { return socket.PeerClosed(conn) },
 		streams:           map[uint32]*stream{},
 		sendWindow:        defaultWindow,
--- a/internal/ingress/http2_stream.go
+++ b/internal/ingress/http2_stream.go
@@ -87,35 +87,6 @@
 	return c.refuseStream(f.StreamID)
 }
 
-// refuseStream refuses a new stream, whose request the client may repeat. If the budget does not cover this, nothing is sent:
-// the GOAWAY has told the client that the stream is not served.
-func (c *http2Conn) refuseStream(id uint32) error {
-	if !c.charge(refusedStream) {
-		return nil
-	}
-	return c.write(func() error { return c.framer.WriteRSTStream(id, http2.ErrCodeRefusedStream) })
-}
-
-// admitStream counts a new stream and takes its memory, unless there are too many streams, there is no memory, or new streams
-// are refused. The stream becomes the last one served and in flight at the same time, so that a drain waits for each stream
-// that its GOAWAY covers. A client may repeat a request that was refused.
-func (c *http2Conn) admitStream(id uint32, memory int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastStream = id
-	maxStreams := c.server.limits.MaxStreams
-	if c.refusing || len(c.streams) >= maxStreams || c.inFlight >= 2*maxStreams {
-		return false
-	}
-	if !c.memory.take(memory) {
-		c.server.Counters.MemoryRefused.Add(1)
-		return false
-	}
-	c.lastServed = id
-	c.inFlight++
-	return true
-}
-
 // openStream serves a new stream for which memory was taken. It responds to a head that exceeds maxHead or maxFields, and
 // resets a stream whose head is malformed.
 func (c *http2Conn) openStream(f *http2.MetaHeadersFrame, memory int64) {
@@ -194,6 +165,10 @@
 	c.memory.release(memory)
 	last := c.goAwaySent && c.inFlight == 0
 	c.mu.Unlock()
+	select {
+	case c.requestEnded <- struct{}{}:
+	default: // one is noted already
+	}
 	if last {
 		c.closeWrite()
 	}
--- a/internal/ingress/stall_test.go
+++ b/internal/ingress/stall_test.go
@@ -69,8 +69,8 @@
 		switch frame := frame.(type) {
 		case *http2.MetaHeadersFrame:
 			return frame.PseudoValue("status")
-		case *http2.GoAwayFrame:
-			return frame.String()
+		case *http2.GoAwayFrame, *http2.RSTStreamFrame:
+			return fmt.Sprint(frame)
 		}
 	}
 }
