Tests: those that stop a process wait until it stands still

Cause: after SIGSTOP the threads of a process run on for a moment, more so beside load. A request that was sent at once could be served before the stop. In the test of clients that leave, requests could be sent on before the stop.

Change: stop waits until the kernel says that all threads are stopped.

--- a/cmd/lilacbend/child_test.go
+++ b/cmd/lilacbend/child_test.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
+	"io/fs"
 	"maps"
 	"os"
 	"os/exec"
@@ -80,6 +84,39 @@
 	}
 }
 
+// stop stops the process, and waits until all of its threads stand still: SIGSTOP alone lets them run on for a moment.
+func (c *childProcess) stop() {
+	c.t.Helper()
+	c.signal(syscall.SIGSTOP)
+	scriptedpeer.WaitFor(c.t, "the process runs on after SIGSTOP", c.stopped)
+}
+
+// resume lets a stopped process go on.
+func (c *childProcess) resume() { c.signal(syscall.SIGCONT) }
+
+// stopped reports whether all threads of the process are stopped (see proc_pid_stat(5)).
+func (c *childProcess) stopped() bool {
+	c.t.Helper()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", c.Process.Pid))
+	if err != nil || len(threads) == 0 {
+		c.t.Fatalf("no threads of process %d: %v", c.Process.Pid, err)
+	}
+	for _, thread := range threads {
+		status, err := os.ReadFile(thread)
+		if errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.ESRCH) { // the thread has ended
+			continue
+		}
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		_, fields, _ := bytes.Cut(status, []byte(") ")) // the name of the program, in parentheses, precedes the state
+		if !bytes.HasPrefix(fields, []byte("T")) {
+			return false
+		}
+	}
+	return true
+}
+
 // expectExit sends signals and waits for the exit. The exit code has to be 0, and the exit has to come within killDelay if
 // there are signals.
 func (c *childProcess) expectExit(signals ...syscall.Signal) {
--- a/cmd/lilacbend/sidecar_left_client_test.go
+++ b/cmd/lilacbend/sidecar_left_client_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 
 	"lilacbend/experiment/replica"
@@ -78,9 +77,9 @@
 			writeManifest(t, file, c.protocol, listen, replicaServer.Addr)
 			process := startProgram(t, nil, "sidecar", "--manifest", file)
 			scriptedpeer.DialWhenUp(t, listen).Close()
-			process.signal(syscall.SIGSTOP)
+			process.stop()
 			c.send(t, listen, c.keys, c.length)
-			process.signal(syscall.SIGCONT)
+			process.resume()
 			c.expectAnswers(t, listen, c.keys)
 			for _, key := range c.keys {
 				if n := replicaServer.RunsByKey()[key]; n != 1 {
--- a/cmd/lilacbend/sidecar_stall_test.go
+++ b/cmd/lilacbend/sidecar_stall_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strconv"
-	"syscall"
 	"testing"
 	"time"
 
@@ -91,7 +90,7 @@
 	defer connection.Conn.Close()
 	client := &abandoningClient{HTTP2Client: connection, t: t, nextID: 1}
 	for stall := range stalls {
-		process.signal(syscall.SIGSTOP)
+		process.stop()
 		for range rounds {
 			client.abandon(abandoned, patience)
 		}
@@ -100,7 +99,7 @@
 			key := strconv.Itoa(stall) + "/" + strconv.Itoa(k)
 			waiting[key] = client.open("POST", "/payouts", key)
 		}
-		process.signal(syscall.SIGCONT)
+		process.resume()
 		for key, id := range waiting {
 			client.awaitAnswer(id, key)
 			if n := replicaServer.RunsByKey()[key]; n != 1 {
@@ -150,10 +149,10 @@
 	expectAnswer("first")
 	for stall := range stalls {
 		key := strconv.Itoa(stall)
-		process.signal(syscall.SIGSTOP)
+		process.stop()
 		pay(key)
 		time.Sleep(2 * idle)
-		process.signal(syscall.SIGCONT)
+		process.resume()
 		expectAnswer(key)
 	}
 }
