Collector: names of one sidecar do not delay the reports of others within a budget

Cause: the two queues of a round order all keys together.

Change: a source that has more keys in a queue than all others together alternates with them. A key that several sources report belongs to the one with the fewest keys, so that a source cannot claim those of others. In any other queue, and without a budget, the order is as before, and so is the bound on the time until a replica is reported again.

--- a/internal/controlclient/budget_test.go
+++ b/internal/controlclient/budget_test.go
@@ -147,7 +147,7 @@
 	pending := newPendingOutcomes(time.Second, 0)
 	round := func(reports ...outcomeReport) []string {
 		for _, report := range reports {
-			pending.add(report)
+			pending.add(0, report)
 		}
 		pending.beginRound()
 		var order []string
--- a/internal/controlclient/capacity_bench_test.go
+++ b/internal/controlclient/capacity_bench_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"lilacbend/internal/dispatch"
-	"lilacbend/internal/ratelimit"
 	"lilacbend/internal/resp"
 )
 
@@ -31,10 +30,10 @@
 			for k := range 33 {
 				reports = append(reports, strings.Fields(fmt.Sprintf("met target stock-7c9d4f5b8-%05d count 12 fail 0 mean 47.318", k)))
 			}
-			names := ratelimit.Names{Max: maxSidecarReplicas}
+			source := c.newReportSource()
 			k := 0
 			for b.Loop() {
-				if err := c.receive(reports[k%len(reports)], &names); err != nil {
+				if err := c.receive(reports[k%len(reports)], source); err != nil {
 					b.Fatal(err)
 				}
 				k++
@@ -53,7 +52,7 @@
 				pending := newPendingOutcomes(time.Hour, 0)
 				before := heapInUse()
 				for k := range replicas {
-					pending.add(outcomeReport{"stock-7c9d4f5b8-" + strconv.Itoa(10000+k), 12, 0, 47.3})
+					pending.add(0, outcomeReport{"stock-7c9d4f5b8-" + strconv.Itoa(10000+k), 12, 0, 47.3})
 				}
 				heapBytes = heapInUse() - before
 				runtime.KeepAlive(pending)
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -14,7 +14,6 @@
 
 	"lilacbend/control"
 	"lilacbend/internal/dispatch"
-	"lilacbend/internal/ratelimit"
 	"lilacbend/internal/resp"
 )
 
@@ -261,7 +260,7 @@
 	controller.waitFor(t, "outcomes site a target b count 21 fail 2 mean 40.000 over ")
 	controller.waitFor(t, "outcomes site a target c count 2 fail 2 mean 0.000 over ")
 	for _, bad := range []string{"met", "met target b count -1 fail 0 mean 1", "met target b count 1 fail 2 mean 1", "met target b count 1 fail 0 mean NaN", "met target  count 1 fail 0 mean 1", "hello id 1"} {
-		if err := collector.receive(strings.Split(bad, " "), &ratelimit.Names{Max: 1}); err == nil {
+		if err := collector.receive(strings.Split(bad, " "), collector.newReportSource()); err == nil {
 			t.Errorf("unusable report %q is accepted", bad)
 		}
 	}
--- a/internal/controlclient/collector.go
+++ b/internal/controlclient/collector.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lilacbend/internal/backoff"
+	"lilacbend/internal/loadreport"
 	"lilacbend/internal/ratelimit"
 	"lilacbend/internal/resp"
 	"lilacbend/internal/socket"
@@ -55,6 +56,7 @@
 	pool        *resp.Pool
 	pending     []*pendingOutcomes // outcomes not reported yet, by controller
 	connections atomic.Int64
+	sources     atomic.Uint64 // IDs of sources given out
 }
 
 // Serve accepts sidecars until ctx ends, and reports the sums of their outcomes to the controllers.
@@ -106,7 +108,7 @@
 	reader := resp.NewReader(socket.Reader{Conn: conn}, c.pool)
 	defer reader.Close()
 	var limiter ratelimit.Limiter
-	names := ratelimit.Names{Max: maxSidecarReplicas, Period: sidecarNamePeriod}
+	source := c.newReportSource()
 	for {
 		now := time.Now()
 		if wait := limiter.Take(now, sidecarRate); wait > 0 {
@@ -128,25 +130,39 @@
 			}
 			continue
 		}
-		if err := c.receive(words, &names); err != nil {
+		if err := c.receive(words, source); err != nil {
 			c.Skipped.Add(1)
 			c.Log.Debug("sidecar message skipped", "from", conn.RemoteAddr(), "error", err)
 		}
 	}
 }
 
-// receive adds a report to the pending outcomes of each controller. names are the replicas that the sidecar reports.
-func (c *Collector) receive(words []string, names *ratelimit.Names) error {
+// reportSource is the connection of one sidecar as a source of reports. It is used by the goroutine that reads the connection.
+type reportSource struct {
+	id    loadreport.SourceID
+	names ratelimit.Names // of the replicas that the sidecar reports
+}
+
+// newReportSource returns a source of reports with an ID of its own.
+func (c *Collector) newReportSource() *reportSource {
+	return &reportSource{
+		id:    loadreport.SourceID(c.sources.Add(1)),
+		names: ratelimit.Names{Max: maxSidecarReplicas, Period: sidecarNamePeriod},
+	}
+}
+
+// receive adds a report of a sidecar to the pending outcomes of each controller.
+func (c *Collector) receive(words []string, source *reportSource) error {
 	report, err := parseOutcomeReport(words)
 	if err != nil {
 		return err
 	}
-	if !names.Admit(report.replica, time.Now()) {
+	if !source.names.Admit(report.replica, time.Now()) {
 		return errTooManyReplicas
 	}
 	c.Received.Add(1)
 	for _, pending := range c.pending {
-		pending.add(report)
+		pending.add(source.id, report)
 	}
 	return nil
 }
--- a/internal/controlclient/golden_test.go
+++ b/internal/controlclient/golden_test.go
@@ -92,8 +92,8 @@
 			pending := newPendingOutcomes(time.Second, 0)
 			pending.beginRound()
 			time.Sleep(time.Second)
-			pending.add(outcomeReport{replica: "s-5", attempts: 200, failures: 2, meanMillis: 40})
-			pending.add(outcomeReport{replica: "s-5", attempts: 12, failures: 1, meanMillis: 72.5})
+			pending.add(0, outcomeReport{replica: "s-5", attempts: 200, failures: 2, meanMillis: 40})
+			pending.add(0, outcomeReport{replica: "s-5", attempts: 12, failures: 1, meanMillis: 72.5})
 			return c.sendOutcomes(w, pending)
 		}},
 	} {
--- a/internal/controlclient/names_test.go
+++ b/internal/controlclient/names_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"lilacbend/internal/ratelimit"
 )
 
 // One sidecar reports ever new names of replicas. The reports of the other sidecars are still taken, although the number of
@@ -14,21 +12,20 @@
 func TestNamesOfOneSidecarLeaveRoomForOthers(t *testing.T) {
 	pending := newPendingOutcomes(time.Second, 0)
 	collector := &Collector{pending: []*pendingOutcomes{pending}}
-	report := func(replica string, names *ratelimit.Names) error {
-		return collector.receive([]string{"met", "target", replica, "count", "3", "fail", "0", "mean", "20"}, names)
+	report := func(source *reportSource, replica string) error {
+		return collector.receive([]string{"met", "target", replica, "count", "3", "fail", "0", "mean", "20"}, source)
 	}
-	flooding := ratelimit.Names{Max: maxSidecarReplicas, Period: sidecarNamePeriod}
+	flooding, other := collector.newReportSource(), collector.newReportSource()
 	refused := 0
 	for k := range 2 * maxReplicas {
-		if errors.Is(report(fmt.Sprintf("invented-%d", k), &flooding), errTooManyReplicas) {
+		if errors.Is(report(flooding, fmt.Sprintf("invented-%d", k)), errTooManyReplicas) {
 			refused++
 		}
 	}
 	if want := 2*maxReplicas - maxSidecarReplicas; refused != want {
 		t.Errorf("%d reports refused, want %d", refused, want)
 	}
-	other := ratelimit.Names{Max: maxSidecarReplicas, Period: sidecarNamePeriod}
-	if err := report("s-1", &other); err != nil {
+	if err := report(other, "s-1"); err != nil {
 		t.Fatal(err)
 	}
 	pending.beginRound()
--- a/internal/controlclient/outcome_report.go
+++ b/internal/controlclient/outcome_report.go
@@ -86,14 +86,14 @@
 	return &pendingOutcomes{interval: interval, outcomes: loadreport.New(limits, monotonicNow())}
 }
 
-// add adds a report. Its outcomes are taken to have occurred since the last round began, but no earlier than two intervals
+// add adds a report of a source. Its outcomes are taken to have occurred since the last round began, but no earlier than two intervals
 // ago.
-func (p *pendingOutcomes) add(report outcomeReport) {
+func (p *pendingOutcomes) add(source loadreport.SourceID, report outcomeReport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := monotonicNow()
 	since := max(p.outcomes.RoundStartedAt(), now-2*int64(p.interval))
-	p.outcomes.Add(report.replica, report.sum(), since, now)
+	p.outcomes.Add(source, report.replica, report.sum(), since, now)
 }
 
 // recordConnection records a new connection to the controller, which may have been restarted in the meantime.
--- a/internal/controlclient/races_test.go
+++ b/internal/controlclient/races_test.go
@@ -178,13 +178,13 @@
 func TestOldOutcomesExpire(t *testing.T) {
 	second := int64(time.Second)
 	pending, now := newPendingOutcomes(time.Second, 0), monotonicNow()
-	pending.outcomes.Add("b", outcomeReport{"b", 3, 0, 1}.sum(), now-12*second, now-11*second)
+	pending.outcomes.Add(0, "b", outcomeReport{"b", 3, 0, 1}.sum(), now-12*second, now-11*second)
 	pending.beginRound()
 	if report, ok := pending.next(); ok {
 		t.Errorf("expired outcomes are reported: %+v", report)
 	}
-	pending.outcomes.Add("b", outcomeReport{"b", 3, 0, 1}.sum(), now-2*second, now-second)
-	pending.add(outcomeReport{"b", 4, 0, 1})
+	pending.outcomes.Add(0, "b", outcomeReport{"b", 3, 0, 1}.sum(), now-2*second, now-second)
+	pending.add(0, outcomeReport{"b", 4, 0, 1})
 	pending.beginRound()
 	report, ok := pending.next()
 	if !ok || report.Sum.Attempts != 7 || report.Period < 2*time.Second || report.Period > 3*time.Second {
@@ -204,13 +204,13 @@
 	stopReports, reportsStopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(reportsStopped)
-		names := ratelimit.Names{Max: maxReplicas}
+		source := &reportSource{names: ratelimit.Names{Max: maxReplicas}}
 		for k := 0; ; k++ {
 			select {
 			case <-stopReports:
 				return
 			default:
-				c.receive([]string{"met", "target", long + strconv.Itoa(k%maxReplicas), "count", "1", "fail", "0", "mean", "1"}, &names)
+				c.receive([]string{"met", "target", long + strconv.Itoa(k%maxReplicas), "count", "1", "fail", "0", "mean", "1"}, source)
 			}
 		}
 	}()
--- a/internal/loadreport/aggregator.go
+++ b/internal/loadreport/aggregator.go
@@ -25,15 +25,22 @@
 	Period time.Duration // period in which the outcomes occurred
 }
 
+// SourceID identifies a source of outcomes, such as the connection of a sidecar.
+type SourceID uint64
+
 // Aggregator holds the outcomes that have not been reported to one receiver yet. It is not safe for concurrent use.
 //
+// Within a budget, a source that reports more keys than all others together alternates with them, so that it does not delay
+// their reports.
+//
 // BeginRound begins a round of reports. Next returns the reports of the round one by one, and RecordSent subtracts the size
 // of each from the budget.
 type Aggregator struct {
-	limits         Limits
-	entries        map[string]*entry
-	budget         float64 // bytes that may still be sent; below 0 by less than the size of one message
-	roundStartedAt int64   // when the last round began
+	limits          Limits
+	entries         map[string]*entry
+	entriesBySource map[SourceID]int // number of entries that belong to each source
+	budget          float64          // bytes that may still be sent; below 0 by less than the size of one message
+	roundStartedAt  int64            // when the last round began
 
 	// The queues of the rest of the round: changed holds the entries that deviate from the earlier reports to the receiver,
 	// and oldest holds all pending entries by the age of their last report. An entry may be in both.
@@ -44,14 +51,20 @@
 
 // New returns an Aggregator without outcomes.
 func New(limits Limits, now int64) *Aggregator {
-	return &Aggregator{limits: limits, entries: map[string]*entry{}, roundStartedAt: now}
+	return &Aggregator{
+		limits:          limits,
+		entries:         map[string]*entry{},
+		entriesBySource: map[SourceID]int{},
+		roundStartedAt:  now,
+	}
 }
 
 // RoundStartedAt returns when the last round began.
 func (a *Aggregator) RoundStartedAt() int64 { return a.roundStartedAt }
 
-// Add adds outcomes that occurred between since and now. Outcomes of a new key are dropped if the limit of keys is reached.
-func (a *Aggregator) Add(key string, sum Sum, since, now int64) {
+// Add adds outcomes of a source that occurred between since and now. Outcomes of a new key are dropped if the limit of keys is
+// reached.
+func (a *Aggregator) Add(source SourceID, key string, sum Sum, since, now int64) {
 	e := a.entries[key]
 	if e == nil {
 		if len(a.entries) >= a.limits.MaxKeys {
@@ -59,11 +72,31 @@
 		}
 		e = &entry{key: key}
 		a.entries[key] = e
+		a.assign(e, source)
+	}
+	if e.source != source && a.entriesBySource[source]+1 < a.entriesBySource[e.source] {
+		a.unassign(e)
+		a.assign(e, source)
 	}
 	e.expire(now, a.limits.MaxAge)
 	e.add(sum, since)
 }
 
+// assign makes an entry belong to a source. An entry belongs to the one of its sources that has the fewest, so that a source
+// with very many keys does not take over those of others.
+func (a *Aggregator) assign(e *entry, source SourceID) {
+	e.source = source
+	a.entriesBySource[source]++
+}
+
+// unassign makes an entry belong to no source.
+func (a *Aggregator) unassign(e *entry) {
+	a.entriesBySource[e.source]--
+	if a.entriesBySource[e.source] == 0 {
+		delete(a.entriesBySource, e.source)
+	}
+}
+
 // ReceiverRestarted records that the receiver may have lost all earlier reports, so that every pending sum is a change to
 // it.
 func (a *Aggregator) ReceiverRestarted() {
@@ -84,11 +117,16 @@
 		case e.pending():
 			a.enqueue(e)
 		case now-e.reportedAt > int64(a.limits.MaxAge): // the last report is too old to describe the current state
+			a.unassign(e)
 			delete(a.entries, key)
 		}
 	}
 	slices.SortFunc(a.changed, byDeviation)
 	slices.SortFunc(a.oldest, byReportTime)
+	if a.limits.BytesPerSecond > 0 {
+		alternateMajority(a.changed)
+		alternateMajority(a.oldest)
+	}
 	a.changedIsNext = true
 }
 
@@ -150,6 +188,40 @@
 // RecordSent subtracts the bytes of a sent report from the budget.
 func (a *Aggregator) RecordSent(bytes int) { a.budget -= float64(bytes) }
 
+// alternateMajority reorders a queue in which one source has more entries than all others together: its entries alternate with
+// those of the others, which would otherwise wait for all that are more urgent. Any other queue stays as it is.
+func alternateMajority(queue []*entry) {
+	source, found := majoritySource(queue)
+	if !found {
+		return
+	}
+	nextOther, nextOwn := 0, 1
+	for _, e := range queue {
+		if e.source == source {
+			e.place = nextOwn
+			nextOwn += 2
+		} else {
+			e.place = nextOther
+			nextOther += 2
+		}
+	}
+	slices.SortFunc(queue, func(a, b *entry) int { return cmp.Compare(a.place, b.place) })
+}
+
+// majoritySource returns the source that has more entries of a queue than all others together, if there is one.
+func majoritySource(queue []*entry) (source SourceID, found bool) {
+	counts := map[SourceID]int{}
+	for _, e := range queue {
+		counts[e.source]++
+	}
+	for source, count := range counts {
+		if 2*count > len(queue) {
+			return source, true
+		}
+	}
+	return 0, false
+}
+
 // byDeviation orders entries by deviation, the largest first.
 func byDeviation(a, b *entry) int {
 	return cmp.Or(cmp.Compare(b.deviation, a.deviation), cmp.Compare(a.key, b.key))
--- a/internal/loadreport/aggregator_test.go
+++ b/internal/loadreport/aggregator_test.go
@@ -43,7 +43,7 @@
 func TestAllSumsAreReportedWithoutABudget(t *testing.T) {
 	a := New(limitsOf(0), 0)
 	for k := range 100 {
-		a.Add(keyOf(k), healthy(k+1), 0, second/2)
+		a.Add(0, keyOf(k), healthy(k+1), 0, second/2)
 	}
 	reports := round(a, second)
 	if len(reports) != 100 {
@@ -79,7 +79,7 @@
 						sum.Failures = 1
 					}
 					added = added.plus(sum)
-					a.Add(keyOf(random.IntN(keys)), sum, a.RoundStartedAt(), now)
+					a.Add(0, keyOf(random.IntN(keys)), sum, a.RoundStartedAt(), now)
 				}
 			}
 			reports := round(a, now)
@@ -114,15 +114,15 @@
 	for range 60 {
 		now += second
 		for k := range 100 {
-			a.Add(keyOf(k), healthy(20), a.RoundStartedAt(), now)
+			a.Add(0, keyOf(k), healthy(20), a.RoundStartedAt(), now)
 		}
 		round(a, now)
 	}
 	now += second
 	for k := range 100 {
-		a.Add(keyOf(k), healthy(20), a.RoundStartedAt(), now)
+		a.Add(0, keyOf(k), healthy(20), a.RoundStartedAt(), now)
 	}
-	a.Add(keyOf(63), failing(5), a.RoundStartedAt(), now)
+	a.Add(0, keyOf(63), failing(5), a.RoundStartedAt(), now)
 	reports := round(a, now)
 	if len(reports) == 0 || reports[0].Key != keyOf(63) || reports[0].Sum.Failures != 5 {
 		t.Errorf("reports %+v, want the failures of %s first", reports, keyOf(63))
@@ -136,18 +136,18 @@
 	known := Sum{Attempts: 30, Failures: 30}
 	for tick := int64(1); tick <= 5; tick++ {
 		for k := range 20 {
-			a.Add(keyOf(k), healthy(10), a.RoundStartedAt(), tick*second)
+			a.Add(0, keyOf(k), healthy(10), a.RoundStartedAt(), tick*second)
 		}
-		a.Add(keyOf(7), known, a.RoundStartedAt(), tick*second)
+		a.Add(0, keyOf(7), known, a.RoundStartedAt(), tick*second)
 		round(a, tick*second)
 	}
 	a.limits.BytesPerSecond = messageBytes
 	for _, restarted := range []bool{false, true} {
 		now := a.RoundStartedAt() + second
 		for k := range 20 {
-			a.Add(keyOf(k), healthy(10), a.RoundStartedAt(), now)
+			a.Add(0, keyOf(k), healthy(10), a.RoundStartedAt(), now)
 		}
-		a.Add(keyOf(7), known, a.RoundStartedAt(), now)
+		a.Add(0, keyOf(7), known, a.RoundStartedAt(), now)
 		if restarted {
 			a.ReceiverRestarted()
 		}
@@ -196,7 +196,7 @@
 				sum.Failures++
 			}
 		}
-		a.Add("a", sum, a.RoundStartedAt(), tick*second)
+		a.Add(0, "a", sum, a.RoundStartedAt(), tick*second)
 		a.BeginRound(tick * second)
 		if len(a.changed) > 0 {
 			changed++
@@ -222,7 +222,7 @@
 			if random.IntN(2) == 0 {
 				sum.Failures = sum.Attempts
 			}
-			a.Add(keyOf(k), sum, a.RoundStartedAt(), now)
+			a.Add(0, keyOf(k), sum, a.RoundStartedAt(), now)
 		}
 		for _, r := range round(a, now) {
 			lastReported[r.Key] = tick
@@ -242,9 +242,9 @@
 	now := int64(0)
 	for range 60 {
 		now += second
-		a.Add("a", healthy(10), now-second, now)
+		a.Add(0, "a", healthy(10), now-second, now)
 	}
-	a.Add("gone", healthy(10), second, 2*second)
+	a.Add(0, "gone", healthy(10), second, 2*second)
 	reports := round(a, now)
 	if len(reports) != 1 {
 		t.Fatalf("reports %+v, want one", reports)
@@ -261,12 +261,12 @@
 // The period of a report is the time in which its attempts occurred, and excludes earlier rounds without attempts.
 func TestPeriodExcludesRoundsWithoutAttempts(t *testing.T) {
 	a := New(limitsOf(0), 0)
-	a.Add("a", healthy(10), a.RoundStartedAt(), second)
+	a.Add(0, "a", healthy(10), a.RoundStartedAt(), second)
 	round(a, second)
 	for tick := int64(2); tick <= 8; tick++ {
 		round(a, tick*second)
 	}
-	a.Add("a", healthy(10), a.RoundStartedAt(), 9*second)
+	a.Add(0, "a", healthy(10), a.RoundStartedAt(), 9*second)
 	if reports := round(a, 9*second); len(reports) != 1 || reports[0].Period != time.Second {
 		t.Errorf("reports %+v, want one report with a period of 1 s", reports)
 	}
@@ -277,7 +277,7 @@
 	limits.MaxKeys = 10
 	a := New(limits, 0)
 	for k := range 50 {
-		a.Add(keyOf(k), healthy(1), 0, second)
+		a.Add(0, keyOf(k), healthy(1), 0, second)
 	}
 	if len(a.entries) != 10 {
 		t.Errorf("%d entries, want the limit of 10", len(a.entries))
@@ -299,7 +299,7 @@
 			for b.Loop() {
 				now += second
 				for k := range replicas {
-					a.Add(keyOf(k), healthy(3), a.RoundStartedAt(), now)
+					a.Add(0, keyOf(k), healthy(3), a.RoundStartedAt(), now)
 				}
 				round(a, now)
 			}
--- a/internal/loadreport/entry.go
+++ b/internal/loadreport/entry.go
@@ -13,6 +13,8 @@
 	known      receiverState
 	reportedAt int64   // 0: never
 	deviation  float64 // see receiverState.deviation; as of the current round
+	source     SourceID
+	place      int // in the queue that is being reordered
 }
 
 // pending reports whether there are outcomes to report.
