--- a/internal/controlclient/outcome_report.go
+++ b/internal/controlclient/outcome_report.go
@@ -86,8 +86,8 @@
 	return &pendingOutcomes{interval: interval, outcomes: loadreport.New(limits, monotonicNow())}
 }
 
-// add adds a report of a source. Its outcomes are taken to have occurred since the last round began, but no earlier than two intervals
-// ago.
+// add adds a report of a source. Its outcomes are taken to have occurred since the last round began, but no earlier than two
+// intervals ago.
 func (p *pendingOutcomes) add(source loadreport.SourceID, report outcomeReport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/loadreport/aggregator.go
+++ b/internal/loadreport/aggregator.go
@@ -195,17 +195,21 @@
 	if !found {
 		return
 	}
-	nextOther, nextOwn := 0, 1
+	var own, others []*entry
 	for _, e := range queue {
 		if e.source == source {
-			e.place = nextOwn
-			nextOwn += 2
+			own = append(own, e)
 		} else {
-			e.place = nextOther
-			nextOther += 2
+			others = append(others, e)
 		}
 	}
-	slices.SortFunc(queue, func(a, b *entry) int { return cmp.Compare(a.place, b.place) })
+	alternating := queue[:0]
+	for k, e := range own { // there are more of them than of the others
+		if k < len(others) {
+			alternating = append(alternating, others[k])
+		}
+		alternating = append(alternating, e)
+	}
 }
 
 // majoritySource returns the source that has more entries of a queue than all others together, if there is one.
--- a/internal/loadreport/entry.go
+++ b/internal/loadreport/entry.go
@@ -14,7 +14,6 @@
 	reportedAt int64   // 0: never
 	deviation  float64 // see receiverState.deviation; as of the current round
 	source     SourceID
-	place      int // in the queue that is being reordered
 }
 
 // pending reports whether there are outcomes to report.
